--- /dev/null
+++ b/common/clock/clock.go
@@ -0,0 +1,138 @@
+// Package clock is the only place that reads the time. All other packages
+// take a Clock or are handed a Millis.
+package clock
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Millis is a point in time or a length of time in milliseconds. Points are
+// counted from the start of the process unless a function says otherwise.
+type Millis int64
+
+// Duration converts m for the standard library.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// FromDuration rounds d down to whole milliseconds.
+func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Clock tells monotonic and wall time. The zero value is not usable; use
+// System or NewManual.
+type Clock struct {
+	// start is the origin of Now; it carries a monotonic reading.
+	start time.Time
+	// manual is nil for the system clock.
+	manual *manual
+}
+
+type manual struct {
+	mu  sync.Mutex
+	now Millis
+}
+
+// manualEpoch keeps manual wall readings away from zero, which means unknown.
+const manualEpoch Millis = 1_700_000_000_000
+
+// System returns the clock of this process.
+func System() *Clock { return &Clock{start: time.Now()} }
+
+// NewManual returns a clock that stands still until Advance is called.
+func NewManual() *Clock { return &Clock{manual: &manual{}} }
+
+// Now returns the monotonic milliseconds since the clock was made. It goes on
+// counting while the process is stopped.
+func (c *Clock) Now() Millis {
+	if c.manual != nil {
+		c.manual.mu.Lock()
+		defer c.manual.mu.Unlock()
+		return c.manual.now
+	}
+	return FromDuration(time.Since(c.start))
+}
+
+// Micros returns the monotonic microseconds since the clock was made, for
+// latency histograms alone.
+func (c *Clock) Micros() int64 {
+	if c.manual != nil {
+		return int64(c.Now()) * 1000
+	}
+	return time.Since(c.start).Microseconds()
+}
+
+// Wall returns milliseconds since the Unix epoch. Wall clocks differ between
+// instances, so it may only be compared with an allowance.
+func (c *Clock) Wall() Millis {
+	if c.manual != nil {
+		return manualEpoch + c.Now()
+	}
+	return Millis(time.Now().UnixMilli())
+}
+
+// Advance moves a manual clock forward; it does nothing on the system clock.
+func (c *Clock) Advance(d Millis) {
+	if c.manual == nil {
+		return
+	}
+	c.manual.mu.Lock()
+	defer c.manual.mu.Unlock()
+	c.manual.now += d
+}
+
+// Every calls f every period until ctx is done.
+func Every(ctx context.Context, period Millis, f func()) {
+	t := time.NewTicker(period.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// Sleep waits for d or until ctx is done, and reports whether d went by.
+func Sleep(ctx context.Context, d Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// PauseDetector notices that a process stood still between two ticks, so that
+// what it knew before may be out of date.
+type PauseDetector struct {
+	// limit is the longest gap between ticks that is not a pause.
+	limit Millis
+	// last is the time of the latest tick; it never goes back.
+	last Millis
+}
+
+// NewPauseDetector returns a detector that takes gaps over limit for pauses.
+func NewPauseDetector(limit, now Millis) *PauseDetector {
+	return &PauseDetector{limit: limit, last: now}
+}
+
+// Tick records that the process runs at now, and returns the length of the
+// pause that ended with it, or zero.
+func (p *PauseDetector) Tick(now Millis) Millis {
+	gap := now - p.last
+	p.last = max(p.last, now)
+	if gap > p.limit {
+		return gap
+	}
+	return 0
+}
+
+// WallTime returns the wall time for libraries that want a time.Time.
+func WallTime() time.Time { return time.Now() }
+
+// Deadline returns the point d from now for libraries that want a time.Time.
+func Deadline(d Millis) time.Time { return time.Now().Add(d.Duration()) }
