--- /dev/null
+++ b/route/book.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// Book is what a daemon believes of one engine's prefix cache: the chats that
+// it holds, least recently used first out, within the engine's memory. It also
+// remembers where chats went that it is the home of. It is not safe for
+// concurrent use.
+type Book struct {
+	// capacity is the engine's cache memory in tokens; the sum of the
+	// entries' tokens never exceeds it while there are two or more.
+	capacity int
+	tokens   int
+	chats    *simplelru.LRU[uint64, prefix]
+	// placed remembers the engine of chats that ran away from home, at most
+	// maxPlaced of them.
+	placed *simplelru.LRU[uint64, string]
+}
+
+// prefix is what is believed cached of one chat.
+type prefix struct {
+	tokens int
+	// at is when the chat's latest turn ended.
+	at clock.Millis
+}
+
+// maxChats bounds the chats of one engine's book, 100 bytes each. The share
+// of one engine in 84 million chats on 10,000 engines is 8,400.
+const maxChats = 65536
+
+// maxPlaced bounds the chats away from home that a daemon remembers.
+const maxPlaced = 16384
+
+// NewBook returns a book for a cache of the given capacity in tokens.
+func NewBook(capacity int) *Book {
+	b := &Book{capacity: capacity}
+	// NewLRU fails only for sizes that are not positive.
+	b.chats, _ = simplelru.NewLRU(maxChats, func(_ uint64, p prefix) { b.tokens -= p.tokens })
+	b.placed, _ = simplelru.NewLRU[uint64, string](maxPlaced, nil)
+	return b
+}
+
+// SetCapacity changes the cache memory in tokens, as the engine reports it.
+func (b *Book) SetCapacity(tokens int) {
+	b.capacity = tokens
+	b.trim()
+}
+
+// Ran records that chat has a prefix of the given tokens in the cache at now.
+func (b *Book) Ran(chat uint64, tokens int, now clock.Millis) {
+	b.chats.Remove(chat)
+	b.chats.Add(chat, prefix{tokens, now})
+	b.tokens += tokens
+	b.placed.Remove(chat)
+	b.trim()
+}
+
+func (b *Book) trim() {
+	for b.tokens > b.capacity && b.chats.Len() > 1 {
+		b.chats.RemoveOldest()
+	}
+}
+
+// Evicted takes the engine's word that chat was no longer cached at the time
+// at. Events come late: one from before the chat's latest turn is passed over.
+func (b *Book) Evicted(chat uint64, at clock.Millis) {
+	if p, ok := b.chats.Peek(chat); ok && at >= p.at {
+		b.chats.Remove(chat)
+	}
+}
+
+// Clear forgets the cache, after an engine's restart.
+func (b *Book) Clear() { b.chats.Purge() }
+
+// Cached returns the tokens of chat that the engine is believed to hold.
+func (b *Book) Cached(chat uint64) int {
+	p, _ := b.chats.Peek(chat)
+	return p.tokens
+}
+
+// Chats lists the cached chats, least recently used first.
+func (b *Book) Chats() []uint64 { return b.chats.Keys() }
+
+// Placed records that the latest turn of chat ran at engine.
+func (b *Book) Placed(chat uint64, engine string) { b.placed.Add(chat, engine) }
+
+// PlacedAt returns where the latest turn of chat ran, "" if unknown.
+func (b *Book) PlacedAt(chat uint64) string {
+	engine, _ := b.placed.Peek(chat)
+	return engine
+}
--- /dev/null
+++ b/route/rank.go
@@ -0,0 +1,87 @@
+// Package route chooses the engine of a request. It is pure: the time, the
+// loads and the list of engines are handed in, so that any test or replay can
+// drive it.
+//
+// Every entry ranks the engines of a pool for a chat by weighted rendezvous
+// hashing, so that all agree without talking and a change of one engine moves
+// only that engine's chats. Loads bound the choice as in consistent hashing
+// with bounded loads; the daemon beside the engine has the last word.
+package route
+
+import (
+	"math"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Target is one engine, or one instance of a plain service, that requests can
+// go to.
+type Target struct {
+	id   string
+	hash uint64
+	// slots is the number of requests that run at once, at least 1.
+	slots int
+}
+
+// NewTarget returns the target with the given id and slots.
+func NewTarget(id string, slots int) Target {
+	return Target{id: id, hash: xxh3.HashString(id), slots: max(1, slots)}
+}
+
+// ID returns the engine's id.
+func (t Target) ID() string { return t.id }
+
+// Slots returns the number of requests that run at once.
+func (t Target) Slots() int { return t.slots }
+
+// ChatKey hashes a chat's identity within its workspace. It is never zero.
+func ChatKey(workspace, chat string) uint64 {
+	return max(1, xxh3.HashString(workspace+"\x00"+chat))
+}
+
+// mix is the finalizer of SplitMix64; it spreads key and target evenly.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// score is the weighted rendezvous score -w/ln(u); the largest wins.
+func score(key uint64, t Target) float64 {
+	u := (float64(mix(key^t.hash)>>11) + 0.5) / (1 << 53)
+	return -float64(t.slots) / math.Log(u)
+}
+
+// Rank returns the indexes of the n best targets for key, best first. It
+// takes one pass over the targets and allocates only its result.
+func Rank(key uint64, targets []Target, n int) []int {
+	n = min(n, len(targets))
+	top := make([]ranked, 0, n+1)
+	for i, t := range targets {
+		s := score(key, t)
+		if len(top) == n && s <= top[n-1].score {
+			continue
+		}
+		at := len(top)
+		for at > 0 && top[at-1].score < s {
+			at--
+		}
+		top = slices.Insert(top, at, ranked{i, s})
+		if len(top) > n {
+			top = top[:n]
+		}
+	}
+	out := make([]int, len(top))
+	for i, r := range top {
+		out[i] = r.index
+	}
+	return out
+}
+
+type ranked struct {
+	index int
+	score float64
+}
