--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,269 @@
+// Package target is the client of model engines and plain services: it starts
+// requests, resumes and cancels streams, and reads load and cache events.
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// Headers of the engines' protocol.
+const (
+	headerAttempt  = "X-Attempt"
+	headerKey      = "X-Request-Key"
+	headerPriority = "X-Priority"
+	headerCacheKey = "X-Cache-Key"
+)
+
+// Client talks to one engine or service instance.
+type Client struct {
+	base string
+	http *http.Client
+	// fresh uses a new connection for each request: the transport never sends
+	// again on those, and none is a stale one that the target has closed.
+	fresh *http.Client
+}
+
+// New returns a client of the target at host:port.
+func New(addr string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	once := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: t}, fresh: &http.Client{Transport: once}}
+}
+
+// Request is a request to a target.
+type Request struct {
+	Attempt  string
+	Key      string
+	Priority int
+	// CacheKey names the chat in the engine's cache, "" for none.
+	CacheKey string
+	Method   string
+	Path     string
+	Header   map[string]string
+	Body     []byte
+	// Once is true for a request that must not be sent a second time.
+	Once bool
+}
+
+// ErrNotSent means that nothing of a request reached the target, so that it
+// has not run.
+var ErrNotSent = errors.New("target not reached")
+
+// Do starts a request. An error that wraps ErrNotSent is certain; after any
+// other the request may have run.
+func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	for k, v := range r.Header {
+		req.Header.Set(k, v)
+	}
+	req.Header.Set(headerAttempt, r.Attempt)
+	req.Header.Set(headerKey, r.Key)
+	if r.CacheKey != "" {
+		req.Header.Set(headerCacheKey, r.CacheKey)
+	}
+	req.Header.Set(headerPriority, strconv.Itoa(r.Priority))
+	// The transport must not send a request twice on its own.
+	req.GetBody = nil
+	client := c.http
+	if r.Once {
+		client = c.fresh
+	}
+	res, err := client.Do(req)
+	if err != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return res, err
+}
+
+// ErrUnknownAttempt means that the target does not know the attempt.
+var ErrUnknownAttempt = errors.New("target does not know the attempt")
+
+// Resume asks for a stream again from event number from on; for a plain
+// answer it asks for the whole.
+func (c *Client) Resume(ctx context.Context, attempt string, from int, plain bool) (*http.Response, error) {
+	u := c.base + "/v1/streams/" + attempt + "?from=" + strconv.Itoa(from)
+	if plain {
+		u += "&plain=1"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, fmt.Errorf("resume %s: %w", attempt, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("resume %s: %w", attempt, err)
+	}
+	if res.StatusCode == http.StatusNotFound {
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("resume %s: %w", attempt, ErrUnknownAttempt)
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("resume %s: status %d", attempt, res.StatusCode)
+	}
+	return res, nil
+}
+
+// Cancel gives an attempt up and reports whether it had started.
+func (c *Client) Cancel(ctx context.Context, attempt string) (started bool, err error) {
+	var out struct {
+		Started bool `json:"started"`
+	}
+	if err := c.call(ctx, http.MethodDelete, "/v1/streams/"+attempt, nil, &out); err != nil {
+		return true, err
+	}
+	return out.Started, nil
+}
+
+// LoadReport is what an engine reports of itself, with a lag.
+type LoadReport struct {
+	Running       int `json:"running"`
+	Waiting       int `json:"waiting"`
+	Slots         int `json:"slots"`
+	CacheCapacity int `json:"cache_capacity"`
+	CacheTokens   int `json:"cache_tokens"`
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context) (LoadReport, error) {
+	var out LoadReport
+	return out, c.call(ctx, http.MethodGet, "/load", nil, &out)
+}
+
+// CacheEvent is a change of the engine's cache.
+type CacheEvent struct {
+	Seq    int64  `json:"seq"`
+	Kind   string `json:"kind"`
+	Key    string `json:"key"`
+	Tokens int    `json:"tokens"`
+	// Age is how long ago it happened, in milliseconds.
+	Age clock.Millis `json:"age_ms"`
+}
+
+// Events reads the cache events after a sequence number. They come late, and
+// numbers may be missing.
+func (c *Client) Events(ctx context.Context, after int64) ([]CacheEvent, error) {
+	var out []CacheEvent
+	return out, c.call(ctx, http.MethodGet, "/cache/events?after="+strconv.FormatInt(after, 10), nil, &out)
+}
+
+// Export reads the cached prefix of a chat.
+func (c *Client) Export(ctx context.Context, key string) ([]byte, error) {
+	var out json.RawMessage
+	return out, c.call(ctx, http.MethodGet, "/cache/export/"+key, nil, &out)
+}
+
+// Import stores a prefix that another engine exported.
+func (c *Client) Import(ctx context.Context, key string, blob []byte) error {
+	return c.call(ctx, http.MethodPost, "/cache/import/"+key, blob, nil)
+}
+
+// maxControlAnswer bounds answers other than those to callers, in bytes.
+const maxControlAnswer = 64 << 20
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d", method, path, res.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxControlAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+// Event is one event of a stream.
+type Event struct {
+	// ID is the event's number, -1 if the target gave none.
+	ID   int
+	Data []byte
+}
+
+// EventReader reads server-sent events.
+type EventReader struct{ r *bufio.Reader }
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 4 << 20
+
+// NewEventReader returns a reader of the events in r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 16<<10)}
+}
+
+// Buffered reports whether a further event may be read without waiting.
+func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
+
+// Next returns the next event. An event that is cut short is not returned.
+func (e *EventReader) Next() (Event, error) {
+	ev := Event{ID: -1}
+	for {
+		line, err := e.readLine()
+		if err != nil {
+			return Event{}, err
+		}
+		switch {
+		case len(line) == 0:
+			if ev.Data != nil {
+				return ev, nil
+			}
+		case bytes.HasPrefix(line, []byte("id:")):
+			n, err := strconv.Atoi(string(bytes.TrimSpace(line[3:])))
+			if err == nil {
+				ev.ID = n
+			}
+		case bytes.HasPrefix(line, []byte("data:")):
+			data := bytes.TrimPrefix(line[5:], []byte(" "))
+			if ev.Data != nil {
+				ev.Data = append(ev.Data, '\n')
+			}
+			ev.Data = append(ev.Data, data...)
+		}
+	}
+}
+
+func (e *EventReader) readLine() ([]byte, error) {
+	line, err := e.r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		long := append([]byte(nil), line...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			line, err = e.r.ReadSlice('\n')
+			long = append(long, line...)
+			if len(long) > maxEvent {
+				return nil, fmt.Errorf("event exceeds %d bytes", maxEvent)
+			}
+		}
+		line = long
+	}
+	if err != nil {
+		if errors.Is(err, io.EOF) && len(line) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
