--- /dev/null
+++ b/commands/process.go
@@ -0,0 +1,200 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"regexp"
+	"syscall"
+
+	"github.com/weldfall/weldfall/admin"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/strict"
+	"github.com/weldfall/weldfall/daemon"
+	"github.com/weldfall/weldfall/entry"
+	"github.com/weldfall/weldfall/platform"
+)
+
+// processFile is the small settings file of an entry or a daemon: what a
+// process must know before it can read the settings tree.
+type processFile struct {
+	ID   string `toml:"id"`
+	Hall string `toml:"hall"`
+	// Listen is where callers come in; entries only.
+	Listen string `toml:"listen"`
+	// Peers is where the other processes of the system come in.
+	Peers string `toml:"peers"`
+	// Admin serves the read-only pages.
+	Admin string `toml:"admin"`
+	// Platform is the URL of the platform's service.
+	Platform string `toml:"platform"`
+	// Bootstrap has addresses of peers to ask before the list is known.
+	Bootstrap []string `toml:"bootstrap"`
+	LogLevel  string   `toml:"log_level"`
+	// Pool and Engines are for daemons only.
+	Pool    string          `toml:"pool"`
+	Engines []daemon.Engine `toml:"engines"`
+}
+
+var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
+
+// loadProcessFile reads and checks the file of an entry or a daemon.
+func loadProcessFile(path string, isDaemon bool) (processFile, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return processFile{}, err
+	}
+	f := processFile{LogLevel: "info"}
+	if err := strict.Decode(path, text, &f); err != nil {
+		return processFile{}, usageError{err}
+	}
+	fail := func(key, problem string) (processFile, error) {
+		return processFile{}, usageError{strict.LineError(path, text, key, problem)}
+	}
+	if !nameRE.MatchString(f.ID) {
+		return fail("id", fmt.Sprintf("%q: write 1 to 64 of a-z, 0-9, '-' and '_'", f.ID))
+	}
+	if !nameRE.MatchString(f.Hall) {
+		return fail("hall", fmt.Sprintf("%q: write the name of the data hall", f.Hall))
+	}
+	addrs := []struct{ key, addr string }{{"peers", f.Peers}, {"admin", f.Admin}}
+	if !isDaemon {
+		addrs = append(addrs, struct{ key, addr string }{"listen", f.Listen})
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fail(a.key, fmt.Sprintf("%q: write IP:PORT", a.addr))
+		}
+	}
+	for _, b := range f.Bootstrap {
+		if _, _, err := net.SplitHostPort(b); err != nil {
+			return fail("bootstrap", fmt.Sprintf("%q: write IP:PORT", b))
+		}
+	}
+	if u, err := url.Parse(f.Platform); err != nil || u.Host == "" {
+		return fail("platform", fmt.Sprintf("%q: write http://IP:PORT", f.Platform))
+	}
+	if _, err := newLog(io.Discard, f.LogLevel, f.ID); err != nil {
+		return fail("log_level", err.Error())
+	}
+	if !isDaemon {
+		return f, nil
+	}
+	if !nameRE.MatchString(f.Pool) {
+		return fail("pool", fmt.Sprintf("%q: write the name of the pool", f.Pool))
+	}
+	if len(f.Engines) == 0 {
+		return fail("engines", "name at least one engine with [[engines]]")
+	}
+	for _, e := range f.Engines {
+		if _, _, err := net.SplitHostPort(e.Addr); err != nil || e.ID == "" {
+			return fail("engines", fmt.Sprintf("engine %q at %q: write id and addr = IP:PORT", e.ID, e.Addr))
+		}
+	}
+	return f, nil
+}
+
+type entryCmd struct {
+	Settings string `arg:"--settings,required" help:"TOML file with id, hall, listen, peers, admin, platform, bootstrap and log_level"`
+}
+
+type daemonCmd struct {
+	Settings string `arg:"--settings,required" help:"TOML file with id, hall, peers, admin, platform, bootstrap, log_level, pool and [[engines]]"`
+}
+
+func (c *entryCmd) run(_, errOut io.Writer) error {
+	f, err := loadProcessFile(c.Settings, false)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(errOut, f.LogLevel, f.ID)
+	if err != nil {
+		return err
+	}
+	ls, err := listenAll(f.Listen, f.Peers, f.Admin)
+	if err != nil {
+		return err
+	}
+	e := entry.New(entry.Config{
+		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: platform.New(f.Platform),
+		Clock: clock.System(), Log: log,
+	})
+	stopPages := servePages(ls[2], admin.Handler(e))
+	defer stopPages()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log.Info("started", "role", "entry", "listen", ls[0].Addr(), "peers", ls[1].Addr(), "admin", ls[2].Addr())
+	return e.Run(ctx, ls[0], ls[1])
+}
+
+func (c *daemonCmd) run(_, errOut io.Writer) error {
+	f, err := loadProcessFile(c.Settings, true)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(errOut, f.LogLevel, f.ID)
+	if err != nil {
+		return err
+	}
+	ls, err := listenAll(f.Peers, f.Admin)
+	if err != nil {
+		return err
+	}
+	d := daemon.New(daemon.Config{
+		ID: f.ID, Hall: f.Hall, Pool: f.Pool, Engines: f.Engines, Bootstrap: f.Bootstrap,
+		Platform: platform.New(f.Platform), Clock: clock.System(), Log: log,
+	})
+	stopPages := servePages(ls[1], admin.Handler(d))
+	defer stopPages()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log.Info("started", "role", "daemon", "peers", ls[0].Addr(), "admin", ls[1].Addr())
+	return runDaemon(ctx, d, ls[0])
+}
+
+// runDaemon serves until ctx is done, and then leaves before it stops.
+func runDaemon(ctx context.Context, d *daemon.Daemon, ln net.Listener) error {
+	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		<-ctx.Done()
+		d.Leave(serveCtx)
+		cancel()
+	}()
+	return d.Run(serveCtx, ln)
+}
+
+// listenAll listens on each address, or on none.
+func listenAll(addrs ...string) ([]net.Listener, error) {
+	var ls []net.Listener
+	for _, a := range addrs {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range ls {
+				_ = open.Close()
+			}
+			if errors.Is(err, syscall.EADDRINUSE) {
+				return nil, usagef("%s: the port is taken: choose another or end the process that has it", a)
+			}
+			return nil, usagef("listen on %s: %w", a, err)
+		}
+		ls = append(ls, l)
+	}
+	return ls, nil
+}
+
+// servePages serves h on ln until the returned function is called.
+func servePages(ln net.Listener, h http.Handler) (stop func()) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: pagesTimeout.Duration()}
+	go func() { _ = srv.Serve(ln) }()
+	return func() { _ = srv.Close() }
+}
+
+// pagesTimeout bounds the time in which a header must arrive.
+const pagesTimeout clock.Millis = 5000
--- /dev/null
+++ b/daemon/engine.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/route"
+	"github.com/weldfall/weldfall/target"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// engine is one engine, or one instance of a plain service, behind this
+// daemon, with the queue in front of it.
+type engine struct {
+	id     string
+	client *target.Client
+	clk    *clock.Clock
+	log    *slog.Logger
+
+	mu sync.Mutex
+	// slots is the number of requests that run at once; running never
+	// exceeds it but after a change of slots.
+	slots   int
+	running int
+	queue   *fair.Queue
+	queued  map[uint64]*attempt
+	granted map[uint64]chan fair.Item
+	book    *route.Book
+	// serviceTime is a moving mean of the time a request runs, in
+	// milliseconds, for telling a shed caller when to come back.
+	serviceTime float64
+	eventSeq    int64
+}
+
+// defaultCache is assumed until the engine reports its memory, in tokens.
+const defaultCache = 1 << 20
+
+func newEngine(id, addr string, slots int, clk *clock.Clock, log *slog.Logger) *engine {
+	return &engine{
+		id: id, client: target.New(addr), clk: clk, log: log, slots: max(1, slots),
+		queue: fair.New(1), queued: map[uint64]*attempt{}, granted: map[uint64]chan fair.Item{},
+		book: route.NewBook(defaultCache), serviceTime: 100,
+	}
+}
+
+// requests returns the load: running and waiting. The caller holds mu.
+func (e *engine) requests() int { return e.running + e.queue.Len() }
+
+func (e *engine) load() wire.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return wire.Load{Engine: e.id, Requests: e.requests()}
+}
+
+// retryAfter estimates when a slot will be free for one more request, in
+// milliseconds; the caller holds mu.
+func (e *engine) retryAfter() clock.Millis {
+	wait := e.serviceTime * float64(e.queue.Len()+1) / float64(e.slots)
+	return max(100, min(30_000, clock.Millis(wait)))
+}
+
+// enter decides about a request and, when it is admitted, queues it. The
+// returned channel delivers the turn; it is nil when the request is refused.
+func (e *engine) enter(a *attempt, s route.State) (<-chan fair.Item, wire.Result) {
+	r := a.run
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.slots
+	offer := route.Offer{Chat: r.Chat, Returning: r.Returning, Mode: r.Mode}
+	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
+	switch ans := route.Decide(offer, s, e.book).(type) {
+	case route.Redirect:
+		res.Reason, res.Redirect, res.Message = verdict.NotCached, ans.Engine, "another engine may hold the chat"
+		return nil, res
+	case route.Refuse:
+		res.Reason, res.Message = refusal(ans)
+		res.RetryAfter = e.retryAfter()
+		return nil, res
+	case route.Admit:
+	}
+	turn := make(chan fair.Item, 1)
+	e.queued[r.Attempt], e.granted[r.Attempt] = a, turn
+	e.queue.SetLimit(max(1, r.QueueLimit))
+	shed := e.queue.Push(fair.Item{
+		ID: r.Attempt, Partner: r.Partner, Workspace: r.Workspace,
+		PartnerShare: share(r.PartnerShare), WorkspaceShare: share(r.WorkspaceShare), Cost: max(1, r.Cost),
+	})
+	// A free slot takes the longest waiting before anything is given up.
+	e.dispatch()
+	for _, it := range shed {
+		e.shed(it)
+	}
+	return turn, wire.Result{}
+}
+
+// share keeps a malformed share from upsetting the queue.
+func share(s float64) float64 {
+	if !(s > 0.0001 && s < 1e6) {
+		return 1
+	}
+	return s
+}
+
+func refusal(r route.Refuse) (verdict.Reason, string) {
+	switch {
+	case r.Leaving:
+		return verdict.Leaving, "the engine is leaving"
+	case r.NotCached:
+		return verdict.NotCached, "the chat is not cached here"
+	default:
+		return verdict.OverBound, "the engine carries its share of the load"
+	}
+}
+
+// shed ends an attempt that lost its place in the queue, at once; the caller
+// holds mu.
+func (e *engine) shed(it fair.Item) {
+	a := e.queued[it.ID]
+	e.forget(it.ID)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_shed_total{partner=%q}`, it.Partner)).Inc()
+	a.end(wire.Result{
+		Verdict: verdict.NotRun, Reason: verdict.Shed, Message: "the queue is full and the workspace is over its share",
+		RetryAfter: e.retryAfter(), Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}},
+	}, e.clk.Now())
+}
+
+func (e *engine) forget(id uint64) {
+	delete(e.queued, id)
+	delete(e.granted, id)
+}
+
+// dispatch gives free slots to those whose turn it is; the caller holds mu.
+func (e *engine) dispatch() {
+	for e.running < e.slots {
+		it, ok := e.queue.Pop()
+		if !ok {
+			return
+		}
+		e.running++
+		e.granted[it.ID] <- it
+		e.forget(it.ID)
+	}
+}
+
+// withdraw takes a waiting request out and reports whether it still waited.
+func (e *engine) withdraw(id uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ok := e.queue.Remove(id)
+	if ok {
+		e.forget(id)
+	}
+	return ok
+}
+
+// done gives the slot of a finished request back.
+func (e *engine) done(it fair.Item, cost int, took clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	e.queue.Settle(it, max(1, cost))
+	e.serviceTime += (float64(took) - e.serviceTime) / 16
+	e.dispatch()
+}
+
+// ran records in the book what a finished turn left in the cache.
+func (e *engine) ran(chat uint64, u wire.Usage) {
+	if chat == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	believed := e.book.Cached(chat)
+	if believed > 0 && u.Cached == 0 {
+		metrics.GetOrCreateCounter("weldfall_stale_belief_total").Inc()
+	}
+	e.book.Ran(chat, u.Prompt+u.Completion, e.clk.Now())
+}
+
+const (
+	// pollPeriod is how often an engine's reports and events are read; they
+	// lag by seconds anyway. The call stays within the instance.
+	pollPeriod  clock.Millis = 1000
+	pollTimeout clock.Millis = 2000
+)
+
+// poll reads the engine's load report and cache events until ctx is done.
+func (e *engine) poll(ctx context.Context) {
+	for clock.Sleep(ctx, pollPeriod*9/10+clock.Millis(rand.Int64N(int64(pollPeriod)/5))) {
+		callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+		report, err := e.client.Load(callCtx)
+		if err == nil {
+			e.mu.Lock()
+			e.book.SetCapacity(report.CacheCapacity)
+			if report.Slots > 0 {
+				e.slots = report.Slots
+			}
+			after := e.eventSeq
+			e.mu.Unlock()
+			if events, err := e.client.Events(callCtx, after); err == nil {
+				e.learn(events)
+			}
+		}
+		cancel()
+		e.mu.Lock()
+		e.queue.Forget()
+		e.mu.Unlock()
+	}
+}
+
+func (e *engine) learn(events []target.CacheEvent) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clk.Now()
+	for _, ev := range events {
+		if ev.Seq > e.eventSeq+1 && e.eventSeq > 0 {
+			metrics.GetOrCreateCounter("weldfall_cache_event_gaps_total").Add(int(ev.Seq - e.eventSeq - 1))
+		}
+		e.eventSeq = max(e.eventSeq, ev.Seq)
+		chat, err := strconv.ParseUint(ev.Key, 16, 64)
+		if err == nil && ev.Kind == "evicted" {
+			e.book.Evicted(chat, now-ev.Age)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/relay.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/target"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+const (
+	// resumeTries is how often a broken engine link is taken up again.
+	resumeTries = 5
+	// resumeWait is the wait before the second try; it doubles.
+	resumeWait clock.Millis = 50
+	// maxPlain bounds a plain chat answer in bytes.
+	maxPlain = 32 << 20
+	// pieceBytes is the size of the pieces of a plain service's answer.
+	pieceBytes = 32 << 10
+)
+
+// relay sends an attempt to the engine and turns the answer into frames. It
+// returns the result of the attempt.
+func (e *engine) relay(a *attempt) wire.Result {
+	r := a.run
+	req := target.Request{
+		Attempt: strconv.FormatUint(r.Attempt, 16), Key: r.Request, Priority: r.Priority,
+		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, Once: r.Once != nil,
+	}
+	if r.Chat != 0 {
+		req.CacheKey = strconv.FormatUint(r.Chat, 16)
+	}
+	res, err := e.client.Do(a.ctx, req)
+	if errors.Is(err, target.ErrNotSent) {
+		return wire.Result{Verdict: verdict.NotRun, Reason: verdict.Unreachable, Refused: true, Message: err.Error()}
+	}
+	if err != nil {
+		return e.lost(a, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	switch {
+	case r.Chat == 0:
+		return e.relayService(a, res)
+	case res.StatusCode != http.StatusOK:
+		return e.relayRefusal(a, res)
+	case r.Stream:
+		return e.relayStream(a, res)
+	default:
+		return e.relayPlain(a, res)
+	}
+}
+
+// lost is the result when the answer of a request that was sent is lost.
+func (e *engine) lost(a *attempt, err error) wire.Result {
+	if a.ctx.Err() != nil {
+		return wire.Result{Verdict: verdict.MayHaveRun, Reason: verdict.CallerGone, Message: "given up while it ran"}
+	}
+	return wire.Result{Verdict: verdict.MayHaveRun, Reason: verdict.EngineFailed, Message: fmt.Sprintf("engine %s: %v", e.id, err)}
+}
+
+// relayedHeaders are passed from an answer to the caller.
+var relayedHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag", "Last-Modified", "Cache-Control"}
+
+func headOf(res *http.Response) *wire.Head {
+	h := map[string]string{}
+	for _, name := range relayedHeaders {
+		if v := res.Header.Get(name); v != "" {
+			h[name] = v
+		}
+	}
+	return &wire.Head{Status: res.StatusCode, Header: h}
+}
+
+// relayService passes the answer of a plain service on as it comes.
+func (e *engine) relayService(a *attempt, res *http.Response) wire.Result {
+	head := headOf(res)
+	for {
+		piece := make([]byte, pieceBytes)
+		n, err := io.ReadFull(res.Body, piece)
+		if n > 0 || head != nil {
+			a.add(head, piece[:n])
+			head = nil
+		}
+		switch {
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && cleanEnd(res):
+			return wire.Result{Verdict: verdict.Ran}
+		case err != nil:
+			return e.lost(a, err)
+		}
+	}
+}
+
+// cleanEnd tells the short last piece, for which io.ReadFull returns
+// ErrUnexpectedEOF too, from a body that was cut: reading on after a clean end
+// returns EOF again.
+func cleanEnd(res *http.Response) bool {
+	var b [1]byte
+	_, err := res.Body.Read(b[:])
+	return errors.Is(err, io.EOF)
+}
+
+// relayRefusal passes the error of an engine on when the request is at fault;
+// otherwise it is the engine's failure.
+func (e *engine) relayRefusal(a *attempt, res *http.Response) wire.Result {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	if err != nil {
+		return e.lost(a, err)
+	}
+	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
+		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
+	}
+	a.add(headOf(res), body)
+	return wire.Result{Verdict: verdict.Ran}
+}
+
+type usageBody struct {
+	Usage *struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Details    struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+func usageOf(body []byte) wire.Usage {
+	var u usageBody
+	if json.Unmarshal(body, &u) != nil || u.Usage == nil {
+		return wire.Usage{}
+	}
+	return wire.Usage{Prompt: u.Usage.Prompt, Completion: u.Usage.Completion, Cached: u.Usage.Details.Cached}
+}
+
+// relayPlain passes a plain chat answer on when the whole is here.
+func (e *engine) relayPlain(a *attempt, res *http.Response) wire.Result {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	for try := 0; err != nil && try < resumeTries; try++ {
+		var again *http.Response
+		if again, err = e.resume(a, 0, true, try); err != nil {
+			break
+		}
+		body, err = io.ReadAll(io.LimitReader(again.Body, maxPlain))
+		_ = again.Body.Close()
+	}
+	if err != nil {
+		return e.lost(a, err)
+	}
+	a.add(headOf(res), body)
+	return wire.Result{Verdict: verdict.Ran, Usage: usageOf(body)}
+}
+
+// resume takes a broken link to the engine up again.
+func (e *engine) resume(a *attempt, from int, plain bool, try int) (*http.Response, error) {
+	if try > 0 && !clock.Sleep(a.ctx, resumeWait<<try) {
+		return nil, a.ctx.Err()
+	}
+	return e.client.Resume(a.ctx, strconv.FormatUint(a.run.Attempt, 16), from, plain)
+}
+
+var (
+	doneMark   = []byte("[DONE]")
+	usageMark  = []byte(`"usage":{`)
+	dataPrefix = []byte("data: ")
+	blankLine  = []byte("\n\n")
+)
+
+// relayStream passes the events of a stream on and takes a broken link up
+// again at the event that is missing. The end mark is left out: the entry
+// writes it when every frame has arrived.
+func (e *engine) relayStream(a *attempt, res *http.Response) wire.Result {
+	head := headOf(res)
+	var usage wire.Usage
+	next, tries := 0, 0
+	body := res.Body
+	defer func() { _ = body.Close() }()
+	for events := target.NewEventReader(body); ; {
+		ev, err := events.Next()
+		if err != nil {
+			again, err := e.reconnect(a, next, &tries, err)
+			if err != nil {
+				return e.lost(a, err)
+			}
+			_ = body.Close()
+			body = again.Body
+			events = target.NewEventReader(body)
+			continue
+		}
+		if ev.ID >= 0 && ev.ID != next {
+			if ev.ID < next {
+				continue
+			}
+			return e.lost(a, fmt.Errorf("event %d came where %d was due", ev.ID, next))
+		}
+		next, tries = next+1, 0
+		if bytes.Equal(ev.Data, doneMark) {
+			return wire.Result{Verdict: verdict.Ran, Usage: usage}
+		}
+		if bytes.Contains(ev.Data, usageMark) {
+			usage = usageOf(ev.Data)
+			if !a.run.WantUsage {
+				continue
+			}
+		}
+		a.add(head, frameOf(ev.Data))
+		head = nil
+	}
+}
+
+// reconnect resumes a stream after a broken link, a few times.
+func (e *engine) reconnect(a *attempt, next int, tries *int, cause error) (*http.Response, error) {
+	for *tries < resumeTries && a.ctx.Err() == nil {
+		*tries++
+		res, err := e.resume(a, next, false, *tries-1)
+		if err == nil {
+			return res, nil
+		}
+		if errors.Is(err, target.ErrUnknownAttempt) {
+			return nil, err
+		}
+		cause = err
+	}
+	return nil, cause
+}
+
+func frameOf(data []byte) []byte {
+	out := make([]byte, 0, len(dataPrefix)+len(data)+len(blankLine))
+	out = append(out, dataPrefix...)
+	out = append(out, data...)
+	return append(out, blankLine...)
+}
+
+// stop cancels an attempt at the engine.
+func (e *engine) stop(a *attempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout.Duration())
+	defer cancel()
+	_, _ = e.client.Cancel(ctx, strconv.FormatUint(a.run.Attempt, 16))
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// call is one caller's request on its way through the filters.
+type call struct {
+	w http.ResponseWriter
+	r *http.Request
+
+	// id is the public name of the request.
+	id string
+	// startMicros and start are when the request arrived.
+	startMicros int64
+	start       clock.Millis
+
+	// Set by identify.
+	partner, workspace, service string
+	// path is the service's place in the settings tree.
+	path string
+
+	// Set by read.
+	body []byte
+	chat chatBody
+
+	// Set by resolve.
+	values settings.Values
+	pool   string
+
+	// Set by classify.
+	chatKey   uint64
+	returning bool
+	// once is nil for a request that may be run again.
+	once *wire.Once
+	// claimed is the attempt number under which the key is promised.
+	claimed uint64
+
+	// Set by send and stream.
+	engine string
+	hint   string
+	result wire.Result
+	// headSent is true once the caller has got a status.
+	headSent bool
+	// cut is true when the answer had begun and failed: the connection must
+	// end without an end mark.
+	cut    bool
+	tokens int
+	// firstMicros and lastMicros are when the first and the latest piece of
+	// the answer went out, zero if none did.
+	firstMicros, lastMicros int64
+	attempts                int
+	err                     *verdict.Error
+}
+
+// isChat reports whether the request is a chat turn rather than a call of a
+// plain service.
+func (c *call) isChat() bool { return c.service == chatService }
+
+// left returns the time to the deadline.
+func (c *call) left(now clock.Millis) clock.Millis {
+	return c.start + c.values.Limits.Deadline() - now
+}
+
+// workspacePath is the workspace's place in the settings tree.
+func (c *call) workspacePath() string { return c.partner + "/" + c.workspace }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,268 @@
+// Package entry is the process on the callers' side. It takes chats and
+// service calls by HTTP, finds the engine of each, and relays the whole
+// answer. filters.go lists the way of a request.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/weldfall/weldfall/burn"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet"
+	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// Bounds towards callers.
+const (
+	// maxHeader bounds the request header in bytes.
+	maxHeader = 64 << 10
+	// headerTimeout bounds the time in which a header must arrive.
+	headerTimeout clock.Millis = 5000
+	// bodyTimeout bounds the time in which a body must arrive.
+	bodyTimeout clock.Millis = 30_000
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout clock.Millis = 120_000
+	// maxHints bounds the chats whose latest engine is remembered, about 100
+	// bytes each; it saves a redirect and nothing depends on it.
+	maxHints = 65536
+)
+
+// Config sets up an Entry.
+type Config struct {
+	ID        string
+	Hall      string
+	Bootstrap []string
+	Platform  *platform.Client
+	Clock     *clock.Clock
+	Log       *slog.Logger
+}
+
+// Entry is the process on the callers' side.
+type Entry struct {
+	cfg      Config
+	clk      *clock.Clock
+	log      *slog.Logger
+	node     *fleet.Node
+	links    *link.Pool
+	inboxes  *inboxes
+	limiters *limiters
+	budget   *retryBudget
+	burn     *burnRecorder
+	seq      atomic.Int64
+	draining atomic.Bool
+	active   atomic.Int64
+
+	mu    sync.Mutex
+	hints *simplelru.LRU[uint64, string]
+}
+
+var _ link.Handler = (*Entry)(nil)
+
+// burnRecorder is a burn.Recorder for several goroutines.
+type burnRecorder struct {
+	mu sync.Mutex
+	r  *burn.Recorder
+}
+
+// Observe counts one event.
+func (b *burnRecorder) Observe(ev burn.Event, t burn.Targets, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.r.Observe(ev, t, now)
+}
+
+// New returns an entry that is not yet running.
+func New(cfg Config) *Entry {
+	// NewLRU fails only for sizes that are not positive.
+	hints, _ := simplelru.NewLRU[uint64, string](maxHints, nil)
+	e := &Entry{
+		cfg: cfg, clk: cfg.Clock, log: cfg.Log, inboxes: newInboxes(), limiters: newLimiters(),
+		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints,
+	}
+	e.links = link.NewPool(cfg.Clock, e)
+	e.node = fleet.New(fleet.Config{
+		ID: cfg.ID, Role: member.Entry, Hall: cfg.Hall, Bootstrap: cfg.Bootstrap, Platform: cfg.Platform,
+		Clock: cfg.Clock, Log: cfg.Log, Pool: e.links,
+	})
+	return e
+}
+
+// Node returns the shared part of the process, for its pages.
+func (e *Entry) Node() *fleet.Node { return e.node }
+
+// Ready reports whether the entry takes requests.
+func (e *Entry) Ready() bool { return e.node.Ready() && !e.draining.Load() }
+
+// Burn returns what this entry has counted.
+func (e *Entry) Burn() burn.Snapshot {
+	e.burn.mu.Lock()
+	defer e.burn.mu.Unlock()
+	return e.burn.r.Snapshot(e.clk.Now())
+}
+
+// Call implements link.Handler.
+func (e *Entry) Call(_ context.Context, _ *link.Conn, method string, params json.RawMessage) (any, error) {
+	res, ok, err := e.node.Handle(method, params)
+	if !ok {
+		return nil, fmt.Errorf("unknown method %q", method)
+	}
+	return res, err
+}
+
+// Notify implements link.Handler.
+func (e *Entry) Notify(_ *link.Conn, method string, params json.RawMessage) {
+	if method != wire.MethodFrame {
+		e.node.HandleNotify(method, params)
+		return
+	}
+	var f wire.Frame
+	if json.Unmarshal(params, &f) == nil {
+		e.inboxes.deliver(f)
+	}
+}
+
+// Run serves callers on callers and peers on peers until ctx is done; then it
+// finishes what is in flight, within the drain time.
+func (e *Entry) Run(ctx context.Context, callers, peers net.Listener) error {
+	nodeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { e.node.Run(nodeCtx) })
+	wg.Go(func() {
+		if err := link.Serve(nodeCtx, peers, e.clk, e); err != nil {
+			e.log.Error("peers", "error", err)
+		}
+	})
+	srv := &http.Server{
+		Handler: e.handler(), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(),
+		IdleTimeout: idleTimeout.Duration(),
+		ErrorLog:    slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-ctx.Done()
+		e.drain(srv)
+	}()
+	err := srv.Serve(callers)
+	if !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers on %s: %w", callers.Addr(), err)
+	}
+	<-done
+	e.links.Close()
+	return nil
+}
+
+// drain finishes what is in flight: ready turns false first, so that the
+// balancer sends no more.
+func (e *Entry) drain(srv *http.Server) {
+	e.draining.Store(true)
+	e.log.Info("leaving", "cause", "stop", "active", e.active.Load())
+	e.node.AnnounceLeaving()
+	wait := e.node.Effective(settings.FleetPath).Leave.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), wait.Duration())
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		e.log.Warn("drained", "cut_off", e.active.Load())
+		_ = srv.Close()
+		return
+	}
+	e.log.Info("drained", "cut_off", 0)
+}
+
+func (e *Entry) handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", e.take(func(*http.Request) string { return chatService })).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", e.models).Methods(http.MethodGet)
+	serviceOf := func(r *http.Request) string { return mux.Vars(r)["service"] }
+	r.PathPrefix("/services/{service}").HandlerFunc(e.take(serviceOf))
+	return r
+}
+
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, service string) *call {
+	return &call{
+		w: w, r: r, service: service, startMicros: e.clk.Micros(), start: e.clk.Now(),
+		id: fmt.Sprintf("%s-%x-%d", e.cfg.ID, link.Boot()&0xffffff, e.seq.Add(1)),
+	}
+}
+
+// take returns the handler that sends requests of a service on their way.
+func (e *Entry) take(service func(*http.Request) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		c := e.newCall(w, r, service(r))
+		if !e.node.Ready() && !e.draining.Load() {
+			e.respond(c, "ready", verdict.New(unserved(r), verdict.NotReady, "this entry does not yet know the settings").WithRetryAfter(1000))
+			e.account(c)
+			return
+		}
+		e.serve(r.Context(), c)
+		if c.cut {
+			panic(http.ErrAbortHandler)
+		}
+		if c.err == nil {
+			c.finishStream()
+		}
+	}
+}
+
+// unserved is the verdict for a request that no filter has seen. One with a
+// key may repeat another that has run.
+func unserved(r *http.Request) verdict.Verdict {
+	if r.Header.Get(HeaderKey) != "" {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that the caller's workspace may use.
+func (e *Entry) models(w http.ResponseWriter, r *http.Request) {
+	c := e.newCall(w, r, chatService)
+	for _, f := range []filter{{"identify", e.identify}, {"resolve", e.resolve}} {
+		if err := f.run(r.Context(), c); err != nil {
+			e.respond(c, f.name, err)
+			return
+		}
+	}
+	out := modelList{Object: "list", Data: []model{}}
+	for _, id := range slices.Sorted(maps.Keys(c.values.Models)) {
+		out.Data = append(out.Data, model{ID: id, Object: "model", OwnedBy: c.partner})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// Active returns the number of requests in flight.
+func (e *Entry) Active() int64 { return e.active.Load() }
--- /dev/null
+++ b/internal/fleettest/fleet.go
@@ -0,0 +1,405 @@
+// Package fleettest starts a fleet as real processes for tests, behind
+// proxies that inject faults. The test binary serves as the weldfall binary.
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/weldfall/weldfall/commands"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/standin/engine"
+)
+
+// mainEnv makes a test binary act as the weldfall binary.
+const mainEnv = "WELDFALL_TEST_MAIN"
+
+// Main is called by TestMain: it runs the command line in a process that
+// Start has started, and the tests otherwise.
+func Main(m *testing.M) {
+	if os.Getenv(mainEnv) != "" {
+		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func pause(d clock.Millis) { clock.Sleep(context.Background(), d) }
+
+// Spec says what a fleet consists of. Partner "planning" has the workspaces
+// ws0 and ws1, "vigia" has ws0.
+type Spec struct {
+	Engines, Services, Entries int
+	// EngineArgs and ServiceArgs are further arguments of the stand-ins.
+	EngineArgs, ServiceArgs []string
+	// PlatformArgs are further arguments of the platform stand-in.
+	PlatformArgs []string
+	// Fleet is the text of the fleet's branch, after models.
+	Fleet string
+}
+
+// Process is one started process.
+type Process struct {
+	Name string
+	// Addr is where a stand-in listens, or where peers reach a process of the
+	// system, through the proxy.
+	Addr string
+	// Admin has the pages; Callers is where an entry's callers come in.
+	Admin, Callers string
+
+	t    *testing.T
+	cmd  *exec.Cmd
+	log  *lockedBuffer
+	done chan struct{}
+	in   member.Instance
+}
+
+// Fleet is the processes of one test.
+type Fleet struct {
+	Net      *Network
+	Platform *Process
+	// Engines and Services are stand-ins; EngineDaemons and ServiceDaemons
+	// the processes beside them, in the same order.
+	Engines, Services             []*Process
+	EngineDaemons, ServiceDaemons []*Process
+	Entries                       []*Process
+
+	t    *testing.T
+	dir  string
+	spec Spec
+	clk  *clock.Clock
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Halls are the data halls that processes are spread over.
+var Halls = []string{"hall-a", "hall-b", "hall-c"}
+
+// Start starts a fleet and waits until all of it is ready.
+func Start(t *testing.T, spec Spec) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, Net: newNetwork(), dir: t.TempDir(), spec: spec, clk: clock.System()}
+	t.Cleanup(f.Net.close)
+	f.Platform = f.standin("platform", append([]string{"standin", "platform"}, spec.PlatformArgs...)...)
+	f.Put(settings.FleetPath, "[models]\n\"draft-1\" = \"drafting\"\n"+spec.Fleet)
+	for _, p := range []string{"planning", "vigia"} {
+		f.Put(p, "")
+		for _, ws := range []string{"ws0", "ws1"} {
+			f.Put(p+"/"+ws, fmt.Sprintf("[access]\nkey_sha256 = [%q]\n", settings.HashKey(Key(p, ws))))
+			f.Put(p+"/"+ws+"/desk", "[routing]\npool = \"desk\"\n[once]\nrepeatable = false\n")
+		}
+	}
+	for i := range spec.Engines {
+		e := f.StartEngine(i)
+		f.Engines = append(f.Engines, e)
+		f.EngineDaemons = append(f.EngineDaemons, f.StartDaemon(e, "drafting", i))
+	}
+	for i := range spec.Services {
+		s := f.standin(fmt.Sprintf("desk-%d", i), append([]string{"standin", "service", "--id", fmt.Sprintf("desk-%d", i)}, spec.ServiceArgs...)...)
+		f.Services = append(f.Services, s)
+		f.ServiceDaemons = append(f.ServiceDaemons, f.StartDaemon(s, "desk", i))
+	}
+	for i := range spec.Entries {
+		f.Entries = append(f.Entries, f.StartEntry(i))
+	}
+	f.WaitReady()
+	return f
+}
+
+// Key returns the bearer key of a workspace.
+func Key(partner, workspace string) string { return partner + "." + workspace + ".secret" }
+
+// StartEngine starts the stand-in of engine i.
+func (f *Fleet) StartEngine(i int) *Process {
+	id := fmt.Sprintf("engine-%d", i)
+	return f.standin(id, append([]string{"standin", "engine", "--id", id}, f.spec.EngineArgs...)...)
+}
+
+func (f *Fleet) standin(name string, args ...string) *Process {
+	p := f.start(name, args...)
+	f.Eventually("address of "+name, func() bool { return strings.Contains(p.log.String(), "\n") })
+	p.Addr, _, _ = strings.Cut(p.log.String(), "\n")
+	return p
+}
+
+// start starts the test binary as weldfall with the given arguments.
+func (f *Fleet) start(name string, args ...string) *Process {
+	f.t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &Process{Name: name, t: f.t, cmd: exec.Command(self, args...), log: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), mainEnv+"=1", "GOMAXPROCS=2")
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.Net.set(func() { f.Net.pids[p.cmd.Process.Pid] = name })
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+	}()
+	f.t.Cleanup(func() {
+		p.Kill()
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", name, tail(p.log.String(), 4000))
+		}
+	})
+	return p
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+// StartDaemon starts the daemon beside a target and lists it.
+func (f *Fleet) StartDaemon(target *Process, pool string, i int) *Process {
+	name := target.Name + "-daemon"
+	engineAddr, upstream := f.Net.listen(f.t, target.Name)
+	upstream(target.Addr)
+	toml := fmt.Sprintf("pool = %q\n[[engines]]\nid = %q\naddr = %q\nslots = 16\n", pool, target.Name, engineAddr)
+	p := f.startProcess("daemon", name, Halls[i%len(Halls)], toml)
+	p.in = member.Instance{
+		ID: name, Role: member.Daemon, Addr: p.Addr, Hall: Halls[i%len(Halls)], Pool: pool,
+		Engines: []member.EngineInfo{{ID: target.Name, Slots: 16}}, State: member.Live,
+	}
+	f.List(p, member.Live)
+	return p
+}
+
+// StartEntry starts entry i and lists it.
+func (f *Fleet) StartEntry(i int) *Process {
+	name := fmt.Sprintf("entry-%d", i)
+	p := f.startProcess("entry", name, Halls[i%len(Halls)], "listen = \"127.0.0.1:0\"\n")
+	p.in = member.Instance{ID: name, Role: member.Entry, Addr: p.Addr, Hall: Halls[i%len(Halls)], State: member.Live}
+	f.List(p, member.Live)
+	return p
+}
+
+var startedRE = regexp.MustCompile(`msg=started .*`)
+
+func (f *Fleet) startProcess(role, name, hall, toml string) *Process {
+	file := filepath.Join(f.dir, name+".toml")
+	text := fmt.Sprintf("id = %q\nhall = %q\npeers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nplatform = \"http://%s\"\nlog_level = \"info\"\n%s", name, hall, f.Platform.Addr, toml)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	p := f.start(name, role, "--settings", file)
+	f.Eventually("start of "+name, func() bool { return startedRE.MatchString(p.log.String()) })
+	line := startedRE.FindString(p.log.String())
+	p.Admin, p.Callers = field(line, "admin"), field(line, "listen")
+	addr, upstream := f.Net.listen(f.t, name)
+	upstream(field(line, "peers"))
+	p.Addr = addr
+	return p
+}
+
+func field(line, key string) string {
+	for part := range strings.FieldsSeq(line) {
+		if v, ok := strings.CutPrefix(part, key+"="); ok {
+			return v
+		}
+	}
+	return ""
+}
+
+// List puts a process on the platform's list with the given state.
+func (f *Fleet) List(p *Process, s member.State) {
+	in := p.in
+	in.State = s
+	value, err := json.Marshal(in)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.admin(http.MethodPut, "/admin/instances/"+p.Name, string(value))
+}
+
+// Unlist takes a process off the platform's list.
+func (f *Fleet) Unlist(p *Process) { f.admin(http.MethodDelete, "/admin/instances/"+p.Name, "") }
+
+// Put publishes a branch of the settings and returns its revision.
+func (f *Fleet) Put(path, text string) int64 {
+	var rev int64
+	_, _ = fmt.Sscan(f.admin(http.MethodPut, "/admin/config/"+path, text), &rev)
+	return rev
+}
+
+// Mode switches a fault of the platform on or, with "ok", off.
+func (f *Fleet) Mode(mode string) { f.admin(http.MethodPost, "/admin/mode?mode="+mode, "") }
+
+// PlatformCalls returns the reads that the platform has counted.
+func (f *Fleet) PlatformCalls() int {
+	n := 0
+	_, _ = fmt.Sscan(f.admin(http.MethodGet, "/admin/calls", ""), &n)
+	return n
+}
+
+func (f *Fleet) admin(method, path, body string) string {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+f.Platform.Addr+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusOK {
+		f.t.Fatalf("%s %s: got status %d, want 200", method, path, res.StatusCode)
+	}
+	return string(b)
+}
+
+// patience bounds every wait of a test; only a failing test uses it up.
+const patience clock.Millis = 40_000
+
+// Eventually waits until ok holds, or fails the test.
+func (f *Fleet) Eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := f.clk.Now() + patience; f.clk.Now() < end; pause(10) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: got no result in %d ms", what, patience)
+}
+
+// Processes lists all processes of the system.
+func (f *Fleet) Processes() []*Process {
+	var all []*Process
+	all = append(all, f.EngineDaemons...)
+	all = append(all, f.ServiceDaemons...)
+	return append(all, f.Entries...)
+}
+
+// WaitReady waits until every process is ready and every entry sees every
+// daemon.
+func (f *Fleet) WaitReady() {
+	f.t.Helper()
+	want := len(f.EngineDaemons) + len(f.ServiceDaemons)
+	for _, p := range f.Processes() {
+		f.Eventually(p.Name+" ready", func() bool {
+			return p.Ready() && p.sees() >= want
+		})
+	}
+}
+
+func (p *Process) sees() int {
+	var engines []struct{}
+	if json.Unmarshal([]byte(p.Page("/engines")), &engines) != nil {
+		return 0
+	}
+	return len(engines)
+}
+
+// Ready reports whether the process says that it is ready.
+func (p *Process) Ready() bool {
+	res, err := http.Get("http://" + p.Admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// Page returns one of the process's pages, "" if it cannot be had.
+func (p *Process) Page(path string) string {
+	res, err := http.Get("http://" + p.Admin + path)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	return string(b)
+}
+
+// Metric adds up the series of the process's metrics whose name begins with
+// prefix.
+func (p *Process) Metric(prefix string) float64 {
+	total := 0.0
+	for line := range strings.SplitSeq(p.Page("/metrics"), "\n") {
+		name, value, ok := strings.Cut(line, " ")
+		if strings.HasPrefix(name, prefix) && ok {
+			var v float64
+			_, _ = fmt.Sscan(value, &v)
+			total += v
+		}
+	}
+	return total
+}
+
+// Setting returns the effective value of a key as the process has it.
+func (p *Process) Setting(path, key string) any {
+	var page struct {
+		Settings []settings.Source `json:"settings"`
+	}
+	if json.Unmarshal([]byte(p.Page("/settings?path="+path+"&key="+key)), &page) != nil || len(page.Settings) != 1 {
+		return nil
+	}
+	return page.Settings[0].Value
+}
+
+// Runs returns what a stand-in has really run.
+func (p *Process) Runs() []engine.Run {
+	var runs []engine.Run
+	res, err := http.Get("http://" + p.Addr + "/runs")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := json.NewDecoder(res.Body).Decode(&runs); err != nil {
+		p.t.Fatal(err)
+	}
+	return runs
+}
+
+// Log returns what the process has logged.
+func (p *Process) Log() string { return p.log.String() }
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to stop.
+func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
