--- a/entry/send.go
+++ b/entry/send.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	e.budget.earn(c.values.Retry.BudgetRatio)
 	q := route.Query{
-		Key: c.chatKey, Affine: c.chatKey != 0, Hint: c.hint,
+		Key: c.chatKey, Affine: c.chatKey != 0, Returning: c.returning, Hint: c.hint,
 		Bound: c.values.Routing.LoadBound, Floor: c.values.Routing.LoadFloor, Max: c.values.Retry.Attempts,
 	}
 	if q.Key == 0 {
--- a/fair/queue.go
+++ b/fair/queue.go
@@ -208,9 +208,11 @@
 	return worst
 }
 
+// forget drops idle children. While nobody waits, none is ahead of another.
 func (f *flow) forget() {
+	idle := len(f.active) == 0
 	for name, c := range f.children {
-		if c.index < 0 && c.vtime <= f.base && len(c.children) == 0 {
+		if c.index < 0 && (idle || c.vtime <= f.base) && len(c.children) == 0 {
 			delete(f.children, name)
 		}
 	}
--- /dev/null
+++ b/load/client.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/target"
+)
+
+// message is one message of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model         string    `json:"model"`
+	Stream        bool      `json:"stream"`
+	MaxTokens     int       `json:"max_tokens"`
+	Messages      []message `json:"messages"`
+	StreamOptions *options  `json:"stream_options,omitempty"`
+}
+
+type options struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// reply is what came back for one request.
+type reply struct {
+	status  int
+	verdict string
+	reason  string
+	content string
+	whole   bool
+	prompt  int
+	cached  int
+	tokens  int
+	// firstMicros, totalMicros are since the request was sent.
+	firstMicros, totalMicros int64
+	// gapMicros is the mean time between tokens.
+	gapMicros int64
+	err       error
+}
+
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		Prompt  int `json:"prompt_tokens"`
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error *struct {
+		Code    string `json:"code"`
+		Verdict string `json:"verdict"`
+	} `json:"error"`
+}
+
+// maxError bounds an error body in bytes.
+const maxError = 64 << 10
+
+// ask sends one streamed chat turn and reads the whole answer.
+func ask(ctx context.Context, h *http.Client, clk *clock.Clock, url, key string, q chatRequest) reply {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return reply{err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimSuffix(url, "/")+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	start := clk.Micros()
+	res, err := h.Do(req)
+	if err != nil {
+		return reply{err: err, totalMicros: clk.Micros() - start}
+	}
+	defer func() { _ = res.Body.Close() }()
+	r := reply{status: res.StatusCode}
+	if res.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(res.Body, maxError))
+		var ev event
+		if json.Unmarshal(b, &ev) == nil && ev.Error != nil {
+			r.verdict, r.reason = ev.Error.Verdict, ev.Error.Code
+		}
+		r.totalMicros = clk.Micros() - start
+		return r
+	}
+	r.read(res.Body, clk, start)
+	return r
+}
+
+func (r *reply) read(body io.Reader, clk *clock.Clock, start int64) {
+	events := target.NewEventReader(body)
+	var last int64
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			r.err = fmt.Errorf("the stream ended without its end mark: %w", err)
+			break
+		}
+		if string(ev.Data) == "[DONE]" {
+			r.whole, r.verdict = true, "ran"
+			break
+		}
+		var e event
+		if json.Unmarshal(ev.Data, &e) != nil {
+			continue
+		}
+		switch {
+		case e.Error != nil:
+			r.verdict, r.reason = e.Error.Verdict, e.Error.Code
+		case e.Usage != nil:
+			r.prompt, r.cached = e.Usage.Prompt, e.Usage.Details.Cached
+		case len(e.Choices) > 0 && e.Choices[0].Delta.Content != "":
+			r.content += e.Choices[0].Delta.Content
+			r.tokens++
+			last = clk.Micros()
+			if r.firstMicros == 0 {
+				r.firstMicros = last - start
+			}
+		}
+	}
+	if r.tokens > 1 {
+		r.gapMicros = (last - start - r.firstMicros) / int64(r.tokens-1)
+	}
+	r.totalMicros = clk.Micros() - start
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,288 @@
+package load
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/trace"
+)
+
+// Config sets up a load. Rate and Duration bound it.
+type Config struct {
+	// URLs are the entries; requests go to them in turn.
+	URLs []string
+	// Pages are admin addresses of entries, for skew and control bytes.
+	Pages []string
+	// Keys are the bearer keys of the workspaces, the large ones first.
+	Keys  []string
+	Model string
+	Shape Shape
+	// Rate is requests a second, opening and returning turns together.
+	Rate     float64
+	Duration clock.Millis
+	// MaxInFlight bounds the open requests; arrivals beyond it are counted
+	// and dropped.
+	MaxInFlight int
+	Seed        uint64
+	Clock       *clock.Clock
+}
+
+// Report is the result of a load.
+type Report struct {
+	Requests int            `json:"requests"`
+	Dropped  int            `json:"dropped"`
+	Whole    int            `json:"whole"`
+	Verdicts map[string]int `json:"verdicts"`
+	// Reasons counts failures by reason or transport error.
+	Reasons map[string]int `json:"reasons,omitempty"`
+	// Reuse is the cached share of the tokens that earlier turns left.
+	Reuse     float64 `json:"reuse"`
+	Returning int     `json:"returning"`
+	// Latencies are in milliseconds.
+	First   Latency `json:"first_token"`
+	Between Latency `json:"between_tokens"`
+	Total   Latency `json:"total"`
+	// Skew is the highest load of an engine over the mean of its pool, as
+	// the entries see it, while the mean is at least one request.
+	SkewP50 float64 `json:"skew_p50"`
+	SkewP99 float64 `json:"skew_p99"`
+	SkewMax float64 `json:"skew_max"`
+	// ControlBytesPerSecond is by kind, of the first page's process.
+	ControlBytesPerSecond map[string]float64 `json:"control_bytes_per_second,omitempty"`
+}
+
+// Latency is percentiles in milliseconds.
+type Latency struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+const (
+	histHigh   = 600_000_000
+	histDigits = 3
+)
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, histHigh, histDigits) }
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Latency{ms(50), ms(95), ms(99)}
+}
+
+// chatState is one chat between its turns.
+type chatState struct {
+	id, turn, workspace int
+	messages            []message
+	// left is the prompt and answer of the latest turn, in tokens.
+	left int
+	due  clock.Millis
+}
+
+type runner struct {
+	cfg  Config
+	http *http.Client
+	zipf *rand.Zipf
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	waiting chatHeap
+	rep     Report
+	turns   []trace.Turn
+	cached  int
+	shared  int
+	chats   int
+
+	first, between, total, skew *hdrhistogram.Histogram
+}
+
+// Run sends the load and returns what came back with the recorded arrivals.
+func Run(ctx context.Context, cfg Config) (Report, []trace.Turn, error) {
+	if len(cfg.URLs) == 0 || len(cfg.Keys) == 0 || cfg.Rate <= 0 || cfg.Duration <= 0 {
+		return Report{}, nil, fmt.Errorf("load: needs an entry, a key, a rate and a duration")
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, MaxIdleConns: 0}
+	defer t.CloseIdleConnections()
+	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1))
+	r := &runner{
+		cfg: cfg, http: &http.Client{Transport: t}, rnd: rnd,
+		zipf:  rand.NewZipf(rnd, 1.5, 2, uint64(len(cfg.Keys)-1)),
+		rep:   Report{Verdicts: map[string]int{}, Reasons: map[string]int{}},
+		first: newHist(), between: newHist(), total: newHist(), skew: newHist(),
+	}
+	before := r.controlBytes()
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { r.watchSkew(watchCtx) })
+	start := cfg.Clock.Now()
+	r.arrive(ctx, start)
+	stopWatch()
+	watch.Wait()
+	r.finish(before, cfg.Clock.Now()-start)
+	slices.SortFunc(r.turns, func(a, b trace.Turn) int { return cmp.Compare(a.At, b.At) })
+	return r.rep, r.turns, nil
+}
+
+// arrive sends turns at the rate, as a Poisson process: a chat that is due to
+// return if there is one, else a new one.
+func (r *runner) arrive(ctx context.Context, start clock.Millis) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, max(1, r.cfg.MaxInFlight))
+	next := float64(start)
+	for n := 0; ; n++ {
+		r.mu.Lock()
+		next += r.rnd.ExpFloat64() / r.cfg.Rate * 1000
+		r.mu.Unlock()
+		if clock.Millis(next) >= start+r.cfg.Duration {
+			return
+		}
+		if wait := clock.Millis(next) - r.cfg.Clock.Now(); wait > 0 && !clock.Sleep(ctx, wait) {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.mu.Lock()
+			r.rep.Dropped++
+			r.mu.Unlock()
+			continue
+		}
+		c := r.nextChat()
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.turn(ctx, c, r.cfg.URLs[n%len(r.cfg.URLs)], r.cfg.Clock.Now()-start)
+		})
+	}
+}
+
+func (r *runner) nextChat() *chatState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.waiting) > 0 && r.waiting[0].due <= r.cfg.Clock.Now() {
+		return heap.Pop(&r.waiting).(*chatState)
+	}
+	r.chats++
+	return &chatState{id: r.chats, workspace: workspace(r.zipf)}
+}
+
+func (r *runner) turn(ctx context.Context, c *chatState, url string, at clock.Millis) {
+	s := r.cfg.Shape
+	r.mu.Lock()
+	size := s.TurnTokens
+	if c.turn == 0 {
+		size = s.OpeningTokens
+	}
+	c.messages = append(c.messages, message{"user", text(r.rnd, s.tokens(r.rnd, size))})
+	out := s.output(r.rnd)
+	r.mu.Unlock()
+	res := ask(ctx, r.http, r.cfg.Clock, url, r.cfg.Keys[c.workspace], chatRequest{
+		Model: r.cfg.Model, Stream: true, MaxTokens: out, Messages: c.messages, StreamOptions: &options{true},
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(c, res)
+	if !res.whole {
+		return
+	}
+	r.turns = append(r.turns, trace.Turn{At: at, Chat: c.id, Number: c.turn, Workspace: c.workspace, Prompt: res.prompt, Shared: min(c.left, res.prompt), Output: res.tokens})
+	if c.turn > 0 {
+		r.rep.Returning++
+		r.cached += min(res.cached, c.left)
+		r.shared += c.left
+	}
+	c.turn++
+	c.left = res.prompt + 1 + len(res.content)/4
+	c.messages = append(c.messages, message{"assistant", res.content})
+	if r.rnd.Float64() < s.Return && res.prompt < maxPromptTokens {
+		c.due = r.cfg.Clock.Now() + s.pause(r.rnd)
+		heap.Push(&r.waiting, c)
+	}
+}
+
+func (r *runner) count(_ *chatState, res reply) {
+	r.rep.Requests++
+	v := res.verdict
+	if v == "" {
+		v = "unknown"
+	}
+	r.rep.Verdicts[v]++
+	switch {
+	case res.whole:
+		r.rep.Whole++
+		_ = r.first.RecordValue(res.firstMicros)
+		_ = r.between.RecordValue(res.gapMicros)
+		_ = r.total.RecordValue(res.totalMicros)
+	case res.reason != "":
+		r.rep.Reasons[res.reason]++
+	case res.err != nil:
+		r.rep.Reasons["transport"]++
+	}
+}
+
+func (r *runner) finish(before map[string]float64, took clock.Millis) {
+	r.rep.First, r.rep.Between, r.rep.Total = latencyOf(r.first), latencyOf(r.between), latencyOf(r.total)
+	if r.shared > 0 {
+		r.rep.Reuse = float64(r.cached) / float64(r.shared)
+	}
+	q := func(p float64) float64 { return float64(r.skew.ValueAtQuantile(p)) / skewScale }
+	r.rep.SkewP50, r.rep.SkewP99, r.rep.SkewMax = q(50), q(99), float64(r.skew.Max())/skewScale
+	after := r.controlBytes()
+	r.rep.ControlBytesPerSecond = map[string]float64{}
+	for k, v := range after {
+		r.rep.ControlBytesPerSecond[k] = (v - before[k]) * 1000 / float64(took)
+	}
+}
+
+// WriteText writes the report for a person.
+func (r Report) WriteText(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "requests        %d, %d whole, %d dropped by the client\nverdicts        %v %v\ncache reuse     %.1f%% of %d returning turns' shared tokens\nfirst token     p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\nbetween tokens  p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\ntotal           p50 %.1f ms  p95 %.1f ms  p99 %.1f ms\nskew            p50 %.2f  p99 %.2f  max %.2f\ncontrol B/s     %v\n",
+		r.Requests, r.Whole, r.Dropped, r.Verdicts, r.Reasons, 100*r.Reuse, r.Returning,
+		r.First.P50, r.First.P95, r.First.P99, r.Between.P50, r.Between.P95, r.Between.P99,
+		r.Total.P50, r.Total.P95, r.Total.P99, r.SkewP50, r.SkewP99, r.SkewMax, roundAll(r.ControlBytesPerSecond))
+	return err
+}
+
+func roundAll(m map[string]float64) string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	var b strings.Builder
+	for _, k := range keys {
+		_, _ = fmt.Fprintf(&b, "%s %.0f  ", k, m[k])
+	}
+	return b.String()
+}
+
+// chatHeap orders chats by the time of their return.
+type chatHeap []*chatState
+
+var _ heap.Interface = (*chatHeap)(nil)
+
+func (h chatHeap) Len() int           { return len(h) }
+func (h chatHeap) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h chatHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *chatHeap) Push(x any) { *h = append(*h, x.(*chatState)) }
+
+// Pop implements heap.Interface.
+func (h *chatHeap) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return c
+}
--- a/route/choose.go
+++ b/route/choose.go
@@ -20,6 +20,8 @@
 	Key uint64
 	// Affine is true when the key is a chat's.
 	Affine bool
+	// Returning is true when the chat had an earlier turn.
+	Returning bool
 	// Hint is the engine that last served the chat, "" if unknown.
 	Hint string
 	// Bound and Floor are the pool's settings.
