--- a/commands/standin.go
+++ b/commands/standin.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -50,7 +51,7 @@
 func (c *standinEngineCmd) run(out, _ io.Writer) error {
 	return serveStandin(out, c.Listen, engine.New(engine.Config{
 		ID: c.ID, Slots: c.Slots, CacheTokens: c.CacheTokens, PrefillTokensPerMS: c.Prefill,
-		TokenGap: clock.Millis(c.GapMS), Tokens: c.Tokens, ReportLag: clock.Millis(c.LagMS), EventGap: c.EventGap, Clock: clock.System(),
+		TokenGap: clock.Millis(c.GapMS), Tokens: c.Tokens, ReportLag: clock.Millis(c.LagMS), EventGap: c.EventGap, Started: printRuns(out), Clock: clock.System(),
 	}))
 }
 
@@ -62,7 +63,18 @@
 }
 
 func (c *standinServiceCmd) run(out, _ io.Writer) error {
-	return serveStandin(out, c.Listen, service.New(service.Config{ID: c.ID, Delay: clock.Millis(c.DelayMS), AnswerBytes: c.AnswerBytes}))
+	return serveStandin(out, c.Listen, service.New(service.Config{ID: c.ID, Delay: clock.Millis(c.DelayMS), AnswerBytes: c.AnswerBytes, Started: printRuns(out)}))
+}
+
+// printRuns prints a line for each request that starts, before it does
+// anything, so that the count outlives the process.
+func printRuns(out io.Writer) func(engine.Run) {
+	var mu sync.Mutex
+	return func(r engine.Run) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = fmt.Fprintf(out, "run attempt=%s key=%s caller_key=%s\n", r.Attempt, r.Key, r.CallerKey)
+	}
 }
 
 // serveStandin prints the address and serves until a signal.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -222,13 +222,13 @@
 
 // state is what the decision needs beside the engine's own state.
 func (d *Daemon) state(r wire.Run) route.State {
-	next, _, engines, mean := d.node.Next(d.cfg.Pool, r.Chat, r.Engine)
+	_, _, engines, mean := d.node.Next(d.cfg.Pool, r.Chat, r.Engine)
 	if r.Mean >= 0 {
 		mean = r.Mean
 	}
 	return route.State{
 		Mean: mean, Engines: engines, Bound: r.LoadBound, Floor: r.LoadFloor,
-		Leaving: d.isLeaving(), Next: next,
+		Leaving: d.isLeaving(),
 	}
 }
 
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -75,11 +75,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.slots
-	offer := route.Offer{Chat: r.Chat, Returning: r.Returning, Mode: r.Mode}
+	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
 	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
 	switch ans := route.Decide(offer, s, e.book).(type) {
 	case route.Redirect:
-		res.Reason, res.Redirect, res.Message = verdict.NotCached, ans.Engine, "another engine may hold the chat"
+		res.Reason, res.Redirect, res.Cached, res.Message = verdict.NotCached, ans.Engine, ans.Cached, "another engine may hold the chat"
 		return nil, res
 	case route.Refuse:
 		res.Reason, res.Message = refusal(ans)
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -42,6 +42,10 @@
 	if errors.Is(err, target.ErrNotSent) {
 		return wire.Result{Verdict: verdict.NotRun, Reason: verdict.Unreachable, Refused: true, Message: err.Error()}
 	}
+	if err != nil && r.Chat != 0 {
+		// The engine may have the request: it is asked before that is said.
+		res, err = e.resume(a, 0, !r.Stream, 1)
+	}
 	if err != nil {
 		return e.lost(a, err)
 	}
@@ -69,19 +73,19 @@
 // relayedHeaders are passed from an answer to the caller.
 var relayedHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag", "Last-Modified", "Cache-Control"}
 
-func headOf(res *http.Response) *wire.Head {
+func (e *engine) headOf(res *http.Response) *wire.Head {
 	h := map[string]string{}
 	for _, name := range relayedHeaders {
 		if v := res.Header.Get(name); v != "" {
 			h[name] = v
 		}
 	}
-	return &wire.Head{Status: res.StatusCode, Header: h}
+	return &wire.Head{Status: res.StatusCode, Header: h, Load: e.load()}
 }
 
 // relayService passes the answer of a plain service on as it comes.
 func (e *engine) relayService(a *attempt, res *http.Response) wire.Result {
-	head := headOf(res)
+	head := e.headOf(res)
 	for {
 		piece := make([]byte, pieceBytes)
 		n, err := io.ReadFull(res.Body, piece)
@@ -117,7 +121,7 @@
 	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
 		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
 	}
-	a.add(headOf(res), body)
+	a.add(e.headOf(res), body)
 	return wire.Result{Verdict: verdict.Ran}
 }
 
@@ -153,7 +157,7 @@
 	if err != nil {
 		return e.lost(a, err)
 	}
-	a.add(headOf(res), body)
+	a.add(e.headOf(res), body)
 	return wire.Result{Verdict: verdict.Ran, Usage: usageOf(body)}
 }
 
@@ -176,7 +180,7 @@
 // again at the event that is missing. The end mark is left out: the entry
 // writes it when every frame has arrived.
 func (e *engine) relayStream(a *attempt, res *http.Response) wire.Result {
-	head := headOf(res)
+	head := e.headOf(res)
 	var usage wire.Usage
 	next, tries := 0, 0
 	body := res.Body
--- a/entry/send.go
+++ b/entry/send.go
@@ -50,7 +50,11 @@
 		c.attempts++
 		res, err := e.attempt(ctx, c, s, to, mean)
 		e.node.Ended(s.Engine)
-		e.node.ObserveLoads(res.Loads)
+		if res.Refused {
+			e.node.ObserveLoads(res.Loads)
+		} else {
+			e.node.SampleLoads(res.Loads)
+		}
 		if err == nil {
 			c.engine, c.result = s.Engine, res
 			e.afterAnswer(c, s.Engine)
@@ -63,7 +67,7 @@
 		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_refused_offers_total{reason=%q}`, res.Reason)).Inc()
 		tries = append(tries, route.Try{
 			Engine: s.Engine, Mode: s.Mode, Redirect: res.Redirect,
-			NotCached: res.Reason == verdict.NotCached && res.Redirect == "", OverBound: res.Reason == verdict.OverBound,
+			NotCached: res.Reason == verdict.NotCached, Cached: res.Cached, OverBound: res.Reason == verdict.OverBound,
 		})
 		if isFault(res.Reason) && !e.budget.spend() {
 			metrics.GetOrCreateCounter("weldfall_retry_budget_spent_total").Inc()
@@ -206,6 +210,9 @@
 // deliver writes what has arrived to the caller.
 func (a *sending) deliver() *verdict.Error {
 	frames, gap, full := a.in.take()
+	if len(frames) > 0 && frames[0].Head != nil {
+		a.e.node.SampleLoads([]wire.Load{frames[0].Head.Load})
+	}
 	if err := a.c.write(frames, a.e.clk); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.CallerGone, "write to the caller: %w", err)
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -23,7 +23,7 @@
 }
 
 // passedHeaders go from the caller to the target.
-var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", HeaderKey}
 
 func targetHeader(r *http.Request) map[string]string {
 	out := map[string]string{}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -115,7 +115,7 @@
 	news := n.learn(res.Items)
 	n.store.Learn(wire.Exchanged{Upto: res.Upto, Fresh: res.Fresh}, n.clk.Now())
 	leaving := n.learnLeaving(res.Leaving)
-	n.observe(res.Loads)
+	n.sample(res.Loads)
 	n.heardPeers[id] = true
 	n.caughtUp = n.upToDate(res.Revs)
 	if rev, ok := res.Revs[wire.TopicBranches]; ok {
@@ -163,7 +163,7 @@
 	res := n.store.Answer(e, n.clk.Now())
 	res.Loads = n.loadSample()
 	res.Leaving = n.view.LeavingIDs()
-	n.observe(e.Loads)
+	n.sample(e.Loads)
 	leaving := n.learnLeaving(e.Leaving)
 	n.mu.Unlock()
 	n.push(nil, leaving)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -76,7 +76,7 @@
 	view  *member.View
 	loads *route.Loads
 	// targets caches the targets of each pool until the view changes.
-	targets map[string]poolTargets
+	targets map[string]*poolTargets
 	// heardPeers counts distinct peers that answered since the start.
 	heardPeers map[string]bool
 	caughtUp   bool
@@ -93,7 +93,10 @@
 }
 
 type poolTargets struct {
-	until   clock.Millis
+	until clock.Millis
+	// mean is renewed when it is older than meanTTL.
+	mean    route.Mean
+	meanAt  clock.Millis
 	list    []route.Target
 	daemons map[string]member.Instance
 }
@@ -117,7 +120,7 @@
 	return &Node{
 		cfg: cfg, clk: cfg.Clock, startAt: now,
 		store: spread.NewStore(TopicsOf(cfg.Role), cfg.ChunkBytes), tree: settings.NewTree(),
-		view: member.NewView(cfg.ID, now), loads: route.NewLoads(), targets: map[string]poolTargets{},
+		view: member.NewView(cfg.ID, now), loads: route.NewLoads(), targets: map[string]*poolTargets{},
 		heardPeers: map[string]bool{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
 	}
 }
@@ -196,11 +199,11 @@
 const targetsTTL clock.Millis = 100
 
 // pool returns the targets of a pool; the caller holds mu.
-func (n *Node) pool(name string, now clock.Millis) poolTargets {
+func (n *Node) pool(name string, now clock.Millis) *poolTargets {
 	if pt, ok := n.targets[name]; ok && now < pt.until {
 		return pt
 	}
-	pt := poolTargets{until: now + targetsTTL, daemons: map[string]member.Instance{}}
+	pt := &poolTargets{until: now + targetsTTL, meanAt: -meanTTL - 1, daemons: map[string]member.Instance{}}
 	for _, in := range n.view.Members(name, now) {
 		for _, e := range in.Engines {
 			pt.list = append(pt.list, route.NewTarget(e.ID, e.Slots))
@@ -220,10 +223,11 @@
 	defer n.mu.Unlock()
 	now := n.clk.Now()
 	pt := n.pool(pool, now)
-	d = route.Choose(q, pt.list, n.loads, tries, now)
+	m := n.mean(pt, now)
+	d = route.Choose(q, pt.list, n.loads, m, tries, now)
 	if s, ok := d.(route.Send); ok {
 		n.loads.Sent(s.Engine)
-		return d, pt.daemons[s.Engine], n.mean(pt, now)
+		return d, pt.daemons[s.Engine], perSlot(m)
 	}
 	return d, to, 0
 }
@@ -231,12 +235,23 @@
 // meanUnknown stands for a mean that is based on too few engines.
 const meanUnknown = -1
 
-func (n *Node) mean(pt poolTargets, now clock.Millis) float64 {
-	mean, known := n.loads.Mean(pt.list, now)
-	if known < 0.5 {
+func perSlot(m route.Mean) float64 {
+	if !m.Counts() {
 		return meanUnknown
 	}
-	return mean
+	return m.PerSlot
+}
+
+// meanTTL is how long the mean of a pool is used before it is added up again;
+// loads that come from elsewhere are older than that anyway.
+const meanTTL clock.Millis = 10
+
+// mean returns the mean load of a pool; the caller holds mu.
+func (n *Node) mean(pt *poolTargets, now clock.Millis) route.Mean {
+	if now-pt.meanAt > meanTTL {
+		pt.mean, pt.meanAt = n.loads.Mean(pt.list, now), now
+	}
+	return pt.mean
 }
 
 // Ended takes back the count of a request that was sent to engine.
@@ -266,7 +281,7 @@
 	defer n.mu.Unlock()
 	now := n.clk.Now()
 	pt := n.pool(pool, now)
-	mean = n.mean(pt, now)
+	mean = perSlot(n.mean(pt, now))
 	for _, i := range route.Rank(key, pt.list, 2) {
 		if id := pt.list[i].ID(); id != engine && next == "" {
 			next, at = id, pt.daemons[id]
@@ -275,20 +290,30 @@
 	return next, at, len(pt.list), mean
 }
 
-// ObserveLoads takes load reports that came with an answer.
-func (n *Node) ObserveLoads(loads []wire.Load) {
+// SampleLoads takes load reports that came with an answer.
+func (n *Node) SampleLoads(loads []wire.Load) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.observe(loads)
+	n.sample(loads)
 }
 
-func (n *Node) observe(loads []wire.Load) {
+// ObserveLoads takes load reports that came with a refusal.
+func (n *Node) ObserveLoads(loads []wire.Load) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	now := n.clk.Now()
 	for _, l := range loads {
 		n.loads.Observe(l.Engine, l.Requests, now-l.Age)
 	}
 }
 
+func (n *Node) sample(loads []wire.Load) {
+	now := n.clk.Now()
+	for _, l := range loads {
+		n.loads.Sample(l.Engine, l.Requests, now-l.Age)
+	}
+}
+
 // Witnesses returns the daemons to ask for a promise on key, how many of the
 // key's witnesses were replaced within the window, and whether this process
 // may be cut off from most of the fleet.
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -131,16 +131,16 @@
 	if a.status != http.StatusOK || !strings.Contains(a.body, `"path":"/fees?ref=7"`) {
 		t.Errorf("service: got %d %s, want 200 with the path", a.status, a.body)
 	}
-	if got, want := len(f.Services[0].Runs()), 1; got != want {
+	if got, want := len(f.RunsOf(f.Services[0])), 1; got != want {
 		t.Errorf("service runs: got %d, want %d", got, want)
 	}
 	wrong := chat(f.Entries[0], chatBody(false, 1, "x"))
 	wrong.key = "planning.ws0.wrong"
-	before := len(f.Engines[0].Runs()) + len(f.Engines[1].Runs())
+	before := len(f.RunsOf(f.Engines[0])) + len(f.RunsOf(f.Engines[1]))
 	if a := wrong.send(); a.status != http.StatusUnauthorized || a.verdict != "not_run" {
 		t.Errorf("wrong key: got %d %q, want 401 not_run", a.status, a.verdict)
 	}
-	if after := len(f.Engines[0].Runs()) + len(f.Engines[1].Runs()); after != before {
+	if after := len(f.RunsOf(f.Engines[0])) + len(f.RunsOf(f.Engines[1])); after != before {
 		t.Errorf("wrong key: got %d runs, want %d", after, before)
 	}
 }
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -369,16 +369,15 @@
 	return page.Settings[0].Value
 }
 
-// Runs returns what a stand-in has really run.
-func (p *Process) Runs() []engine.Run {
+// RunsOf returns what a stand-in has really run, also when it has been
+// killed: the stand-ins write their runs to the log as they start.
+func (f *Fleet) RunsOf(p *Process) []engine.Run {
+	f.t.Helper()
 	var runs []engine.Run
-	res, err := http.Get("http://" + p.Addr + "/runs")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	if err := json.NewDecoder(res.Body).Decode(&runs); err != nil {
-		p.t.Fatal(err)
+	for line := range strings.SplitSeq(p.log.String(), "\n") {
+		if fields, ok := strings.CutPrefix(line, "run "); ok {
+			runs = append(runs, engine.Run{Attempt: field(fields, "attempt"), Key: field(fields, "key"), CallerKey: field(fields, "caller_key")})
+		}
 	}
 	return runs
 }
@@ -403,3 +402,13 @@
 
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,125 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/member"
+)
+
+func instance(id string) member.Instance {
+	return member.Instance{ID: id, Role: member.Daemon, Addr: "10.0.0.1:1", Pool: "drafting", State: member.Live}
+}
+
+func ids(ins []member.Instance) string {
+	s := ""
+	for _, in := range ins {
+		s += in.ID + " "
+	}
+	return s
+}
+
+func TestAnInstanceLeavesByTheListOrItsOwnWord(t *testing.T) {
+	v := member.NewView("me", 0)
+	for _, id := range []string{"a", "b", "c"} {
+		v.Listed(instance(id), 1)
+	}
+	leaving := instance("b")
+	leaving.State = member.Leaving
+	v.Listed(leaving, 2)
+	if !v.SaidLeaving("c") || v.SaidLeaving("c") {
+		t.Error("got wrong news of c leaving, want it once")
+	}
+	if got, want := ids(v.Members("drafting", 3)), "a "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	v.Dropped("a", 4)
+	if got := v.State("a"); got != member.Gone {
+		t.Errorf("got %q, want gone", got)
+	}
+	if got := len(v.Members("drafting", 5)); got != 0 {
+		t.Errorf("got %d members, want 0", got)
+	}
+}
+
+func TestAFlappingInstanceIsHeldOffLongerEachTime(t *testing.T) {
+	v := member.NewView("me", 0)
+	v.Listed(instance("steady"), 0)
+	v.Listed(instance("flap"), 0)
+	var held []clock.Millis
+	now := clock.Millis(0)
+	for range 5 {
+		now += 1000
+		v.Dropped("flap", now)
+		now += 1000
+		v.Listed(instance("flap"), now)
+		wait := clock.Millis(0)
+		for !v.Usable("flap", now+wait) {
+			wait += 500
+		}
+		held = append(held, wait)
+	}
+	if got, want := fmt.Sprint(held), "[0 2000 4000 8000 16000]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func TestUnreachableInstancesAreTriedAgainLaterAndWhenNoneIsLeft(t *testing.T) {
+	v := member.NewView("me", 0)
+	v.Listed(instance("a"), 0)
+	v.Listed(instance("b"), 0)
+	v.Unreachable("a", 100)
+	if got, want := ids(v.Members("drafting", 101)), "b "; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	v.Unreachable("b", 101)
+	if got, want := ids(v.Members("drafting", 102)), "a b "; got != want {
+		t.Errorf("none reachable: got %q, want all", got)
+	}
+	v.Reached("a")
+	if !v.Usable("a", 103) {
+		t.Error("got a unusable after it was reached")
+	}
+}
+
+func TestOnlyAProcessInContactWithMostTrustsItself(t *testing.T) {
+	v := member.NewView("me", 0)
+	if !v.MajoritySeen() {
+		t.Error("alone: got no majority")
+	}
+	v.Listed(instance("a"), 0)
+	if v.MajoritySeen() {
+		t.Error("before any contact: got a majority")
+	}
+	for range 16 {
+		v.Contact(true)
+	}
+	for i := range 16 {
+		v.Contact(false)
+		if got, want := v.MajoritySeen(), i < 7; got != want {
+			t.Errorf("after %d failures: got %t, want %t", i+1, got, want)
+		}
+	}
+	v.Contact(true)
+	v.Distrust()
+	if v.MajoritySeen() {
+		t.Error("after a pause: got a majority")
+	}
+}
+
+func TestAYoungViewCountsEveryLossAsRecent(t *testing.T) {
+	v := member.NewView("me", 1000)
+	v.Listed(instance("a"), 1000)
+	v.Dropped("a", 1100)
+	if got := v.GoneWithin(60_000, 50_000); len(got) != 1 {
+		t.Errorf("got %v, want a", got)
+	}
+	if got := v.GoneWithin(60_000, 70_000); len(got) != 0 {
+		t.Errorf("after the window: got %v, want none", got)
+	}
+	v.Forget(60_000, 1_000_000)
+	if got := v.State("a"); got != member.Gone {
+		t.Errorf("got %q, want gone", got)
+	}
+}
--- a/route/choose.go
+++ b/route/choose.go
@@ -7,10 +7,12 @@
 	"github.com/weldfall/weldfall/wire"
 )
 
-// Depth is how many ranked engines are looked at before a spill goes to the
-// least loaded of a sample.
+// Depth is how many ranked engines are asked whether they hold a chat.
 const Depth = 3
 
+// Choices is how many ranked engines a new chat is placed among.
+const Choices = 4
+
 // sampleSize is how many further engines a spill compares.
 const sampleSize = 4
 
@@ -37,8 +39,11 @@
 	Mode   wire.Mode
 	// Redirect is the engine that the refusing daemon named, "" if none.
 	Redirect string
-	// NotCached is true when the engine refused only for want of the prefix.
+	// NotCached is true when the engine refused only for want of the prefix,
+	// whether it named another or not.
 	NotCached bool
+	// Cached is what the engine said it holds of earlier turns, in tokens.
+	Cached int
 	// OverBound is true when the engine refused for its load alone.
 	OverBound bool
 }
@@ -61,35 +66,29 @@
 func (Send) decision() {}
 func (Shed) decision() {}
 
-// Choose returns where a request goes next, after the tries so far.
-func Choose(q Query, targets []Target, loads *Loads, tries []Try, now clock.Millis) Decision {
+// Choose returns where a request goes next, after the tries so far. A chat
+// that returns is first offered to engines that may hold its prefix, for that
+// alone: the one that the hint names, the home, the one that the home names,
+// and the others where new chats are placed. Then it is as a new chat, which
+// goes to the least loaded of its first ranked engines.
+func Choose(q Query, targets []Target, loads *Loads, mean Mean, tries []Try, now clock.Millis) Decision {
 	if len(targets) == 0 {
 		return Shed{Empty: true}
 	}
 	if len(tries) >= q.Max {
 		return Shed{}
 	}
-	c := chooser{q: q, targets: targets, loads: loads, tries: tries, now: now}
-	c.mean, c.known = loads.Mean(targets, now)
-	if len(tries) > 0 {
-		if s, ok := c.afterRedirect(); ok {
-			return s
-		}
-	}
+	c := chooser{q: q, targets: targets, loads: loads, mean: mean, tries: tries, now: now}
+	c.ranked = Rank(q.Key, targets, Choices)
+	steps := []func() (Send, bool){c.byHint, c.byRedirect, c.byCache, c.byPart, c.byLeast, c.bySample, c.force}
 	if len(tries) > 0 && len(tries) == q.Max-1 {
-		if s, ok := c.force(); ok {
+		steps = []func() (Send, bool){c.force, c.byLeast, c.bySample}
+	}
+	for _, step := range steps {
+		if s, ok := step(); ok {
 			return s
 		}
 	}
-	if s, ok := c.byHint(); ok {
-		return s
-	}
-	if s, ok := c.byRank(); ok {
-		return s
-	}
-	if s, ok := c.bySample(); ok {
-		return s
-	}
 	return Shed{}
 }
 
@@ -99,8 +98,9 @@
 	loads   *Loads
 	tries   []Try
 	now     clock.Millis
-	// mean is per slot; known is the share of engines it is based on.
-	mean, known float64
+	// ranked has the indexes of the key's first ranked targets.
+	ranked []int
+	mean   Mean
 }
 
 func (c *chooser) find(engine string) (Target, bool) {
@@ -111,110 +111,133 @@
 	return c.targets[i], true
 }
 
-// refused reports whether engine turned the request away for good.
-func (c *chooser) refused(engine string) bool {
+// tried reports whether engine was offered the request for its cache alone,
+// or in any mode.
+func (c *chooser) tried(engine string, cachedOnly bool) bool {
 	return slices.ContainsFunc(c.tries, func(t Try) bool {
-		return t.Engine == engine && t.Redirect == "" && !t.NotCached
+		return t.Engine == engine && (cachedOnly || t.Mode != wire.ModeCachedOnly || !t.NotCached)
 	})
 }
 
-func (c *chooser) tried(engine string, mode wire.Mode) bool {
-	return slices.ContainsFunc(c.tries, func(t Try) bool { return t.Engine == engine && t.Mode == mode })
-}
-
 // overBound reports whether engine is believed to carry more than it may.
-// Without reports from half of the pool nothing is believed.
+// Without a mean that counts nothing is believed.
 func (c *chooser) overBound(t Target) bool {
 	requests, fresh := c.loads.Get(t.id, c.now)
-	if !fresh || c.known < 0.5 {
+	if !fresh || !c.mean.Counts() {
 		return false
 	}
-	return requests+1 > Limit(c.q.Bound, c.mean, c.q.Floor, t.slots, len(c.targets))
+	return requests+1 > Limit(c.q.Bound, c.mean.PerSlot, c.q.Floor, t.slots, len(c.targets))
 }
 
-// afterRedirect follows the word of the latest daemon: to the holder that it
-// named, or back to the home when the holder has nothing.
-func (c *chooser) afterRedirect() (Send, bool) {
-	last := c.tries[len(c.tries)-1]
-	if last.Redirect != "" && last.Redirect != last.Engine {
-		if _, ok := c.find(last.Redirect); ok && !c.tried(last.Redirect, wire.ModeCachedOnly) && !c.refused(last.Redirect) {
-			return Send{last.Redirect, wire.ModeCachedOnly}, true
-		}
+// forCache offers the request to an engine for its cache alone, even when it
+// is believed to be busy: the daemon knows, asking costs a round trip, and
+// reading a long prompt again costs a hundred.
+func (c *chooser) forCache(engine string) (Send, bool) {
+	if _, ok := c.find(engine); !ok || c.tried(engine, true) {
+		return Send{}, false
+	}
+	return Send{engine, wire.ModeCachedOnly}, true
+}
+
+func (c *chooser) forced(engine string) bool {
+	return slices.ContainsFunc(c.tries, func(t Try) bool { return t.Engine == engine && t.Mode == wire.ModeForce })
+}
+
+func (c *chooser) byHint() (Send, bool) {
+	if !c.q.Affine || !c.q.Returning {
+		return Send{}, false
 	}
+	return c.forCache(c.q.Hint)
+}
+
+// byRedirect follows the word of a home that knows where the chat went.
+func (c *chooser) byRedirect() (Send, bool) {
 	for _, t := range c.tries {
-		if t.Redirect != "" && !c.tried(t.Engine, wire.ModeFinal) {
-			return Send{t.Engine, wire.ModeFinal}, true
+		if s, ok := c.forCache(t.Redirect); ok {
+			return s, true
 		}
 	}
 	return Send{}, false
 }
 
-// force returns the least loaded of the engines that refused for their load,
-// whose loads are now exactly known. They are a sample of the pool, so when
-// all refused, the mean was wrong rather than every engine too busy.
-func (c *chooser) force() (Send, bool) {
-	best, bestLoad := "", 0.0
-	for _, t := range c.tries {
-		target, ok := c.find(t.Engine)
-		if !ok || !t.OverBound {
-			continue
-		}
-		requests, _ := c.loads.Get(t.Engine, c.now)
-		load := float64(requests) / float64(target.slots)
-		if best == "" || load < bestLoad {
-			best, bestLoad = t.Engine, load
+// byCache asks the engines where the chat would have been placed.
+func (c *chooser) byCache() (Send, bool) {
+	if !c.q.Affine || !c.q.Returning {
+		return Send{}, false
+	}
+	for _, i := range c.ranked[:min(Depth, len(c.ranked))] {
+		if s, ok := c.forCache(c.targets[i].id); ok {
+			return s, true
 		}
 	}
-	return Send{best, wire.ModeForce}, best != ""
+	return Send{}, false
 }
 
-func (c *chooser) byHint() (Send, bool) {
-	t, ok := c.find(c.q.Hint)
-	if !ok || c.tried(t.id, wire.ModeCachedOnly) || c.refused(t.id) || c.overBound(t) {
-		return Send{}, false
+// byPart goes back to the engine that holds the most of earlier turns, when
+// the one with the latest turn could not take the request.
+func (c *chooser) byPart() (Send, bool) {
+	best, most := "", 0
+	for _, t := range c.tries {
+		if target, ok := c.find(t.Engine); ok && t.Cached > most && !c.tried(t.Engine, false) && !c.overBound(target) {
+			best, most = t.Engine, t.Cached
+		}
 	}
-	return Send{t.id, wire.ModeCachedOnly}, true
+	return Send{best, wire.ModeNormal}, best != ""
 }
 
-func (c *chooser) byRank() (Send, bool) {
+// byLeast takes the least loaded of the first ranked engines. That evens the
+// load out without moving a chat that returns (the power of several choices).
+func (c *chooser) byLeast() (Send, bool) {
 	if !c.q.Affine {
 		return Send{}, false
 	}
-	for _, i := range Rank(c.q.Key, c.targets, Depth) {
-		t := c.targets[i]
-		if c.tried(t.id, wire.ModeNormal) || c.tried(t.id, wire.ModeFinal) || c.refused(t.id) || c.overBound(t) {
-			continue
-		}
-		if len(c.tries) > 0 {
-			return Send{t.id, wire.ModeFinal}, true
-		}
-		return Send{t.id, wire.ModeNormal}, true
-	}
-	return Send{}, false
+	return c.least(c.ranked, true)
 }
 
 // bySample takes the least loaded of a few engines that depend on the key and
 // on the tries so far, so that entries do not all rush to one idle engine.
 func (c *chooser) bySample() (Send, bool) {
+	n := len(c.targets)
+	start := int(mix(c.q.Key+uint64(len(c.tries))+1) % uint64(n))
+	sample := make([]int, 0, sampleSize)
+	for i := 0; i < n && len(sample) < sampleSize; i++ {
+		if at := (start + i) % n; !c.tried(c.targets[at].id, false) {
+			sample = append(sample, at)
+		}
+	}
+	return c.least(sample, false)
+}
+
+func (c *chooser) least(among []int, withinBound bool) (Send, bool) {
 	best, bestLoad := "", 0.0
-	seed := mix(c.q.Key + uint64(len(c.tries)) + 1)
-	seen := 0
-	for i := range c.targets {
-		t := c.targets[(int(seed%uint64(len(c.targets)))+i)%len(c.targets)]
-		if c.tried(t.id, wire.ModeFinal) || c.refused(t.id) {
+	for _, i := range among {
+		t := c.targets[i]
+		if c.tried(t.id, false) || withinBound && c.overBound(t) {
 			continue
 		}
 		requests, _ := c.loads.Get(t.id, c.now)
-		load := float64(requests) / float64(t.slots)
-		if best == "" || load < bestLoad {
+		if load := float64(requests) / float64(t.slots); best == "" || load < bestLoad {
 			best, bestLoad = t.id, load
 		}
-		if seen++; seen == sampleSize {
-			break
-		}
 	}
-	if best == "" {
-		return Send{}, false
+	return Send{best, wire.ModeNormal}, best != ""
+}
+
+// force returns the least loaded of the engines that refused for their load,
+// whose loads are now exactly known. They are a sample of the pool, so when
+// all refused, the mean was wrong rather than every engine too busy.
+func (c *chooser) force() (Send, bool) {
+	best, bestLoad := "", 0.0
+	for _, t := range c.tries {
+		target, ok := c.find(t.Engine)
+		if !ok || !t.OverBound || c.forced(t.Engine) {
+			continue
+		}
+		requests, _ := c.loads.Get(t.Engine, c.now)
+		load := float64(requests) / float64(target.slots)
+		if best == "" || load < bestLoad {
+			best, bestLoad = t.Engine, load
+		}
 	}
-	return Send{best, wire.ModeFinal}, true
+	return Send{best, wire.ModeForce}, best != ""
 }
--- a/route/load.go
+++ b/route/load.go
@@ -17,6 +17,10 @@
 	Own int
 	// At is when the report was true, as near as is known.
 	At clock.Millis
+	// Sampled, SampledOwn and SampledAt are the same without the loads that
+	// came with a refusal. Those are high, so a mean over them is too high.
+	Sampled, SampledOwn int
+	SampledAt           clock.Millis
 }
 
 // Loads is what one process knows of the loads of a pool. It is not safe for
@@ -37,34 +41,51 @@
 	return &Loads{reports: map[string]Report{}, stale: StaleAfter}
 }
 
-// Observe takes a report that was true at the given time; older ones than the
-// known one are dropped.
+// Observe takes a load that came with a refusal; older ones than the known one
+// are dropped.
 func (l *Loads) Observe(engine string, requests int, at clock.Millis) {
 	r, ok := l.reports[engine]
 	if ok && at < r.At {
 		return
 	}
-	l.reports[engine] = Report{Requests: requests, At: max(1, at)}
+	r.Requests, r.Own, r.At = requests, 0, max(1, at)
+	l.reports[engine] = r
+}
+
+// Sample takes a load that came with an answer or at a time of its own.
+func (l *Loads) Sample(engine string, requests int, at clock.Millis) {
+	l.Observe(engine, requests, at)
+	r := l.reports[engine]
+	if at >= r.SampledAt {
+		r.Sampled, r.SampledOwn, r.SampledAt = requests, 0, max(1, at)
+		l.reports[engine] = r
+	}
 }
 
 // Sent counts a request that this process just sent to engine.
 func (l *Loads) Sent(engine string) {
 	r := l.reports[engine]
 	r.Own++
+	r.SampledOwn++
 	l.reports[engine] = r
 }
 
 // Ended takes back one request that this process sent to engine.
 func (l *Loads) Ended(engine string) {
 	r := l.reports[engine]
-	if r.Own > 0 {
-		r.Own--
-	} else if r.Requests > 0 {
-		r.Requests--
-	}
+	takeBack(&r.Own, &r.Requests)
+	takeBack(&r.SampledOwn, &r.Sampled)
 	l.reports[engine] = r
 }
 
+func takeBack(own, reported *int) {
+	if *own > 0 {
+		*own--
+	} else if *reported > 0 {
+		*reported--
+	}
+}
+
 // Get returns the estimated requests at engine and whether it is based on a
 // report that still counts.
 func (l *Loads) Get(engine string, now clock.Millis) (requests int, fresh bool) {
@@ -83,8 +104,8 @@
 func (l *Loads) Freshest(n int, now clock.Millis) []wire.Load {
 	out := make([]wire.Load, 0, len(l.reports))
 	for e, r := range l.reports {
-		if age := now - r.At; r.At > 0 && age <= l.stale {
-			out = append(out, wire.Load{Engine: e, Requests: r.Requests, Age: age})
+		if age := now - r.SampledAt; r.SampledAt > 0 && age <= l.stale {
+			out = append(out, wire.Load{Engine: e, Requests: r.Sampled, Age: age})
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.Load) int { return cmp.Compare(a.Age, b.Age) })
@@ -100,21 +121,34 @@
 	}
 }
 
-// Mean returns the estimated requests per slot over the targets and the share
-// of targets with a report that still counts.
-func (l *Loads) Mean(targets []Target, now clock.Millis) (perSlot, known float64) {
+// Mean is the estimated load of a pool.
+type Mean struct {
+	// PerSlot is requests per slot.
+	PerSlot float64
+	// Known is the share of targets with a report that still counts.
+	Known float64
+}
+
+// enoughKnown is the share of a pool that must be known for its mean to count.
+const enoughKnown = 0.5
+
+// Counts reports whether the mean is based on enough of the pool.
+func (m Mean) Counts() bool { return m.Known >= enoughKnown }
+
+// Mean estimates the load of the pool of the targets.
+func (l *Loads) Mean(targets []Target, now clock.Millis) Mean {
 	requests, slots, n := 0, 0, 0
 	for _, t := range targets {
-		if r, fresh := l.Get(t.id, now); fresh {
-			requests += r
+		if r, ok := l.reports[t.id]; ok && r.SampledAt > 0 && now-r.SampledAt <= l.stale {
+			requests += r.Sampled + r.SampledOwn
 			slots += t.slots
 			n++
 		}
 	}
 	if n == 0 {
-		return 0, 0
+		return Mean{}
 	}
-	return float64(requests) / float64(slots), float64(n) / float64(len(targets))
+	return Mean{float64(requests) / float64(slots), float64(n) / float64(len(targets))}
 }
 
 // Limit is the number of requests that an engine with the given slots may
--- a/route/rank.go
+++ b/route/rank.go
@@ -49,30 +49,36 @@
 	return x ^ x>>31
 }
 
-// score is the weighted rendezvous score -w/ln(u); the largest wins.
-func score(key uint64, t Target) float64 {
-	u := (float64(mix(key^t.hash)>>11) + 0.5) / (1 << 53)
-	return -float64(t.slots) / math.Log(u)
+// uniform maps key and target to a number between 0 and 1, ends excluded.
+func uniform(key uint64, t Target) float64 {
+	return (float64(mix(key^t.hash)>>11) + 0.5) / (1 << 53)
 }
 
+// score is the weighted rendezvous score -w/ln(u); the largest wins.
+func score(u float64, slots int) float64 { return -float64(slots) / math.Log(u) }
+
 // Rank returns the indexes of the n best targets for key, best first. It
-// takes one pass over the targets and allocates only its result.
+// takes one pass over the targets and allocates only its result. A logarithm
+// is taken only for a target that may be among the best: the least u that
+// beats the worst of them is kept for the latest number of slots.
 func Rank(key uint64, targets []Target, n int) []int {
 	n = min(n, len(targets))
+	if n == 0 {
+		return nil
+	}
 	top := make([]ranked, 0, n+1)
+	least, leastSlots := 0.0, 0
 	for i, t := range targets {
-		s := score(key, t)
-		if len(top) == n && s <= top[n-1].score {
-			continue
+		u := uniform(key, t)
+		full := len(top) == n
+		if full && t.slots != leastSlots {
+			least, leastSlots = math.Exp(-float64(t.slots)/top[n-1].score), t.slots
 		}
-		at := len(top)
-		for at > 0 && top[at-1].score < s {
-			at--
-		}
-		top = slices.Insert(top, at, ranked{i, s})
-		if len(top) > n {
-			top = top[:n]
+		if full && u <= least {
+			continue
 		}
+		top = insert(top, ranked{i, score(u, t.slots)}, n)
+		leastSlots = 0
 	}
 	out := make([]int, len(top))
 	for i, r := range top {
@@ -85,3 +91,13 @@
 	index int
 	score float64
 }
+
+// insert keeps the n best, best first; of equal ones the earlier stays.
+func insert(top []ranked, r ranked, n int) []ranked {
+	at := len(top)
+	for at > 0 && top[at-1].score < r.score {
+		at--
+	}
+	top = slices.Insert(top, at, r)
+	return top[:min(n, len(top))]
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,286 @@
+package route_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldfall/weldfall/route"
+	"github.com/weldfall/weldfall/wire"
+)
+
+func targets(n int) []route.Target {
+	out := make([]route.Target, n)
+	for i := range out {
+		out[i] = route.NewTarget(fmt.Sprint("engine-", i), 16)
+	}
+	return out
+}
+
+func homes(ts []route.Target, keys int) []string {
+	out := make([]string, keys)
+	for k := range out {
+		out[k] = ts[route.Rank(route.ChatKey("ws", fmt.Sprint(k)), ts, 1)[0]].ID()
+	}
+	return out
+}
+
+func TestAChangeOfOneEngineMovesOnlyItsChats(t *testing.T) {
+	const keys = 6000
+	ts := targets(12)
+	before := homes(ts, keys)
+	without := slices.Delete(slices.Clone(ts), 3, 4)
+	moved := 0
+	for k, h := range homes(without, keys) {
+		if h != before[k] {
+			moved++
+			if before[k] != "engine-3" {
+				t.Fatalf("chat %d: moved from %s, want only those of engine-3", k, before[k])
+			}
+		}
+	}
+	if moved < keys/12*8/10 || moved > keys/12*12/10 {
+		t.Errorf("got %d of %d moved, want about a twelfth", moved, keys)
+	}
+	for k, h := range homes(append(slices.Clone(ts), route.NewTarget("new", 16)), keys) {
+		if h != before[k] && h != "new" {
+			t.Fatalf("chat %d: moved to %s, want only to the new engine", k, h)
+		}
+	}
+}
+
+func TestRankDoesNotDependOnTheOrderOfTheList(t *testing.T) {
+	ts := targets(12)
+	other := slices.Clone(ts)
+	slices.Reverse(other)
+	if got, want := homes(other, 500), homes(ts, 500); !slices.Equal(got, want) {
+		t.Error("got other homes for a reversed list")
+	}
+}
+
+func TestUnequalEnginesGetTheirShareOfChats(t *testing.T) {
+	ts := append(targets(4), route.NewTarget("half", 8))
+	n := 0
+	for _, h := range homes(ts, 9000) {
+		if h == "half" {
+			n++
+		}
+	}
+	if n < 850 || n > 1150 {
+		t.Errorf("got %d of 9000, want about a ninth", n)
+	}
+}
+
+func TestLimitAllowsWholeRequestsAtSmallMeans(t *testing.T) {
+	for _, c := range []struct {
+		mean        float64
+		floor, want int
+	}{
+		{0, 1, 1},    // an idle pool takes a request
+		{0, 2, 2},    // the floor
+		{0.1, 2, 3},  // 1.6 requests an engine: 1.25*(1.6+1/12) rounds up
+		{0.5, 2, 11}, // 8 an engine
+	} {
+		if got := route.Limit(1.25, c.mean, c.floor, 16, 12); got != c.want {
+			t.Errorf("mean %v floor %d: got %d, want %d", c.mean, c.floor, got, c.want)
+		}
+	}
+}
+
+func query(returning bool) route.Query {
+	return route.Query{Key: 42, Affine: true, Returning: returning, Bound: 1.25, Floor: 2, Max: 8}
+}
+
+func sample(l *route.Loads, ts []route.Target, requests int) {
+	for _, t := range ts {
+		l.Sample(t.ID(), requests, 1)
+	}
+}
+
+func TestAReturningChatIsSoughtWhereItMayBeCached(t *testing.T) {
+	ts, loads := targets(12), route.NewLoads()
+	sample(loads, ts, 4)
+	q := query(true)
+	q.Hint = "engine-7"
+	ranked := route.Rank(q.Key, ts, 3)
+	var tries []route.Try
+	var asked []string
+	for range 4 {
+		s, ok := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send)
+		if !ok || s.Mode != wire.ModeCachedOnly {
+			break
+		}
+		asked = append(asked, s.Engine)
+		tries = append(tries, route.Try{Engine: s.Engine, Mode: s.Mode, NotCached: true})
+	}
+	want := []string{"engine-7"}
+	for _, i := range ranked {
+		if id := ts[i].ID(); id != "engine-7" {
+			want = append(want, id)
+		}
+	}
+	if !slices.Equal(asked, want) {
+		t.Errorf("got %v, want the hint, then the ranked %v", asked, want)
+	}
+	if s := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send); s.Mode != wire.ModeNormal {
+		t.Errorf("cached nowhere: got %+v, want an ordinary offer", s)
+	}
+}
+
+func TestTheHomeSendsOnToWhereTheChatWent(t *testing.T) {
+	ts, loads := targets(12), route.NewLoads()
+	q := query(true)
+	first := route.Choose(q, ts, loads, loads.Mean(ts, 1), nil, 1).(route.Send)
+	book := route.NewBook(1000)
+	book.Ran(q.Key, 50, 1)
+	book.Placed(q.Key, "engine-9")
+	ans := route.Decide(route.Offer{Chat: q.Key, Mode: first.Mode}, route.State{Engine: first.Engine, Slots: 16, Mean: -1, Engines: 12, Bound: 1.25, Floor: 2}, book)
+	r, ok := ans.(route.Redirect)
+	if !ok || r.Engine != "engine-9" || r.Cached != 50 {
+		t.Fatalf("got %+v, want a redirect to engine-9", ans)
+	}
+	tries := []route.Try{{Engine: first.Engine, Mode: first.Mode, Redirect: r.Engine, NotCached: true, Cached: r.Cached}}
+	if s := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send); s.Engine != "engine-9" {
+		t.Errorf("got %+v, want engine-9", s)
+	}
+}
+
+func TestADaemonHoldsTheBoundWhateverAnEntryBelieves(t *testing.T) {
+	book := route.NewBook(1000)
+	book.Ran(1, 10, 1)
+	s := route.State{Engine: "e", Slots: 16, Mean: 0.25, Engines: 12, Bound: 1.25, Floor: 2}
+	limit := route.Limit(1.25, 0.25, 2, 16, 12)
+	for _, mode := range []wire.Mode{wire.ModeNormal, wire.ModeCachedOnly} {
+		s.Requests = limit - 1
+		if _, ok := route.Decide(route.Offer{Chat: 1, Mode: mode}, s, book).(route.Admit); !ok {
+			t.Errorf("%s below the limit: got a refusal", mode)
+		}
+		s.Requests = limit
+		if ans, ok := route.Decide(route.Offer{Chat: 1, Mode: mode}, s, book).(route.Refuse); !ok || !ans.OverBound {
+			t.Errorf("%s at the limit: got %+v, want a refusal for the load", mode, ans)
+		}
+	}
+	s.Leaving, s.Requests = true, 0
+	if ans, ok := route.Decide(route.Offer{Mode: wire.ModeForce}, s, book).(route.Refuse); !ok || !ans.Leaving {
+		t.Errorf("leaving: got %+v, want a refusal", ans)
+	}
+}
+
+func TestLateEvictionsDoNotUndoALaterTurn(t *testing.T) {
+	b := route.NewBook(100)
+	b.Ran(1, 40, 1000)
+	b.Evicted(1, 900)
+	if got, want := b.Cached(1), 40; got != want {
+		t.Errorf("an event from before: got %d, want %d", got, want)
+	}
+	b.Evicted(1, 1100)
+	if got := b.Cached(1); got != 0 {
+		t.Errorf("an event from after: got %d, want 0", got)
+	}
+	b.Ran(1, 60, 1)
+	b.Ran(2, 60, 2)
+	if b.Cached(1) != 0 || b.Cached(2) != 60 {
+		t.Errorf("over the memory: got %d and %d, want the older gone", b.Cached(1), b.Cached(2))
+	}
+}
+
+// TestChooseEnds drives random refusals: every request is offered at most Max
+// times, never again to an engine that refused for good, and a pool that is
+// not empty is asked at least once.
+func TestChooseEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ts := targets(rapid.IntRange(0, 6).Draw(t, "engines"))
+		loads := route.NewLoads()
+		for _, x := range ts {
+			if rapid.Bool().Draw(t, "known") {
+				loads.Sample(x.ID(), rapid.IntRange(0, 20).Draw(t, "load"), 1)
+			}
+		}
+		q := query(rapid.Bool().Draw(t, "returning"))
+		q.Affine = rapid.Bool().Draw(t, "affine")
+		q.Hint = rapid.SampledFrom([]string{"", "engine-1", "unknown"}).Draw(t, "hint")
+		q.Max = rapid.IntRange(1, 8).Draw(t, "max")
+		var tries []route.Try
+		offered := map[string]int{}
+		for {
+			s, ok := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send)
+			if !ok {
+				break
+			}
+			offered[s.Engine+string(s.Mode)]++
+			if offered[s.Engine+string(s.Mode)] > 1 {
+				t.Fatalf("offered %+v twice after %+v", s, tries)
+			}
+			try := route.Try{Engine: s.Engine, Mode: s.Mode}
+			switch rapid.IntRange(0, 2).Draw(t, "answer") {
+			case 0:
+				try.OverBound = true
+			case 1:
+				try.NotCached = s.Mode == wire.ModeCachedOnly
+				try.Redirect = rapid.SampledFrom([]string{"", "engine-0", "gone"}).Draw(t, "redirect")
+			}
+			tries = append(tries, try)
+			if len(tries) > q.Max {
+				t.Fatalf("got %d offers, want at most %d", len(tries), q.Max)
+			}
+		}
+		if len(ts) > 0 && len(tries) == 0 {
+			t.Fatal("got no offer from a pool that has engines")
+		}
+	})
+}
+
+func TestASmallPoolThatAllRefusesForItsLoadStillServes(t *testing.T) {
+	ts, loads := targets(2), route.NewLoads()
+	q := query(false)
+	var tries []route.Try
+	for range 2 {
+		s := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send)
+		tries = append(tries, route.Try{Engine: s.Engine, Mode: s.Mode, OverBound: true})
+	}
+	s, ok := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send)
+	if !ok || s.Mode != wire.ModeForce {
+		t.Errorf("got %+v, want the least loaded to be forced", s)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 480, 10_000} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			ts, loads := targets(n), route.NewLoads()
+			sample(loads, ts, 4)
+			q, mean := query(true), loads.Mean(ts, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Key++
+				route.Choose(q, ts, loads, mean, nil, 1)
+			}
+		})
+	}
+}
+
+func BenchmarkMean(b *testing.B) {
+	for _, n := range []int{12, 480, 10_000} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			ts, loads := targets(n), route.NewLoads()
+			sample(loads, ts, 4)
+			for b.Loop() {
+				loads.Mean(ts, 1)
+			}
+		})
+	}
+}
+
+func TestChooseAllocatesTheSameForAnyPool(t *testing.T) {
+	var got []float64
+	for _, n := range []int{12, 480, 10_000} {
+		ts, loads := targets(n), route.NewLoads()
+		sample(loads, ts, 4)
+		got = append(got, testing.AllocsPerRun(100, func() { route.Choose(query(true), ts, loads, loads.Mean(ts, 1), nil, 1) }))
+	}
+	if got[2] > got[0] {
+		t.Errorf("got %v allocations at 12, 480 and 10,000 engines, want no growth", got)
+	}
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -126,7 +126,7 @@
 	for key, want := range map[string]settings.Source{
 		"routing.load_bound": {Key: "routing.load_bound", Value: 1.5, Path: "fleet", Revision: 4},
 		"limits.deadline_ms": {Key: "limits.deadline_ms", Value: int64(900), Path: "planning/ws0", Revision: 6},
-		"retry.attempts":     {Key: "retry.attempts", Value: int64(5), Path: "default"},
+		"retry.attempts":     {Key: "retry.attempts", Value: int64(8), Path: "default"},
 	} {
 		got, err := tree.Explain("planning/ws0/chat", key)
 		if err != nil || len(got) != 1 || got[0] != want {
--- a/settings/values.go
+++ b/settings/values.go
@@ -114,7 +114,7 @@
 		Limits:     Limits{BodyBytes: 4 << 20, DeadlineMS: 120_000, BurstTokens: 200_000, QueuePerEngine: 64},
 		Fairness:   Fairness{PartnerShare: 1, WorkspaceShare: 1},
 		Routing:    Routing{LoadBound: 1.25, LoadFloor: 2},
-		Retry:      Retry{Attempts: 5, BudgetRatio: 0.2},
+		Retry:      Retry{Attempts: 8, BudgetRatio: 0.2},
 		Once:       Once{Repeatable: true, WindowMS: 600_000},
 		Leave:      Leave{DrainMS: 30_000, Handover: true},
 		Objectives: Objectives{FirstTokenMS: 680, BetweenTokensMS: 69, LatencyTarget: 0.95, WholeTarget: 0.999, ServedTarget: 0.99},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -38,13 +38,17 @@
 	ReportLag clock.Millis
 	// EventGap drops every n-th cache event; zero drops none.
 	EventGap int
-	Clock    *clock.Clock
+	// Started is called for each request that starts, may be nil.
+	Started func(Run)
+	Clock   *clock.Clock
 }
 
 // Run is what the stand-in knows of one request that started.
 type Run struct {
 	Attempt string `json:"attempt"`
 	Key     string `json:"key"`
+	// CallerKey is the caller's own key, if there was one.
+	CallerKey string `json:"caller_key,omitempty"`
 	// SHA256 is the hash of the content that was produced, hex; empty while
 	// the request runs.
 	SHA256 string `json:"sha256"`
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -21,6 +21,8 @@
 	HeaderKey      = "X-Request-Key"
 	HeaderPriority = "X-Priority"
 	HeaderCacheKey = "X-Cache-Key"
+	// HeaderCallerKey is the caller's own key for the request.
+	HeaderCallerKey = "Idempotency-Key"
 )
 
 // maxBody is the largest request in bytes.
@@ -103,7 +105,7 @@
 	e.streams[attempt] = s
 	e.mu.Unlock()
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
-	go e.generate(ctx, s, req, body, attempt, r.Header.Get(HeaderKey), priority)
+	go e.generate(ctx, s, req, body, attempt, r.Header.Get(HeaderKey), r.Header.Get(HeaderCallerKey), priority)
 	if req.Stream {
 		e.follow(w, r, s, 0)
 		return
@@ -111,7 +113,7 @@
 	e.followPlain(w, r, s)
 }
 
-func (e *Engine) generate(ctx context.Context, s *stream, req chatRequest, body []byte, attempt, key string, priority int) {
+func (e *Engine) generate(ctx context.Context, s *stream, req chatRequest, body []byte, attempt, key, callerKey string, priority int) {
 	defer func() {
 		s.cancel()
 		clock.Sleep(context.Background(), keepStream)
@@ -128,7 +130,10 @@
 	s.started = true
 	s.mu.Unlock()
 	p, prompt := promptOf(req)
-	run := &Run{Attempt: attempt, Key: key}
+	run := &Run{Attempt: attempt, Key: key, CallerKey: callerKey}
+	if e.cfg.Started != nil {
+		e.cfg.Started(*run)
+	}
 	e.mu.Lock()
 	cached := e.cache.hit(p.key, p.hashes)
 	run.Cached = cached
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -23,6 +23,8 @@
 	Delay clock.Millis
 	// AnswerBytes pads the answer, in bytes.
 	AnswerBytes int
+	// Started is called for each request that starts, may be nil.
+	Started func(engine.Run)
 }
 
 // Service is the stand-in; it is an http.Handler.
@@ -60,9 +62,13 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
+	run := engine.Run{Attempt: r.Header.Get(engine.HeaderAttempt), Key: r.Header.Get(engine.HeaderKey), CallerKey: r.Header.Get(engine.HeaderCallerKey)}
 	s.mu.Lock()
-	s.runs = append(s.runs, engine.Run{Attempt: r.Header.Get(engine.HeaderAttempt), Key: r.Header.Get(engine.HeaderKey)})
+	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	if s.cfg.Started != nil {
+		s.cfg.Started(run)
+	}
 	clock.Sleep(r.Context(), s.cfg.Delay)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,12 +28,11 @@
 type Mode string
 
 const (
-	// ModeNormal lets the daemon admit, refuse or redirect.
+	// ModeNormal lets the daemon admit or refuse for its load.
 	ModeNormal Mode = "normal"
-	// ModeCachedOnly asks for a refusal unless the chat's prefix is cached.
+	// ModeCachedOnly asks for a refusal unless the chat's prefix is cached; the
+	// refusal may name an engine that has it.
 	ModeCachedOnly Mode = "cached_only"
-	// ModeFinal asks for a decision without a redirect.
-	ModeFinal Mode = "final"
 	// ModeForce asks for admission over the load bound, after engines that
 	// were sampled have all refused; the queue's bound still holds.
 	ModeForce Mode = "force"
@@ -114,6 +113,8 @@
 type Head struct {
 	Status int               `json:"s"`
 	Header map[string]string `json:"h,omitempty"`
+	// Load is the engine's when the answer began.
+	Load Load `json:"l"`
 }
 
 // Frame is a piece of an answer. Seq counts from zero without gaps.
@@ -147,9 +148,12 @@
 	Refused bool `json:"rf,omitempty"`
 	// Redirect names the engine that holds the chat, if known.
 	Redirect string `json:"rd,omitempty"`
-	Frames   int    `json:"f,omitempty"`
-	Usage    Usage  `json:"us,omitzero"`
-	Loads    []Load `json:"ld,omitempty"`
+	// Cached is what the refusing engine holds of the chat's earlier turns,
+	// in tokens, beside a redirect.
+	Cached int    `json:"cd,omitempty"`
+	Frames int    `json:"f,omitempty"`
+	Usage  Usage  `json:"us,omitzero"`
+	Loads  []Load `json:"ld,omitempty"`
 	// Replayed is true when the answer is that of an earlier attempt.
 	Replayed bool `json:"rp,omitempty"`
 }
