--- /dev/null
+++ b/replay/policy.go
@@ -0,0 +1,259 @@
+package replay
+
+import (
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/route"
+	"github.com/weldfall/weldfall/trace"
+)
+
+// Weldfall runs the decisions of package route: each entry with its own view,
+// hints and loads, each daemon with its own book.
+type Weldfall struct {
+	loads []*route.Loads
+	hints []map[int]string
+	// gossip is when the loads were last spread.
+	gossip clock.Millis
+}
+
+// Name implements Policy.
+func (*Weldfall) Name() string { return "weldfall" }
+
+// maxTries is the default of retry.attempts.
+const maxTries = 8
+
+// gossipPeriod is how often entries hear loads apart from answers.
+const gossipPeriod clock.Millis = 1000
+
+func (w *Weldfall) prepare(p *pool) {
+	if w.loads == nil {
+		for range p.cfg.Entries {
+			w.loads = append(w.loads, route.NewLoads())
+			w.hints = append(w.hints, map[int]string{})
+		}
+	}
+	if p.now-w.gossip < gossipPeriod {
+		return
+	}
+	w.gossip = p.now
+	for _, l := range w.loads {
+		for _, e := range p.engines {
+			l.Sample(e.id, e.reported(p.now-p.cfg.ReportLag), p.now-p.cfg.ReportLag)
+		}
+	}
+}
+
+func targetsOf(engines []*eng) []route.Target {
+	out := make([]route.Target, len(engines))
+	for i, e := range engines {
+		out[i] = route.NewTarget(e.id, e.slots)
+	}
+	return out
+}
+
+func (w *Weldfall) choose(p *pool, entry int, t trace.Turn) (*eng, int) {
+	w.prepare(p)
+	targets := targetsOf(p.seen[entry])
+	loads := w.loads[entry]
+	q := route.Query{Key: p.key(t), Affine: true, Returning: t.Number > 0, Hint: w.hints[entry][t.Chat], Bound: p.cfg.Bound, Floor: p.cfg.Floor, Max: maxTries}
+	var tries []route.Try
+	for {
+		mean := loads.Mean(targets, p.now)
+		s, ok := route.Choose(q, targets, loads, mean, tries, p.now).(route.Send)
+		if !ok {
+			return nil, len(tries)
+		}
+		e := p.find(s.Engine)
+		try := route.Try{Engine: s.Engine, Mode: s.Mode}
+		loads.Sent(e.id)
+		if e.gone {
+			loads.Ended(e.id)
+			tries = append(tries, try)
+			continue
+		}
+		perSlot := mean.PerSlot
+		if !mean.Counts() {
+			perSlot = -1
+		}
+		ans := route.Decide(
+			route.Offer{Chat: q.Key, Mode: s.Mode},
+			route.State{Engine: e.id, Requests: e.running, Slots: e.slots, Mean: perSlot, Engines: len(targets), Bound: p.cfg.Bound, Floor: p.cfg.Floor, Leaving: e.leaving},
+			e.book)
+		if _, admitted := ans.(route.Admit); !admitted {
+			loads.Ended(e.id)
+			loads.Observe(e.id, e.running, p.now)
+		}
+		switch ans := ans.(type) {
+		case route.Admit:
+			// The load comes with the head of the answer.
+			loads.Sample(e.id, e.running+1, p.now)
+			return e, len(tries) + 1
+		case route.Redirect:
+			try.Redirect, try.NotCached, try.Cached = ans.Engine, true, ans.Cached
+		case route.Refuse:
+			try.NotCached, try.OverBound = ans.NotCached, ans.OverBound
+		}
+		tries = append(tries, try)
+	}
+}
+
+func nextOf(key uint64, targets []route.Target, engine string) string {
+	for _, i := range route.Rank(key, targets, 2) {
+		if targets[i].ID() != engine {
+			return targets[i].ID()
+		}
+	}
+	return ""
+}
+
+func (p *pool) find(id string) *eng {
+	return p.engines[slices.IndexFunc(p.engines, func(e *eng) bool { return e.id == id })]
+}
+
+func (w *Weldfall) ran(p *pool, entry int, t trace.Turn, e *eng) {
+	key := p.key(t)
+	e.book.Ran(key, t.Prompt+t.Output, p.now)
+	w.hints[entry][t.Chat] = e.id
+	w.loads[entry].Ended(e.id)
+	w.loads[entry].Sample(e.id, e.running, p.now)
+	targets := targetsOf(p.seen[entry])
+	if top := route.Rank(key, targets, 1); len(top) > 0 && targets[top[0]].ID() != e.id {
+		p.find(targets[top[0]].ID()).book.Placed(key, e.id)
+	}
+}
+
+// leave hands the cached prefixes to where their chats go next.
+func (w *Weldfall) leave(p *pool, old *eng) {
+	var rest []*eng
+	for _, e := range p.alive() {
+		if !e.leaving {
+			rest = append(rest, e)
+		}
+	}
+	targets := targetsOf(rest)
+	for _, chat := range slices.Clone(old.cache.order) {
+		key := p.key(trace.Turn{Chat: chat})
+		to := p.find(nextOf(key, targets, old.id))
+		tokens := old.cache.size[chat]
+		to.cache.put(chat, tokens)
+		to.book.Ran(key, tokens, p.now)
+	}
+}
+
+// AllKnowing sees every cache and load as it is. It sends a chat to where
+// most of it is cached, if that engine is within the bound, else to the least
+// loaded. On a planned leave it moves each prefix to the engine with the most
+// free cache memory.
+type AllKnowing struct{}
+
+// Name implements Policy.
+func (AllKnowing) Name() string { return "all-knowing" }
+
+func (AllKnowing) choose(p *pool, _ int, t trace.Turn) (*eng, int) {
+	live := slices.DeleteFunc(p.alive(), func(e *eng) bool { return e.leaving })
+	total, slots := 0, 0
+	for _, e := range live {
+		total += e.running
+		slots += e.slots
+	}
+	mean := float64(total) / float64(slots)
+	var best, least *eng
+	for _, e := range live {
+		if least == nil || float64(e.running)/float64(e.slots) < float64(least.running)/float64(least.slots) {
+			least = e
+		}
+		fits := e.running+1 <= route.Limit(p.cfg.Bound, mean, p.cfg.Floor, e.slots, len(live))
+		if fits && e.cache.size[t.Chat] > 0 && (best == nil || e.cache.size[t.Chat] > best.cache.size[t.Chat]) {
+			best = e
+		}
+	}
+	if best != nil {
+		return best, 1
+	}
+	return least, 1
+}
+
+func (AllKnowing) ran(*pool, int, trace.Turn, *eng) {}
+
+func (AllKnowing) leave(p *pool, old *eng) {
+	for _, chat := range slices.Clone(old.cache.order) {
+		var to *eng
+		for _, e := range p.alive() {
+			if !e.leaving && (to == nil || e.cache.tokens < to.cache.tokens) {
+				to = e
+			}
+		}
+		to.cache.put(chat, old.cache.size[chat])
+	}
+}
+
+// PlainHash sends every chat to its first ranked engine.
+type PlainHash struct{}
+
+// Name implements Policy.
+func (PlainHash) Name() string { return "plain hash" }
+
+func (PlainHash) choose(p *pool, entry int, t trace.Turn) (*eng, int) {
+	live := p.usable(entry)
+	return live[route.Rank(p.key(t), targetsOf(live), 1)[0]], 1
+}
+
+func (PlainHash) ran(*pool, int, trace.Turn, *eng) {}
+
+// usable lists what an entry sees and that still runs: the baselines find a
+// dead engine out at once and at no cost.
+func (p *pool) usable(entry int) []*eng {
+	return slices.DeleteFunc(slices.Clone(p.seen[entry]), func(e *eng) bool { return e.gone })
+}
+
+// RoundRobin takes the engines in turn, at each entry.
+type RoundRobin struct{ next []int }
+
+// Name implements Policy.
+func (*RoundRobin) Name() string { return "round robin" }
+
+func (r *RoundRobin) choose(p *pool, entry int, _ trace.Turn) (*eng, int) {
+	if r.next == nil {
+		r.next = make([]int, p.cfg.Entries)
+	}
+	live := p.usable(entry)
+	r.next[entry]++
+	return live[r.next[entry]%len(live)], 1
+}
+
+func (*RoundRobin) ran(*pool, int, trace.Turn, *eng) {}
+
+// LeastReported takes the engine with the least reported load.
+type LeastReported struct{}
+
+// Name implements Policy.
+func (LeastReported) Name() string { return "least reported" }
+
+func (LeastReported) choose(p *pool, entry int, _ trace.Turn) (*eng, int) {
+	live := p.usable(entry)
+	at := (p.now - p.cfg.ReportLag) / gossipPeriod * gossipPeriod
+	return slices.MinFunc(live, func(a, b *eng) int {
+		return a.reported(at)*b.slots - b.reported(at)*a.slots
+	}), 1
+}
+
+func (LeastReported) ran(*pool, int, trace.Turn, *eng) {}
+
+// TwoChoices takes the less loaded, by report, of two random engines.
+type TwoChoices struct{}
+
+// Name implements Policy.
+func (TwoChoices) Name() string { return "two choices" }
+
+func (TwoChoices) choose(p *pool, entry int, _ trace.Turn) (*eng, int) {
+	live := p.usable(entry)
+	a, b := live[p.rnd.IntN(len(live))], live[p.rnd.IntN(len(live))]
+	at := (p.now - p.cfg.ReportLag) / gossipPeriod * gossipPeriod
+	if b.reported(at)*a.slots < a.reported(at)*b.slots {
+		return b, 1
+	}
+	return a, 1
+}
+
+func (TwoChoices) ran(*pool, int, trace.Turn, *eng) {}
--- /dev/null
+++ b/replay/replay.go
@@ -0,0 +1,388 @@
+// Package replay drives the routing decisions with recorded arrivals and
+// small fakes of engines, and compares them with baselines: an all-knowing
+// router, plain hashing, round robin, least of reported load and two random
+// choices. It is pure: everything follows from the trace and the seed.
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/route"
+	"github.com/weldfall/weldfall/trace"
+)
+
+// Config is the pool and its troubles.
+type Config struct {
+	Engines, Entries int
+	Slots            int
+	// CacheTokens is the memory of one engine in tokens.
+	CacheTokens int
+	// PrefillPerMS and TokenGap give the time that a turn runs.
+	PrefillPerMS int
+	TokenGap     clock.Millis
+	// Replace is the time between replacements of one engine, zero for none;
+	// Notice is how long before its end an engine is known to leave, zero for
+	// an engine that fails.
+	Replace, Notice clock.Millis
+	// ListLag is how late entries hear of a change, at most; each change
+	// reaches each entry after a random part of it.
+	ListLag clock.Millis
+	// ReportLag is how old the loads are that are not part of an answer.
+	ReportLag clock.Millis
+	// Bound and Floor are the pool's settings.
+	Bound float64
+	Floor int
+	// Unequal gives every third engine half the slots.
+	Unequal bool
+	// HalfGone takes half of the engines away at this time, zero for never.
+	HalfGone clock.Millis
+	// Split cuts the entries in two groups at this time: each sees only half
+	// of the engines from then on, zero for never.
+	Split clock.Millis
+	// Flap makes one engine leave the list and return every so often.
+	Flap clock.Millis
+	Seed uint64
+}
+
+// Outcome is the measures of one run.
+type Outcome struct {
+	Policy string
+	// Reuse is the cached part of the tokens that earlier turns left.
+	Reuse float64
+	// SkewWorst and SkewP99 are highest over mean load per slot, sampled at
+	// each arrival while the mean is at least one request an engine.
+	SkewWorst, SkewP99 float64
+	// OverBound is the share of samples above the set multiple, allowing for
+	// whole requests.
+	OverBound float64
+	// Tries is offers per turn, Shed the share that no engine took.
+	Tries, Shed float64
+	Turns       int
+}
+
+// eng is one engine as it really is.
+type eng struct {
+	id      string
+	slots   int
+	running int
+	book    *route.Book
+	cache   *lru
+	gone    bool
+	leaving bool
+	joined  clock.Millis
+	// history has the load at past times for lagged reports.
+	history []loadAt
+}
+
+type loadAt struct {
+	at       clock.Millis
+	requests int
+}
+
+func (e *eng) note(now clock.Millis) {
+	e.history = append(e.history, loadAt{now, e.running})
+}
+
+// reported returns the load at the given time and drops what is older.
+func (e *eng) reported(at clock.Millis) int {
+	i := 0
+	for i+1 < len(e.history) && e.history[i+1].at <= at {
+		i++
+	}
+	e.history = e.history[min(i, len(e.history)):]
+	if len(e.history) == 0 || e.history[0].at > at {
+		return 0
+	}
+	return e.history[0].requests
+}
+
+// lru is the true cache of an engine.
+type lru struct {
+	capacity, tokens int
+	order            []int
+	size             map[int]int
+}
+
+func newLRU(capacity int) *lru { return &lru{capacity: capacity, size: map[int]int{}} }
+
+func (l *lru) put(chat, tokens int) {
+	l.remove(chat)
+	l.order = append(l.order, chat)
+	l.size[chat] = tokens
+	l.tokens += tokens
+	for l.tokens > l.capacity && len(l.order) > 1 {
+		l.remove(l.order[0])
+	}
+}
+
+func (l *lru) remove(chat int) {
+	if n, ok := l.size[chat]; ok {
+		l.tokens -= n
+		delete(l.size, chat)
+		l.order = slices.DeleteFunc(l.order, func(c int) bool { return c == chat })
+	}
+}
+
+// happening is something that takes place at a time.
+type happening struct {
+	at  clock.Millis
+	seq int
+	do  func()
+}
+
+type agenda struct {
+	list []happening
+	seq  int
+}
+
+var _ heap.Interface = (*agenda)(nil)
+
+func (a agenda) Len() int { return len(a.list) }
+func (a agenda) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(a.list[i].at, a.list[j].at), cmp.Compare(a.list[i].seq, a.list[j].seq)) < 0
+}
+func (a agenda) Swap(i, j int) { a.list[i], a.list[j] = a.list[j], a.list[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { a.list = append(a.list, x.(happening)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	h := a.list[len(a.list)-1]
+	a.list = a.list[:len(a.list)-1]
+	return h
+}
+
+func (a *agenda) add(at clock.Millis, do func()) {
+	a.seq++
+	heap.Push(a, happening{at, a.seq, do})
+}
+
+// Policy chooses the engine of a turn; nil sheds it. It is one of the types
+// of this package.
+type Policy interface {
+	Name() string
+	choose(p *pool, entry int, t trace.Turn) (e *eng, tries int)
+	// ran is told of a finished turn.
+	ran(p *pool, entry int, t trace.Turn, e *eng)
+}
+
+// pool is the state of one run.
+type pool struct {
+	cfg     Config
+	now     clock.Millis
+	rnd     *rand.Rand
+	engines []*eng
+	agenda  agenda
+	// seen has the engines that each entry knows of.
+	seen   [][]*eng
+	policy Policy
+	next   int
+}
+
+func (p *pool) key(t trace.Turn) uint64 { return uint64(t.Chat)*0x9e3779b97f4a7c15 + 1 }
+
+// alive lists the engines that run, leaving ones included.
+func (p *pool) alive() []*eng {
+	return slices.DeleteFunc(slices.Clone(p.engines), func(e *eng) bool { return e.gone })
+}
+
+func (p *pool) join() *eng {
+	slots := p.cfg.Slots
+	if p.cfg.Unequal && p.next%3 == 0 {
+		slots = max(1, slots/2)
+	}
+	e := &eng{id: "engine-" + string(rune('a'+p.next/26%26)) + string(rune('a'+p.next%26)), slots: slots, book: route.NewBook(p.cfg.CacheTokens), cache: newLRU(p.cfg.CacheTokens), joined: p.now}
+	p.next++
+	p.engines = append(p.engines, e)
+	return e
+}
+
+// tell brings a change of the list to each entry after a random lag.
+func (p *pool) tell(change func(entry int)) {
+	for i := range p.seen {
+		lag := clock.Millis(0)
+		if p.cfg.ListLag > 0 {
+			lag = clock.Millis(p.rnd.Int64N(int64(p.cfg.ListLag)))
+		}
+		p.agenda.add(p.now+lag, func() { change(i) })
+	}
+}
+
+func (p *pool) see(e *eng) {
+	p.tell(func(i int) { p.seen[i] = append(p.seen[i], e) })
+}
+
+func (p *pool) unsee(e *eng) {
+	p.tell(func(i int) { p.seen[i] = slices.DeleteFunc(p.seen[i], func(x *eng) bool { return x == e }) })
+}
+
+// replace takes the oldest engine out, with notice if there is any, and
+// brings a new one in.
+func (p *pool) replace() {
+	p.agenda.add(p.now+p.cfg.Replace, p.replace)
+	live := slices.DeleteFunc(p.alive(), func(e *eng) bool { return e.leaving })
+	old := live[0]
+	for _, e := range live {
+		if e.joined < old.joined {
+			old = e
+		}
+	}
+	old.leaving = p.cfg.Notice > 0
+	p.unsee(old)
+	if h, ok := p.policy.(handover); ok && p.cfg.Notice > 0 {
+		h.leave(p, old)
+	}
+	p.agenda.add(p.now+p.cfg.Notice, func() { old.gone = true })
+	p.see(p.join())
+}
+
+// handover is a policy that moves cached prefixes on a planned leave.
+type handover interface{ leave(p *pool, old *eng) }
+
+// troubles schedules what the configuration asks for.
+func (p *pool) troubles() {
+	if p.cfg.Replace > 0 {
+		p.agenda.add(p.cfg.Replace, p.replace)
+	}
+	if p.cfg.HalfGone > 0 {
+		p.agenda.add(p.cfg.HalfGone, func() {
+			for _, e := range p.engines[:len(p.engines)/2] {
+				e.gone = true
+				p.unsee(e)
+			}
+		})
+	}
+	if p.cfg.Split > 0 {
+		p.agenda.add(p.cfg.Split, func() {
+			half := len(p.engines) / 2
+			for i := range p.seen {
+				if i%2 == 0 {
+					p.seen[i] = slices.Clone(p.engines[:half])
+				} else {
+					p.seen[i] = slices.Clone(p.engines[half:])
+				}
+			}
+		})
+	}
+	if p.cfg.Flap > 0 {
+		var flap func()
+		flap = func() {
+			e := p.engines[0]
+			p.unsee(e)
+			p.agenda.add(p.now+p.cfg.Flap/4, func() { p.see(e) })
+			p.agenda.add(p.now+p.cfg.Flap, flap)
+		}
+		p.agenda.add(p.cfg.Flap, flap)
+	}
+}
+
+// Run replays the turns under a policy.
+func Run(cfg Config, policy Policy, turns []trace.Turn) Outcome {
+	p := &pool{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), policy: policy, seen: make([][]*eng, cfg.Entries)}
+	for range cfg.Engines {
+		e := p.join()
+		for i := range p.seen {
+			p.seen[i] = append(p.seen[i], e)
+		}
+	}
+	p.troubles()
+	m := meter{cfg: cfg}
+	for _, t := range turns {
+		p.advance(t.At)
+		p.turn(t, &m)
+	}
+	return m.outcome(policy.Name())
+}
+
+func (p *pool) advance(to clock.Millis) {
+	for len(p.agenda.list) > 0 && p.agenda.list[0].at <= to {
+		h := heap.Pop(&p.agenda).(happening)
+		p.now = h.at
+		h.do()
+	}
+	p.now = to
+}
+
+func (p *pool) turn(t trace.Turn, m *meter) {
+	entry := p.rnd.IntN(p.cfg.Entries)
+	e, tries := p.policy.choose(p, entry, t)
+	m.turns++
+	m.tries += tries
+	if e == nil {
+		m.shed++
+		return
+	}
+	cached := min(e.cache.size[t.Chat], t.Shared)
+	if t.Number > 0 {
+		m.shared += t.Shared
+		m.cached += cached
+	}
+	e.running++
+	e.note(p.now)
+	m.sample(p)
+	took := clock.Millis((t.Prompt-cached)/p.cfg.PrefillPerMS) + clock.Millis(t.Output)*p.cfg.TokenGap
+	p.agenda.add(p.now+took, func() {
+		e.running--
+		e.note(p.now)
+		e.cache.put(t.Chat, t.Prompt+t.Output)
+		p.policy.ran(p, entry, t, e)
+	})
+}
+
+// meter adds up the measures of a run.
+type meter struct {
+	cfg                        Config
+	turns, tries, shed         int
+	cached, shared, over, seen int
+	ratios                     []float64
+}
+
+// sample looks at the true loads of the pool.
+func (m *meter) sample(p *pool) {
+	total, slots, n := 0, 0, 0
+	for _, e := range p.engines {
+		if !e.gone && !e.leaving {
+			total += e.running
+			slots += e.slots
+			n++
+		}
+	}
+	if n == 0 || total < n {
+		return
+	}
+	mean := float64(total) / float64(slots)
+	worst, over := 0.0, false
+	for _, e := range p.engines {
+		if e.gone || e.leaving {
+			continue
+		}
+		worst = max(worst, float64(e.running)/float64(e.slots)/mean)
+		over = over || e.running > route.Limit(m.cfg.Bound, mean, m.cfg.Floor, e.slots, n)
+	}
+	m.seen++
+	if over {
+		m.over++
+	}
+	m.ratios = append(m.ratios, worst)
+}
+
+func (m *meter) outcome(name string) Outcome {
+	o := Outcome{Policy: name, Turns: m.turns}
+	if m.turns > 0 {
+		o.Tries, o.Shed = float64(m.tries)/float64(m.turns), float64(m.shed)/float64(m.turns)
+	}
+	if m.shared > 0 {
+		o.Reuse = float64(m.cached) / float64(m.shared)
+	}
+	if m.seen > 0 {
+		slices.Sort(m.ratios)
+		o.SkewWorst, o.SkewP99 = m.ratios[len(m.ratios)-1], m.ratios[len(m.ratios)*99/100]
+		o.OverBound = float64(m.over) / float64(m.seen)
+	}
+	return o
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,1 @@
+package replay_test
