spread: Let the first change of a topic advance its readers

Cause: an item whose predecessor is unknown was marked with 0, as is the first of a topic, so after a first change no process but the reader was complete and none could answer for it: 17 rounds until all of 3,200 had it. Unknown is -1 now.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -441,7 +441,7 @@
 	res := wire.Fetched{Upto: n.store.Upto(f.Topic)}
 	for _, k := range f.Keys[:min(len(f.Keys), 16)] {
 		if it, ok := n.store.Get(f.Topic, k); ok {
-			it.Prev = 0
+			it.Prev = wire.PrevUnknown
 			res.Items = append(res.Items, it)
 		}
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -131,7 +131,7 @@
 	if len(st.order) > 2*len(st.items)+64 {
 		st.compact()
 	}
-	if it.Prev > 0 && it.Prev <= st.upto {
+	if it.Prev != wire.PrevUnknown && it.Prev <= st.upto {
 		st.upto = max(st.upto, it.Rev)
 	}
 	return true
@@ -204,7 +204,7 @@
 			return items, items[len(items)-1].Rev, used
 		}
 		used += size
-		it.Prev = 0
+		it.Prev = wire.PrevUnknown
 		items = append(items, it)
 	}
 	return items, st.upto, used
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -48,7 +48,6 @@
 	a.Add([]wire.Item{item("p", 1, 0, "good")})
 	a.Add([]wire.Item{item("p", 2, 1, "bad")})
 	a.MarkGood(wire.TopicCore, "p", "good", 1)
-	a.Complete(wire.TopicCore, 2)
 	news := b.Learn(a.Answer(b.Ask("b", 0), 0), 0)
 	if len(news) != 1 || news[0].Good != "good" || news[0].GoodRev != 1 {
 		t.Errorf("got %+v, want the last good value too", news)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -221,13 +221,16 @@
 // Topics lists all topics in the order in which a new process needs them.
 var Topics = []Topic{TopicCore, TopicInstances, TopicBranches}
 
+// PrevUnknown is the Prev of an item that does not say what came before it.
+const PrevUnknown = -1
+
 // Item is the latest value of one key of a topic.
 type Item struct {
 	Topic Topic  `json:"t"`
 	Key   string `json:"k"`
 	// Rev is the platform's revision of the change; it orders a topic.
 	Rev int64 `json:"r"`
-	// Prev is the revision before Rev in the topic, zero if unknown.
+	// Prev is the revision before Rev in the topic, PrevUnknown if unknown.
 	Prev  int64  `json:"p,omitempty"`
 	Value string `json:"v,omitempty"`
 	// Gone is true for a key that was deleted.
