spread: Give the last good value to a process that started on a bad one

Cause: a process that read a bad branch from the platform at its start had no last good value, and took none from its peers since its item had the same revision (the test waited 40 s in vain). An item is marked invalid with or without a good value now, and exchanges compare the good revisions. Found on the way: the harness gave no bootstrap addresses.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -490,9 +490,8 @@
 	case settings.Invalid:
 		metrics.GetOrCreateCounter("weldfall_settings_invalid_total").Inc()
 		n.cfg.Log.Warn("settings_invalid", "path", it.Key, "revision", it.Rev, "error", err)
-		if text, rev, ok := n.tree.LastGood(it.Key); ok {
-			n.store.MarkGood(it.Topic, it.Key, text, rev)
-		}
+		text, rev, _ := n.tree.LastGood(it.Key)
+		n.store.MarkInvalid(it.Topic, it.Key, text, rev)
 	case settings.InForce:
 		metrics.GetOrCreateCounter("weldfall_settings_applied_total").Inc()
 		n.cfg.Log.Info("settings_in_force", "path", it.Key, "revision", it.Rev)
--- /dev/null
+++ b/integration/leave_test.go
@@ -0,0 +1,134 @@
+package integration_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/weldfall/weldfall/internal/fleettest"
+	"github.com/weldfall/weldfall/member"
+)
+
+// underLoad runs chats through the given entries until f returns, and then
+// reports every answer that is not whole.
+func underLoad(t *testing.T, f *fleettest.Fleet, entries []*fleettest.Process, do func()) *workload {
+	t.Helper()
+	w := newWorkload(t, &fleettest.Fleet{})
+	*w.f = *f
+	w.f.Entries = entries
+	for k := range uint64(12) {
+		w.wg.Go(func() { w.chat(k) })
+	}
+	wait(400)
+	do()
+	wait(400)
+	w.stop.Store(true)
+	w.wg.Wait()
+	w.f = f
+	w.judge()
+	return w
+}
+
+func wantAllWhole(t *testing.T, w *workload) {
+	t.Helper()
+	for _, c := range w.chats {
+		if !c.answer.whole {
+			t.Errorf("got status %d %s %s %v, want a whole answer", c.answer.status, c.answer.verdict, c.answer.reason, c.answer.err)
+		}
+	}
+	if len(w.chats) < 30 {
+		t.Errorf("got %d chats, want the load to go on", len(w.chats))
+	}
+}
+
+var leaveSpec = fleettest.Spec{Engines: 3, Entries: 2, EngineArgs: []string{"--gap-ms", "10", "--lag-ms", "500"}}
+
+func TestAPlannedStopOfADaemonCutsOffNothing(t *testing.T) {
+	f := fleettest.Start(t, leaveSpec)
+	w := underLoad(t, f, f.Entries, func() {
+		f.EngineDaemons[0].Terminate()
+		<-f.EngineDaemons[0].Done()
+	})
+	wantAllWhole(t, w)
+	if log := f.EngineDaemons[0].Log(); !strings.Contains(log, "msg=drained") || !strings.Contains(log, "cut_off=0") {
+		t.Error("got no drained line with cut_off=0")
+	}
+}
+
+func TestAPlannedStopOfAnEntryCutsOffNothing(t *testing.T) {
+	f := fleettest.Start(t, leaveSpec)
+	e := f.Entries[1]
+	var wg sync.WaitGroup
+	answers := make([]answer, 8)
+	for i := range answers {
+		wg.Go(func() { answers[i] = chat(e, chatBody(true, 120, "long")).send() })
+	}
+	wait(400)
+	e.Terminate()
+	f.Eventually("not ready first", func() bool { return e.Ended() || !e.Ready() })
+	wg.Wait()
+	for i, a := range answers {
+		if !a.whole {
+			t.Errorf("answer %d: got status %d %s, want it whole", i, a.status, a.reason)
+		}
+	}
+	<-e.Done()
+}
+
+func TestALeavingEngineGetsNoNewWorkThoughTheListLags(t *testing.T) {
+	f := fleettest.Start(t, leaveSpec)
+	// The list says live all the time, and the entries cannot hear the
+	// daemon's own word.
+	f.Mode("down")
+	leaving := f.EngineDaemons[0]
+	f.Net.Cut(leaving.Name, "entry-0")
+	f.Net.Cut(leaving.Name, "entry-1")
+	leaving.Terminate()
+	f.Eventually("leaving", func() bool { return strings.Contains(leaving.Log(), "msg=leaving") })
+	before := len(f.RunsOf(f.Engines[0]))
+	f.Net.Heal()
+	w := underLoad(t, f, f.Entries, func() { wait(500) })
+	wantAllWhole(t, w)
+	if got := len(f.RunsOf(f.Engines[0])); got != before {
+		t.Errorf("got %d new runs on the leaving engine, want none", got-before)
+	}
+}
+
+func TestAnEngineThatTheListCallsLeavingGetsNoNewWork(t *testing.T) {
+	f := fleettest.Start(t, leaveSpec)
+	f.List(f.EngineDaemons[0], member.Leaving)
+	f.Eventually("leaving", func() bool { return strings.Contains(f.EngineDaemons[0].Log(), "msg=leaving") })
+	before := len(f.RunsOf(f.Engines[0]))
+	w := underLoad(t, f, f.Entries, func() { wait(300) })
+	wantAllWhole(t, w)
+	if got := len(f.RunsOf(f.Engines[0])); got != before {
+		t.Errorf("got %d new runs on the leaving engine, want none", got-before)
+	}
+}
+
+func TestALeavingEngineHandsItsCacheToWhereItsChatsGo(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Spec{Engines: 3, Entries: 1, EngineArgs: []string{"--gap-ms", "1", "--lag-ms", "100"}})
+	turns := map[string][]string{}
+	for i := range 30 {
+		opening := strings.Repeat("site report ", 50) + string(rune('a'+i))
+		a := chat(f.Entries[0], chatBody(false, 5, opening)).send()
+		turns[opening] = []string{opening, a.content, "and now?"}
+	}
+	had := len(f.RunsOf(f.Engines[0]))
+	if had == 0 {
+		t.Fatal("got no chat on engine 0, want some of thirty")
+	}
+	f.EngineDaemons[0].Terminate()
+	<-f.EngineDaemons[0].Done()
+	f.Unlist(f.EngineDaemons[0])
+	cold := 0
+	for _, ts := range turns {
+		a := chat(f.Entries[0], chatBody(false, 5, ts...)).send()
+		if !a.whole || strings.Contains(a.body, `"cached_tokens":0}`) {
+			cold++
+		}
+	}
+	if cold > 0 {
+		t.Errorf("got %d of %d returning chats cold after %d were on the engine that left, want none", cold, len(turns), had)
+	}
+}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -208,7 +209,7 @@
 
 func (f *Fleet) startProcess(role, name, hall, toml string) *Process {
 	file := filepath.Join(f.dir, name+".toml")
-	text := fmt.Sprintf("id = %q\nhall = %q\npeers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nplatform = \"http://%s\"\nlog_level = \"info\"\n%s", name, hall, f.Platform.Addr, toml)
+	text := fmt.Sprintf("id = %q\nhall = %q\npeers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nplatform = \"http://%s\"\nbootstrap = [%s]\nlog_level = \"info\"\n%s", name, hall, f.Platform.Addr, f.bootstrap(), toml)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -222,6 +223,17 @@
 	return p
 }
 
+// bootstrap lists the addresses of the processes that live already.
+func (f *Fleet) bootstrap() string {
+	var addrs []string
+	for _, p := range f.Processes() {
+		if !p.Ended() {
+			addrs = append(addrs, strconv.Quote(p.Addr))
+		}
+	}
+	return strings.Join(addrs[:min(len(addrs), 3)], ",")
+}
+
 func field(line, key string) string {
 	for part := range strings.FieldsSeq(line) {
 		if v, ok := strings.CutPrefix(part, key+"="); ok {
@@ -252,6 +264,22 @@
 	return rev
 }
 
+// Get returns the value that the platform has of a key.
+func (f *Fleet) Get(topic, key string) string {
+	var b struct {
+		Items []struct{ Key, Value string } `json:"items"`
+	}
+	if err := json.Unmarshal([]byte(f.admin(http.MethodGet, "/v1/"+topic, "")), &b); err != nil {
+		f.t.Fatal(err)
+	}
+	for _, it := range b.Items {
+		if it.Key == key {
+			return it.Value
+		}
+	}
+	return ""
+}
+
 // Mode switches a fault of the platform on or, with "ok", off.
 func (f *Fleet) Mode(mode string) { f.admin(http.MethodPost, "/admin/mode?mode="+mode, "") }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -139,7 +139,7 @@
 
 // addGood takes a newer last good value of an item that is known already.
 func (st *topicState) addGood(old, it wire.Item) bool {
-	if it.Rev != old.Rev || old.Good == "" || it.GoodRev <= old.GoodRev {
+	if it.Rev != old.Rev || !st.invalid[it.Key] || it.GoodRev <= old.GoodRev {
 		return false
 	}
 	old.Good, old.GoodRev = it.Good, it.GoodRev
@@ -151,9 +151,10 @@
 	st.order = slices.DeleteFunc(st.order, func(rk revKey) bool { return st.items[rk.key].Rev != rk.rev })
 }
 
-// MarkGood records which value of a key is the last valid one; the item is
-// handed on with it, so that a new process can put it in force.
-func (s *Store) MarkGood(t wire.Topic, key, good string, goodRev int64) {
+// MarkInvalid records that the latest value of a key is not valid, and the
+// last valid one, if any is known. The item is handed on with it, so that a
+// new process can put it in force.
+func (s *Store) MarkInvalid(t wire.Topic, key, good string, goodRev int64) {
 	st := s.topics[t]
 	if st == nil {
 		return
