route: Pass the freshest loads on with requests and answers

Change: four loads go with each request and each answer, about 180 bytes on connections that are open anyway.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,14 +71,14 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, engines: map[string]*engine{}, attempts: newAttempts(),
 		witness: once.NewWitness(cfg.Clock.Now(), cfg.Clock.Wall(), once.MaxKeys),
 	}
-	for _, e := range cfg.Engines {
-		d.engines[e.ID] = newEngine(e.ID, e.Addr, e.Slots, cfg.Clock, cfg.Log)
-	}
 	d.links = link.NewPool(cfg.Clock, d)
 	d.node = fleet.New(fleet.Config{
 		ID: cfg.ID, Role: member.Daemon, Hall: cfg.Hall, Bootstrap: cfg.Bootstrap, Platform: cfg.Platform,
 		Clock: cfg.Clock, Log: cfg.Log, Pool: d.links, Loads: d.loads,
 	})
+	for _, e := range cfg.Engines {
+		d.engines[e.ID] = newEngine(e.ID, e.Addr, e.Slots, cfg.Clock, cfg.Log, d.node.FreshLoads)
+	}
 	return d
 }
 
@@ -209,6 +209,7 @@
 		res, _ := a.follow(c, 0)
 		return res
 	}
+	d.node.SampleLoads(r.Loads)
 	turn, res := e.enter(a, d.state(r))
 	if turn == nil {
 		d.attempts.drop(r.Attempt)
@@ -282,7 +283,7 @@
 		e.ran(a.run.Chat, res.Usage)
 	}
 	e.done(it, cost, d.clk.Now()-from)
-	res.Loads = []wire.Load{e.load()}
+	res.Loads = e.loads()
 	a.end(res, d.clk.Now())
 	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_attempts_total{engine=%q,verdict=%q}`, e.id, res.Verdict)).Inc()
 }
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -39,14 +39,16 @@
 	// milliseconds, for telling a shed caller when to come back.
 	serviceTime float64
 	eventSeq    int64
+	// others returns the freshest loads known of other engines.
+	others func() []wire.Load
 }
 
 // defaultCache is assumed until the engine reports its memory, in tokens.
 const defaultCache = 1 << 20
 
-func newEngine(id, addr string, slots int, clk *clock.Clock, log *slog.Logger) *engine {
+func newEngine(id, addr string, slots int, clk *clock.Clock, log *slog.Logger, others func() []wire.Load) *engine {
 	return &engine{
-		id: id, client: target.New(addr), clk: clk, log: log, slots: max(1, slots),
+		id: id, others: others, client: target.New(addr), clk: clk, log: log, slots: max(1, slots),
 		queue: fair.New(1), queued: map[uint64]*attempt{}, granted: map[uint64]chan fair.Item{},
 		book: route.NewBook(defaultCache), serviceTime: 100,
 	}
@@ -61,6 +63,9 @@
 	return wire.Load{Engine: e.id, Requests: e.requests()}
 }
 
+// loads returns the engine's own load and the freshest of others.
+func (e *engine) loads() []wire.Load { return append([]wire.Load{e.load()}, e.others()...) }
+
 // retryAfter estimates when a slot will be free for one more request, in
 // milliseconds; the caller holds mu.
 func (e *engine) retryAfter() clock.Millis {
@@ -76,7 +81,7 @@
 	defer e.mu.Unlock()
 	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.slots
 	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
-	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
+	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: append([]wire.Load{{Engine: e.id, Requests: e.requests()}}, e.others()...)}
 	switch ans := route.Decide(offer, s, e.book).(type) {
 	case route.Redirect:
 		res.Reason, res.Redirect, res.Cached, res.Message = verdict.NotCached, ans.Engine, ans.Cached, "another engine may hold the chat"
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -80,7 +80,7 @@
 			h[name] = v
 		}
 	}
-	return &wire.Head{Status: res.StatusCode, Header: h, Load: e.load()}
+	return &wire.Head{Status: res.StatusCode, Header: h, Loads: e.loads()}
 }
 
 // relayService passes the answer of a plain service on as it comes.
--- a/entry/send.go
+++ b/entry/send.go
@@ -51,7 +51,7 @@
 		res, err := e.attempt(ctx, c, s, to, mean)
 		e.node.Ended(s.Engine)
 		if res.Refused {
-			e.node.ObserveLoads(res.Loads)
+			e.node.RefusedLoads(res.Loads)
 		} else {
 			e.node.SampleLoads(res.Loads)
 		}
@@ -113,7 +113,7 @@
 		Method: c.r.Method, Path: targetPath(c), Header: targetHeader(c.r), Body: c.body,
 		Stream: c.chat.Stream, WantUsage: c.chat.StreamOptions.IncludeUsage,
 		Prompt: c.promptTokens(), Cost: c.cost(), Left: c.left(e.clk.Now()), Once: c.once,
-		Mean: mean, LoadBound: v.Routing.LoadBound, LoadFloor: v.Routing.LoadFloor, QueueLimit: v.Limits.QueuePerEngine,
+		Mean: mean, LoadBound: v.Routing.LoadBound, LoadFloor: v.Routing.LoadFloor, QueueLimit: v.Limits.QueuePerEngine, Loads: e.node.FreshLoads(),
 	}
 }
 
@@ -211,7 +211,7 @@
 func (a *sending) deliver() *verdict.Error {
 	frames, gap, full := a.in.take()
 	if len(frames) > 0 && frames[0].Head != nil {
-		a.e.node.SampleLoads([]wire.Load{frames[0].Head.Load})
+		a.e.node.SampleLoads(frames[0].Head.Loads)
 	}
 	if err := a.c.write(frames, a.e.clk); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.CallerGone, "write to the caller: %w", err)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -297,14 +297,23 @@
 	n.sample(loads)
 }
 
-// ObserveLoads takes load reports that came with a refusal.
-func (n *Node) ObserveLoads(loads []wire.Load) {
+// RefusedLoads takes load reports that came with a refusal: the first is that
+// of the engine that refused.
+func (n *Node) RefusedLoads(loads []wire.Load) {
+	if len(loads) == 0 {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clk.Now()
-	for _, l := range loads {
-		n.loads.Observe(l.Engine, l.Requests, now-l.Age)
-	}
+	n.loads.Observe(loads[0].Engine, loads[0].Requests, n.clk.Now()-loads[0].Age)
+	n.sample(loads[1:])
+}
+
+// FreshLoads returns the freshest loads known, to go with a message.
+func (n *Node) FreshLoads() []wire.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.loads.Freshest(route.LoadsOnTheWay, n.clk.Now())
 }
 
 func (n *Node) sample(loads []wire.Load) {
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -54,7 +54,7 @@
 
 func (w *Weldfall) choose(p *pool, entry int, t trace.Turn) (*eng, int) {
 	w.prepare(p)
-	targets := targetsOf(p.seen[entry])
+	targets := targetsOf(p.members(entry))
 	loads := w.loads[entry]
 	q := route.Query{Key: p.key(t), Affine: true, Returning: t.Number > 0, Hint: w.hints[entry][t.Chat], Bound: p.cfg.Bound, Floor: p.cfg.Floor, Max: maxTries}
 	var tries []route.Try
@@ -68,6 +68,7 @@
 		try := route.Try{Engine: s.Engine, Mode: s.Mode}
 		loads.Sent(e.id)
 		if e.gone {
+			p.views[entry].Unreachable(e.id, p.now)
 			loads.Ended(e.id)
 			tries = append(tries, try)
 			continue
@@ -80,6 +81,8 @@
 			route.Offer{Chat: q.Key, Mode: s.Mode},
 			route.State{Engine: e.id, Requests: e.running, Slots: e.slots, Mean: perSlot, Engines: len(targets), Bound: p.cfg.Bound, Floor: p.cfg.Floor, Leaving: e.leaving},
 			e.book)
+		p.passOn(loads, e.loads, e.id)
+		p.passOn(e.loads, loads, e.id)
 		if _, admitted := ans.(route.Admit); !admitted {
 			loads.Ended(e.id)
 			loads.Observe(e.id, e.running, p.now)
@@ -98,6 +101,16 @@
 	}
 }
 
+// passOn hands the freshest loads on, as requests and answers do; that of the
+// engine itself comes apart.
+func (p *pool) passOn(from, to *route.Loads, self string) {
+	for _, l := range from.Freshest(route.LoadsOnTheWay, p.now) {
+		if l.Engine != self {
+			to.Sample(l.Engine, l.Requests, p.now-l.Age)
+		}
+	}
+}
+
 func nextOf(key uint64, targets []route.Target, engine string) string {
 	for _, i := range route.Rank(key, targets, 2) {
 		if targets[i].ID() != engine {
@@ -117,7 +130,7 @@
 	w.hints[entry][t.Chat] = e.id
 	w.loads[entry].Ended(e.id)
 	w.loads[entry].Sample(e.id, e.running, p.now)
-	targets := targetsOf(p.seen[entry])
+	targets := targetsOf(p.members(entry))
 	if top := route.Rank(key, targets, 1); len(top) > 0 && targets[top[0]].ID() != e.id {
 		p.find(targets[top[0]].ID()).book.Placed(key, e.id)
 	}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -7,10 +7,12 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/member"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/trace"
 )
@@ -76,8 +78,11 @@
 	joined  clock.Millis
 	// history has the load at past times for lagged reports.
 	history []loadAt
+	// loads is what the daemon beside the engine knows of the others.
+	loads *route.Loads
 }
 
+
 type loadAt struct {
 	at       clock.Millis
 	requests int
@@ -178,8 +183,10 @@
 	rnd     *rand.Rand
 	engines []*eng
 	agenda  agenda
-	// seen has the engines that each entry knows of.
-	seen   [][]*eng
+	// seen has the engines that each entry knows of, by the list alone.
+	seen [][]*eng
+	// views are the same with what weldfall makes of it.
+	views  []*member.View
 	policy Policy
 	next   int
 }
@@ -196,7 +203,7 @@
 	if p.cfg.Unequal && p.next%3 == 0 {
 		slots = max(1, slots/2)
 	}
-	e := &eng{id: "engine-" + string(rune('a'+p.next/26%26)) + string(rune('a'+p.next%26)), slots: slots, book: route.NewBook(p.cfg.CacheTokens), cache: newLRU(p.cfg.CacheTokens), joined: p.now}
+	e := &eng{id: fmt.Sprint("engine-", p.next), slots: slots, book: route.NewBook(p.cfg.CacheTokens), cache: newLRU(p.cfg.CacheTokens), joined: p.now, loads: route.NewLoads()}
 	p.next++
 	p.engines = append(p.engines, e)
 	return e
@@ -213,12 +220,32 @@
 	}
 }
 
-func (p *pool) see(e *eng) {
-	p.tell(func(i int) { p.seen[i] = append(p.seen[i], e) })
+func (p *pool) see(e *eng) { p.tell(func(i int) { p.list(i, e) }) }
+
+func (p *pool) list(entry int, e *eng) {
+	p.seen[entry] = append(p.seen[entry], e)
+	p.views[entry].Listed(member.Instance{
+		ID: e.id, Role: member.Daemon, Pool: poolName, State: member.Live, Engines: []member.EngineInfo{{ID: e.id, Slots: e.slots}},
+	}, p.now)
+}
+
+func (p *pool) unsee(e *eng) { p.tell(func(i int) { p.drop(i, e) }) }
+
+func (p *pool) drop(entry int, e *eng) {
+	p.seen[entry] = slices.DeleteFunc(p.seen[entry], func(x *eng) bool { return x == e })
+	p.views[entry].Dropped(e.id, p.now)
 }
 
-func (p *pool) unsee(e *eng) {
-	p.tell(func(i int) { p.seen[i] = slices.DeleteFunc(p.seen[i], func(x *eng) bool { return x == e }) })
+// poolName is the only pool of a run.
+const poolName = "pool"
+
+// members lists the engines that an entry may send new work to.
+func (p *pool) members(entry int) []*eng {
+	var out []*eng
+	for _, in := range p.views[entry].Members(poolName, p.now) {
+		out = append(out, p.find(in.ID))
+	}
+	return out
 }
 
 // replace takes the oldest engine out, with notice if there is any, and
@@ -261,10 +288,12 @@
 		p.agenda.add(p.cfg.Split, func() {
 			half := len(p.engines) / 2
 			for i := range p.seen {
+				lost := p.engines[:half]
 				if i%2 == 0 {
-					p.seen[i] = slices.Clone(p.engines[:half])
-				} else {
-					p.seen[i] = slices.Clone(p.engines[half:])
+					lost = p.engines[half:]
+				}
+				for _, e := range lost {
+					p.drop(i, e)
 				}
 			}
 		})
@@ -284,10 +313,13 @@
 // Run replays the turns under a policy.
 func Run(cfg Config, policy Policy, turns []trace.Turn) Outcome {
 	p := &pool{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), policy: policy, seen: make([][]*eng, cfg.Entries)}
+	for i := range p.seen {
+		p.views = append(p.views, member.NewView(fmt.Sprint("entry-", i), 0))
+	}
 	for range cfg.Engines {
 		e := p.join()
 		for i := range p.seen {
-			p.seen[i] = append(p.seen[i], e)
+			p.list(i, e)
 		}
 	}
 	p.troubles()
--- a/route/load.go
+++ b/route/load.go
@@ -99,6 +99,10 @@
 	return r.Requests + r.Own, true
 }
 
+// LoadsOnTheWay is how many loads of other engines go with each request and
+// each answer, so that entries hear of each other's traffic through daemons.
+const LoadsOnTheWay = 4
+
 // Freshest returns up to n reports that still count, youngest first, for
 // handing on to a peer. What this process sent is not in them.
 func (l *Loads) Freshest(n int, now clock.Millis) []wire.Load {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -92,6 +92,8 @@
 	LoadFloor int     `json:"lf"`
 	// QueueLimit bounds the requests that wait at one engine.
 	QueueLimit int `json:"ql"`
+	// Loads are the freshest that the sender knows, of any engines.
+	Loads []Load `json:"ld,omitempty"`
 }
 
 // Load is the load of one engine: requests running or waiting.
@@ -113,8 +115,9 @@
 type Head struct {
 	Status int               `json:"s"`
 	Header map[string]string `json:"h,omitempty"`
-	// Load is the engine's when the answer began.
-	Load Load `json:"l"`
+	// Loads begin with the engine's own when the answer began; the rest are
+	// the freshest that the daemon knows of others.
+	Loads []Load `json:"l,omitempty"`
 }
 
 // Frame is a piece of an answer. Seq counts from zero without gaps.
