route: Order equally old loads by a rule

Cause: of loads of equal age a random few went along, by the order of a map, so a replay gave another outcome each time; the previous commit landed with that. They are ordered by a hash of engine and time: always the same for the same history, and different engines go along each time.

--- a/replay/replay.go
+++ b/replay/replay.go
@@ -82,7 +82,6 @@
 	loads *route.Loads
 }
 
-
 type loadAt struct {
 	at       clock.Millis
 	requests int
--- a/route/load.go
+++ b/route/load.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -112,7 +114,11 @@
 			out = append(out, wire.Load{Engine: e, Requests: r.Sampled, Age: age})
 		}
 	}
-	slices.SortFunc(out, func(a, b wire.Load) int { return cmp.Compare(a.Age, b.Age) })
+	// Of equally old ones a different few go along each time.
+	turn := func(l wire.Load) uint64 { return mix(xxh3.HashString(l.Engine) ^ uint64(now)) }
+	slices.SortFunc(out, func(a, b wire.Load) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(turn(a), turn(b)))
+	})
 	return out[:min(n, len(out))]
 }
 
