--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -205,6 +205,13 @@
 	return p
 }
 
+// StartEntryAlone starts entry i without any peers to ask.
+func (f *Fleet) StartEntryAlone(i int) *Process {
+	alone := *f
+	alone.EngineDaemons, alone.ServiceDaemons, alone.Entries = nil, nil, nil
+	return alone.StartEntry(i)
+}
+
 var startedRE = regexp.MustCompile(`msg=started .*`)
 
 func (f *Fleet) startProcess(role, name, hall, toml string) *Process {
