fair: Keep a few slots free for the partner under its share

Ruled out: sending over the slots with a higher priority (the engine's batch is full all the same). Change: a partner that runs more than its share leaves fairness.reserve_ratio of the slots free while another has been about within 10 s. The price is up to a fifth of the slots idle during a surge of one partner beside a present other, none when one is alone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,7 +105,7 @@
 	wg.Go(func() { d.node.Run(ctx) })
 	wg.Go(func() { clock.Every(ctx, sweepPeriod, d.sweep) })
 	for _, e := range d.engines {
-		wg.Go(func() { e.poll(ctx) })
+		wg.Go(func() { e.poll(ctx, func() float64 { return d.settings().Fairness.ReserveRatio }) })
 	}
 	defer d.links.Close()
 	return link.Serve(ctx, ln, d.clk, d)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -26,11 +26,7 @@
 	clk    *clock.Clock
 	log    *slog.Logger
 
-	mu sync.Mutex
-	// slots is the number of requests that run at once; running never
-	// exceeds it but after a change of slots.
-	slots   int
-	running int
+	mu      sync.Mutex
 	queue   *fair.Queue
 	queued  map[uint64]*attempt
 	granted map[uint64]chan fair.Item
@@ -48,14 +44,14 @@
 
 func newEngine(id, addr string, slots int, clk *clock.Clock, log *slog.Logger, others func() []wire.Load) *engine {
 	return &engine{
-		id: id, others: others, client: target.New(addr), clk: clk, log: log, slots: max(1, slots),
-		queue: fair.New(1), queued: map[uint64]*attempt{}, granted: map[uint64]chan fair.Item{},
+		id: id, others: others, client: target.New(addr), clk: clk, log: log,
+		queue: fair.New(1, max(1, slots)), queued: map[uint64]*attempt{}, granted: map[uint64]chan fair.Item{},
 		book: route.NewBook(defaultCache), serviceTime: 100,
 	}
 }
 
 // requests returns the load: running and waiting. The caller holds mu.
-func (e *engine) requests() int { return e.running + e.queue.Len() }
+func (e *engine) requests() int { return e.queue.Running() + e.queue.Len() }
 
 func (e *engine) load() wire.Load {
 	e.mu.Lock()
@@ -69,7 +65,7 @@
 // retryAfter estimates when a slot will be free for one more request, in
 // milliseconds; the caller holds mu.
 func (e *engine) retryAfter() clock.Millis {
-	wait := e.serviceTime * float64(e.queue.Len()+1) / float64(e.slots)
+	wait := e.serviceTime * float64(e.queue.Len()+1) / float64(e.queue.Slots())
 	return max(100, min(30_000, clock.Millis(wait)))
 }
 
@@ -79,7 +75,7 @@
 	r := a.run
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.slots
+	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.queue.Slots()
 	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
 	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: append([]wire.Load{{Engine: e.id, Requests: e.requests()}}, e.others()...)}
 	switch ans := route.Decide(offer, s, e.book).(type) {
@@ -98,7 +94,7 @@
 	shed := e.queue.Push(fair.Item{
 		ID: r.Attempt, Partner: r.Partner, Workspace: r.Workspace,
 		PartnerShare: share(r.PartnerShare), WorkspaceShare: share(r.WorkspaceShare), Cost: max(1, r.Cost),
-	})
+	}, e.clk.Now())
 	// A free slot takes the longest waiting before anything is given up.
 	e.dispatch()
 	for _, it := range shed {
@@ -145,12 +141,11 @@
 
 // dispatch gives free slots to those whose turn it is; the caller holds mu.
 func (e *engine) dispatch() {
-	for e.running < e.slots {
-		it, ok := e.queue.Pop()
+	for {
+		it, ok := e.queue.Pop(e.clk.Now())
 		if !ok {
 			return
 		}
-		e.running++
 		e.granted[it.ID] <- it
 		e.forget(it.ID)
 	}
@@ -171,7 +166,6 @@
 func (e *engine) done(it fair.Item, cost int, took clock.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
 	e.queue.Settle(it, max(1, cost))
 	e.serviceTime += (float64(took) - e.serviceTime) / 16
 	e.dispatch()
@@ -198,8 +192,9 @@
 	pollTimeout clock.Millis = 2000
 )
 
-// poll reads the engine's load report and cache events until ctx is done.
-func (e *engine) poll(ctx context.Context) {
+// poll reads the engine's load report and cache events until ctx is done, and
+// keeps slots and reserve up to date.
+func (e *engine) poll(ctx context.Context, reserveRatio func() float64) {
 	for clock.Sleep(ctx, pollPeriod*9/10+clock.Millis(rand.Int64N(int64(pollPeriod)/5))) {
 		callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 		report, err := e.client.Load(callCtx)
@@ -207,7 +202,7 @@
 			e.mu.Lock()
 			e.book.SetCapacity(report.CacheCapacity)
 			if report.Slots > 0 {
-				e.slots = report.Slots
+				e.queue.SetSlots(report.Slots, int(reserveRatio()*float64(report.Slots)))
 			}
 			after := e.eventSeq
 			e.mu.Unlock()
@@ -217,7 +212,9 @@
 		}
 		cancel()
 		e.mu.Lock()
-		e.queue.Forget()
+		e.queue.Forget(e.clk.Now())
+		// A reserve that is no longer needed is given out.
+		e.dispatch()
 		e.mu.Unlock()
 	}
 }
--- a/fair/queue.go
+++ b/fair/queue.go
@@ -4,12 +4,14 @@
 //
 // The order is start-time fair queueing on two levels: each flow carries the
 // virtual time at which its next request starts, and the flow that is
-// furthest behind goes first.
+// furthest behind goes first (Goyal, Vin and Cheng 1996).
 package fair
 
 import (
 	"container/heap"
 	"container/list"
+
+	"github.com/weldfall/weldfall/common/clock"
 )
 
 // Item is a request that waits.
@@ -42,10 +44,23 @@
 	items    *list.List
 	// index is the place in the parent's heap, -1 if nothing waits.
 	index int
+	// running is the number of popped items that are not settled; partners
+	// only.
+	running int
+	// lastPush is when the latest item came; partners only.
+	lastPush clock.Millis
 }
 
+// Presence is how long after its latest request a partner still counts as
+// one that slots are kept free for.
+const Presence clock.Millis = 10_000
+
 // Queue is a bounded fair queue. It is not safe for concurrent use.
 type Queue struct {
+	// slots is the number of requests that run at once; reserve is how many
+	// of them a partner over its share leaves free for the others.
+	slots, reserve int
+	running        int
 	root *flow
 	// limit is the most items that wait.
 	limit  int
@@ -53,11 +68,22 @@
 	byID   map[uint64]*list.Element
 }
 
-// New returns an empty queue in which at most limit items wait.
-func New(limit int) *Queue {
-	return &Queue{root: newFlow("", 1), limit: limit, byID: map[uint64]*list.Element{}}
+// New returns an empty queue in which at most limit items wait for the given
+// number of slots.
+func New(limit, slots int) *Queue {
+	return &Queue{root: newFlow("", 1), limit: limit, slots: slots, byID: map[uint64]*list.Element{}}
 }
 
+// SetSlots changes the number of slots and how many of them are kept free for
+// partners under their share. Running items stay.
+func (q *Queue) SetSlots(slots, reserve int) { q.slots, q.reserve = slots, min(reserve, slots-1) }
+
+// Slots returns the number of requests that run at once.
+func (q *Queue) Slots() int { return q.slots }
+
+// Running returns the number of popped items that are not settled.
+func (q *Queue) Running() int { return q.running }
+
 func newFlow(name string, share float64) *flow {
 	return &flow{name: name, share: share, children: map[string]*flow{}, items: list.New(), index: -1}
 }
@@ -72,8 +98,9 @@
 // that waits for the most in proportion to its share is shed, of the partner
 // for which the same holds; it may be the item itself. Shed items have not
 // run and never will.
-func (q *Queue) Push(it Item) (shed []Item) {
+func (q *Queue) Push(it Item, now clock.Millis) (shed []Item) {
 	p := q.root.child(it.Partner, it.PartnerShare)
+	p.lastPush = now
 	w := p.child(it.Workspace, it.WorkspaceShare)
 	q.byID[it.ID] = w.items.PushBack(it)
 	q.length++
@@ -89,20 +116,48 @@
 	return shed
 }
 
-// Pop takes the item whose turn it is.
-func (q *Queue) Pop() (Item, bool) {
-	if q.length == 0 {
+// Pop takes the item whose turn it is, if there is a slot for it. An engine
+// cannot take a slot back, so a partner that runs more than its share leaves a
+// few free while another partner is about: that one's next request need not
+// wait for a long one of the first to end.
+func (q *Queue) Pop(now clock.Millis) (Item, bool) {
+	if q.length == 0 || q.running >= q.slots {
 		return Item{}, false
 	}
 	p := q.root.active[0]
+	if q.slots-q.running <= q.reserve {
+		if p = q.underShare(now); p == nil {
+			return Item{}, false
+		}
+	}
 	w := p.active[0]
 	it := w.items.Front().Value.(Item)
 	q.root.charge(p, it.Cost)
 	p.charge(w, it.Cost)
+	p.running++
+	q.running++
 	q.Remove(it.ID)
 	return it, true
 }
 
+// underShare returns the waiting partner furthest behind among those that run
+// less than their share of the slots, nil if there is none.
+func (q *Queue) underShare(now clock.Millis) *flow {
+	total := 0.0
+	for _, c := range q.root.children {
+		if c.index >= 0 || c.running > 0 || now-c.lastPush < Presence {
+			total += c.share
+		}
+	}
+	var best *flow
+	for _, c := range q.root.active {
+		if float64(c.running) < float64(q.slots)*c.share/total && (best == nil || c.vtime < best.vtime) {
+			best = c
+		}
+	}
+	return best
+}
+
 // Remove takes an item out that has not been popped, and reports whether it
 // was waiting. After true it never runs.
 func (q *Queue) Remove(id uint64) bool {
@@ -123,13 +178,15 @@
 	return true
 }
 
-// Settle corrects the charge of a popped item when its true cost in tokens is
-// known.
+// Settle gives the slot of a popped item back and corrects its charge to the
+// true cost in tokens.
 func (q *Queue) Settle(it Item, cost int) {
+	q.running--
 	p, ok := q.root.children[it.Partner]
 	if !ok {
 		return
 	}
+	p.running--
 	q.root.adjust(p, cost-it.Cost)
 	if w, ok := p.children[it.Workspace]; ok {
 		p.adjust(w, cost-it.Cost)
@@ -138,11 +195,11 @@
 
 // Forget drops flows that wait for nothing and are not ahead of the others,
 // so that memory follows the active workspaces.
-func (q *Queue) Forget() {
+func (q *Queue) Forget(now clock.Millis) {
 	for _, p := range q.root.children {
-		p.forget()
+		p.forget(func(*flow) bool { return true })
 	}
-	q.root.forget()
+	q.root.forget(func(p *flow) bool { return p.running == 0 && now-p.lastPush >= Presence })
 }
 
 // Flows returns the number of partners and workspaces remembered.
@@ -209,10 +266,10 @@
 }
 
 // forget drops idle children. While nobody waits, none is ahead of another.
-func (f *flow) forget() {
+func (f *flow) forget(may func(*flow) bool) {
 	idle := len(f.active) == 0
 	for name, c := range f.children {
-		if c.index < 0 && (idle || c.vtime <= f.base) && len(c.children) == 0 {
+		if c.index < 0 && (idle || c.vtime <= f.base) && len(c.children) == 0 && may(c) {
 			delete(f.children, name)
 		}
 	}
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -14,14 +14,14 @@
 }
 
 func TestPartnersShareTokensNotCalls(t *testing.T) {
-	q := fair.New(1000)
+	q := fair.New(1000, 1000)
 	for i := range uint64(100) {
-		q.Push(item(i, "big", "w", 100))
-		q.Push(item(1000+i, "small", "w", 10))
+		q.Push(item(i, "big", "w", 100), 0)
+		q.Push(item(1000+i, "small", "w", 10), 0)
 	}
 	tokens := map[string]int{}
 	for range 66 {
-		it, _ := q.Pop()
+		it, _ := q.Pop(0)
 		tokens[it.Partner] += it.Cost
 	}
 	if d := tokens["big"] - tokens["small"]; d < -100 || d > 100 {
@@ -30,16 +30,16 @@
 }
 
 func TestSharesWeighPartnersThenWorkspaces(t *testing.T) {
-	q := fair.New(1000)
+	q := fair.New(1000, 1000)
 	for i := range uint64(200) {
 		a := item(i, "a", fmt.Sprint("w", i%2), 10)
 		a.PartnerShare = 3
-		q.Push(a)
-		q.Push(item(1000+i, "b", "w", 10))
+		q.Push(a, 0)
+		q.Push(item(1000+i, "b", "w", 10), 0)
 	}
 	got := map[string]int{}
 	for range 100 {
-		it, _ := q.Pop()
+		it, _ := q.Pop(0)
 		got[it.Partner+it.Workspace] += it.Cost
 	}
 	if a, b := got["aw0"]+got["aw1"], got["bw"]; a < 740 || a > 760 || b < 240 || b > 260 {
@@ -51,19 +51,19 @@
 }
 
 func TestIdleTimeEarnsNothingAndIdleCapacityCostsNothing(t *testing.T) {
-	q := fair.New(1000)
+	q := fair.New(1000, 1000)
 	// a uses an idle engine for a long time.
 	for i := range uint64(50) {
-		q.Push(item(i, "a", "w", 1000))
-		q.Pop()
+		q.Push(item(i, "a", "w", 1000), 0)
+		q.Pop(0)
 	}
 	for i := range uint64(10) {
-		q.Push(item(100+i, "a", "w", 10))
-		q.Push(item(200+i, "b", "w", 10))
+		q.Push(item(100+i, "a", "w", 10), 0)
+		q.Push(item(200+i, "b", "w", 10), 0)
 	}
 	got := map[string]int{}
 	for range 10 {
-		it, _ := q.Pop()
+		it, _ := q.Pop(0)
 		got[it.Partner]++
 	}
 	if got["a"] < 4 || got["b"] < 4 {
@@ -72,20 +72,20 @@
 }
 
 func TestAFullQueueShedsTheOneOverItsShare(t *testing.T) {
-	q := fair.New(10)
+	q := fair.New(10, 1000)
 	for i := range uint64(10) {
-		if shed := q.Push(item(i, "surge", "w", 10)); len(shed) != 0 {
+		if shed := q.Push(item(i, "surge", "w", 10), 0); len(shed) != 0 {
 			t.Fatalf("push %d: got %v shed, want none", i, shed)
 		}
 	}
-	shed := q.Push(item(100, "other", "w", 10))
+	shed := q.Push(item(100, "other", "w", 10), 0)
 	if len(shed) != 1 || shed[0].Partner != "surge" || shed[0].ID != 9 {
 		t.Errorf("got %v, want the newest of the surge", shed)
 	}
-	if it, _ := q.Pop(); it.Partner != "surge" && it.Partner != "other" {
+	if it, _ := q.Pop(0); it.Partner != "surge" && it.Partner != "other" {
 		t.Errorf("got %v", it)
 	}
-	if it, _ := q.Pop(); it.Partner != "other" {
+	if it, _ := q.Pop(0); it.Partner != "other" {
 		t.Errorf("second: got %v, want the other partner's", it)
 	}
 }
@@ -95,7 +95,7 @@
 func TestQueueKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 8).Draw(t, "limit")
-		q := fair.New(limit)
+		q := fair.New(limit, 1000)
 		waiting := map[uint64]bool{}
 		next := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -104,14 +104,14 @@
 				next++
 				it := item(next, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "p"), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "w"), rapid.IntRange(1, 50).Draw(t, "c"))
 				waiting[next] = true
-				for _, s := range q.Push(it) {
+				for _, s := range q.Push(it, 0) {
 					if !waiting[s.ID] {
 						t.Fatalf("shed %d that did not wait", s.ID)
 					}
 					delete(waiting, s.ID)
 				}
 			case 2:
-				it, ok := q.Pop()
+				it, ok := q.Pop(0)
 				if ok != (len(waiting) > 0) || ok && !waiting[it.ID] {
 					t.Fatalf("got %v %v, want one of %v", it, ok, waiting)
 				}
@@ -125,7 +125,7 @@
 					t.Fatalf("remove %d: got %v, want %v", id, got, want)
 				}
 				delete(waiting, id)
-				q.Forget()
+				q.Forget(0)
 			}
 			if q.Len() != len(waiting) || q.Len() > limit {
 				t.Fatalf("got length %d, want %d within %d", q.Len(), len(waiting), limit)
@@ -135,12 +135,12 @@
 }
 
 func TestMemoryFollowsTheActiveWorkspaces(t *testing.T) {
-	q := fair.New(100)
+	q := fair.New(100, 100_000)
 	for i := range uint64(12_000) {
-		q.Push(item(i, "p", fmt.Sprint("w", i), 10))
-		q.Pop()
+		q.Push(item(i, "p", fmt.Sprint("w", i), 10), 0)
+		q.Pop(0)
 		if i%100 == 99 {
-			q.Forget()
+			q.Forget(0)
 		}
 	}
 	if got := q.Flows(); got > 250 {
--- a/settings/branch.go
+++ b/settings/branch.go
@@ -131,6 +131,8 @@
 			return strict.LineError(b.path, b.text, k, "belongs to a workspace's branch: move it there")
 		case k == "fairness.partner_share" && depth > 1:
 			return strict.LineError(b.path, b.text, k, "belongs to the fleet's or a partner's branch: a workspace sets workspace_share")
+		case k == "fairness.reserve_ratio" && depth > 0:
+			return strict.LineError(b.path, b.text, k, "belongs to the fleet's branch: partners share each engine")
 		case k == "lock.keys" && depth > 1:
 			return strict.LineError(b.path, b.text, k, "only the fleet's and a partner's branches lock keys: remove it")
 		}
--- a/settings/check.go
+++ b/settings/check.go
@@ -23,6 +23,7 @@
 	{"limits.queue_per_engine", 1, 100_000, func(v *Values) float64 { return float64(v.Limits.QueuePerEngine) }},
 	{"fairness.partner_share", 0.001, 1000, func(v *Values) float64 { return v.Fairness.PartnerShare }},
 	{"fairness.workspace_share", 0.001, 1000, func(v *Values) float64 { return v.Fairness.WorkspaceShare }},
+	{"fairness.reserve_ratio", 0, 0.9, func(v *Values) float64 { return v.Fairness.ReserveRatio }},
 	{"fairness.priority", -10, 10, func(v *Values) float64 { return float64(v.Fairness.Priority) }},
 	{"routing.load_bound", 1.01, 100, func(v *Values) float64 { return v.Routing.LoadBound }},
 	{"routing.load_floor", 1, 10_000, func(v *Values) float64 { return float64(v.Routing.LoadFloor) }},
--- a/settings/values.go
+++ b/settings/values.go
@@ -41,6 +41,9 @@
 	PartnerShare float64 `toml:"partner_share"`
 	// WorkspaceShare weighs a workspace against the partner's others.
 	WorkspaceShare float64 `toml:"workspace_share"`
+	// ReserveRatio is the part of an engine's slots that a partner over its
+	// share leaves free while another partner is about.
+	ReserveRatio float64 `toml:"reserve_ratio"`
 	// Priority is handed to the engine, -10 to 10; larger goes first.
 	Priority int `toml:"priority"`
 }
@@ -112,7 +115,7 @@
 func Defaults() Values {
 	return Values{
 		Limits:     Limits{BodyBytes: 4 << 20, DeadlineMS: 120_000, BurstTokens: 200_000, QueuePerEngine: 64},
-		Fairness:   Fairness{PartnerShare: 1, WorkspaceShare: 1},
+		Fairness:   Fairness{PartnerShare: 1, WorkspaceShare: 1, ReserveRatio: 0.2},
 		Routing:    Routing{LoadBound: 1.25, LoadFloor: 2},
 		Retry:      Retry{Attempts: 8, BudgetRatio: 0.2},
 		Once:       Once{Repeatable: true, WindowMS: 600_000},
