--- /dev/null
+++ b/daemon/relay_test.go
@@ -0,0 +1,110 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/daemon"
+	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/standin/engine"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// sink counts the frames that an entry would get.
+type sink struct{ frames int }
+
+func (*sink) Call(context.Context, *link.Conn, string, json.RawMessage) (any, error) { return nil, nil }
+
+func (s *sink) Notify(_ *link.Conn, method string, params json.RawMessage) {
+	var f wire.Frame
+	if method == wire.MethodFrame && json.Unmarshal(params, &f) == nil {
+		s.frames += max(1, f.Count)
+	}
+}
+
+func listen(tb testing.TB) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
+// start runs a daemon before an engine without delays and returns a
+// connection to it.
+func start(tb testing.TB, s link.Handler) *link.Conn {
+	clk := clock.System()
+	eng, peers := listen(tb), listen(tb)
+	srv := &http.Server{Handler: engine.New(engine.Config{ID: "e", Slots: 64, CacheTokens: 1 << 20, Tokens: 10, Clock: clk})}
+	go func() { _ = srv.Serve(eng) }()
+	tb.Cleanup(func() { _ = srv.Close() })
+	d := daemon.New(daemon.Config{
+		ID: "d", Hall: "h", Pool: "p", Engines: []daemon.Engine{{ID: "e", Addr: eng.Addr().String(), Slots: 64}},
+		Platform: platform.New("http://127.0.0.1:1"), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	go func() { _ = d.Run(ctx, peers) }()
+	pool := link.NewPool(clk, s)
+	tb.Cleanup(pool.Close)
+	c, err := pool.Get(peers.Addr().String(), link.Data)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return c
+}
+
+func run(attempt uint64, tokens int) wire.Run {
+	return wire.Run{
+		Attempt: attempt, Request: fmt.Sprint("r", attempt), Engine: "e", Partner: "p", Workspace: "w", PartnerShare: 1, WorkspaceShare: 1,
+		Chat: attempt, Mode: wire.ModeNormal, Method: http.MethodPost, Path: "/v1/chat/completions", Stream: true,
+		Body: []byte(fmt.Sprintf(`{"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, tokens)),
+		Cost: 10, Left: 60_000, Mean: -1, LoadBound: 1.25, LoadFloor: 2, QueueLimit: 10,
+	}
+}
+
+func TestEveryTokenIsRelayedOnce(t *testing.T) {
+	s := &sink{}
+	c := start(t, s)
+	for i := range uint64(3) {
+		var res wire.Result
+		if err := c.Call(context.Background(), wire.MethodRun, run(i+1, 50), &res); err != nil {
+			t.Fatal(err)
+		}
+		if res.Verdict != verdict.Ran || res.Frames != 51 || s.frames != 51*int(i+1) {
+			t.Errorf("got %+v and %d frames, want 51 more", res, s.frames)
+		}
+	}
+	// The same attempt again, as when its first result was lost, runs nothing.
+	var res wire.Result
+	if err := c.Call(context.Background(), wire.MethodRun, run(1, 50), &res); err != nil || res.Verdict != verdict.Ran {
+		t.Errorf("repeated attempt: got %+v %v, want its result", res, err)
+	}
+}
+
+// BenchmarkRelay is a token through engine stand-in, daemon and connection,
+// all in this process.
+func BenchmarkRelay(b *testing.B) {
+	c := start(b, &sink{})
+	const tokens = 2000
+	b.ReportAllocs()
+	attempt := uint64(0)
+	for b.Loop() {
+		attempt++
+		var res wire.Result
+		if err := c.Call(context.Background(), wire.MethodRun, run(attempt, tokens), &res); err != nil || res.Verdict != verdict.Ran {
+			b.Fatalf("got %+v %v", res, err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(attempt)/tokens, "ns/token")
+}
--- /dev/null
+++ b/integration/cost_test.go
@@ -0,0 +1,103 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/internal/fleettest"
+	"github.com/weldfall/weldfall/target"
+)
+
+// flow is what a number of streams cost.
+type flow struct {
+	first  []int64
+	tokens int
+}
+
+func (f *flow) median() float64 {
+	slices.Sort(f.first)
+	return float64(f.first[len(f.first)/2]) / 1000
+}
+
+// stream runs rounds of n streams at a time against url.
+func stream(b *testing.B, url, key string, n, rounds, tokens int) *flow {
+	b.Helper()
+	clk := clock.System()
+	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
+	defer h.CloseIdleConnections()
+	out := &flow{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for s := range n {
+		wg.Go(func() {
+			for r := range rounds {
+				body := chatBody(true, tokens, fmt.Sprintf("stream %d round %d", s, r))
+				req, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+				req.Header.Set("Authorization", "Bearer "+key)
+				req.Header.Set("X-Attempt", fmt.Sprintf("direct-%d-%d-%d", n, s, r))
+				start := clk.Micros()
+				res, err := h.Do(req)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				first, got := int64(0), 0
+				for events := target.NewEventReader(res.Body); ; got++ {
+					ev, err := events.Next()
+					if err != nil || string(ev.Data) == "[DONE]" {
+						break
+					}
+					if first == 0 {
+						first = clk.Micros() - start
+					}
+				}
+				_ = res.Body.Close()
+				mu.Lock()
+				out.first = append(out.first, first)
+				out.tokens += got
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// BenchmarkPath measures the same load straight to an engine and through
+// entry and daemon, in one run: run it with -benchtime 1x.
+func BenchmarkPath(b *testing.B) {
+	for _, gap := range []string{"5", "0"} {
+		for _, n := range []int{1, 64, 512} {
+			b.Run(fmt.Sprintf("gap_ms=%s/streams=%d", gap, n), func(b *testing.B) { path(b, gap, n) })
+		}
+	}
+}
+
+func path(b *testing.B, gap string, n int) {
+	f := fleettest.Start(b, fleettest.Spec{
+		Engines: 1, Entries: 1, Fleet: "[limits]\nqueue_per_engine = 1000\n",
+		EngineArgs: []string{"--gap-ms", gap, "--prefill", "0", "--slots", "1000"},
+	})
+	rounds := max(2, 256/n)
+	const tokens = 200
+	engineURL, entryURL := "http://"+f.Engines[0].Addr, "http://"+f.Entries[0].Callers
+	key := fleettest.Key("planning", "ws0")
+	stream(b, entryURL, key, n, 1, tokens)
+	stream(b, engineURL, key, n, 1, tokens)
+	for b.Loop() {
+		direct := stream(b, engineURL, key, n, rounds, tokens)
+		daemon, entry := f.EngineDaemons[0].CPUMicros(), f.Entries[0].CPUMicros()
+		through := stream(b, entryURL, key, n, rounds, tokens)
+		daemon, entry = f.EngineDaemons[0].CPUMicros()-daemon, f.Entries[0].CPUMicros()-entry
+		b.ReportMetric(direct.median(), "direct_first_ms")
+		b.ReportMetric(through.median(), "through_first_ms")
+		b.ReportMetric(daemon/float64(through.tokens), "daemon_us/token")
+		b.ReportMetric(entry/float64(through.tokens), "entry_us/token")
+	}
+}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -61,7 +61,7 @@
 	// Admin has the pages; Callers is where an entry's callers come in.
 	Admin, Callers string
 
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	log  *lockedBuffer
 	done chan struct{}
@@ -78,7 +78,7 @@
 	EngineDaemons, ServiceDaemons []*Process
 	Entries                       []*Process
 
-	t    *testing.T
+	t    testing.TB
 	dir  string
 	spec Spec
 	clk  *clock.Clock
@@ -106,7 +106,7 @@
 var Halls = []string{"hall-a", "hall-b", "hall-c"}
 
 // Start starts a fleet and waits until all of it is ready.
-func Start(t *testing.T, spec Spec) *Fleet {
+func Start(t testing.TB, spec Spec) *Fleet {
 	t.Helper()
 	f := &Fleet{t: t, Net: newNetwork(), dir: t.TempDir(), spec: spec, clk: clock.System()}
 	t.Cleanup(f.Net.close)
@@ -417,6 +417,35 @@
 	return runs
 }
 
+// ticksPerSecond is the kernel's unit of processor time in /proc.
+const ticksPerSecond = 100
+
+// CPUMicros returns the processor time that the process has used, in
+// microseconds.
+func (p *Process) CPUMicros() float64 {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	var user, system float64
+	_, _ = fmt.Sscan(fields[11], &user)
+	_, _ = fmt.Sscan(fields[12], &system)
+	return (user + system) * 1e6 / ticksPerSecond
+}
+
+// MemoryBytes returns the resident memory of the process.
+func (p *Process) MemoryBytes() float64 {
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var size, resident float64
+	_, _ = fmt.Sscan(string(statm), &size, &resident)
+	return resident * float64(os.Getpagesize())
+}
+
 // Log returns what the process has logged.
 func (p *Process) Log() string { return p.log.String() }
 
--- a/internal/fleettest/proxy.go
+++ b/internal/fleettest/proxy.go
@@ -118,7 +118,7 @@
 
 // listen returns the address of a proxy before the listener of dst, whose
 // address is set by the returned function.
-func (n *Network) listen(t *testing.T, dst string) (addr string, upstream func(string)) {
+func (n *Network) listen(t testing.TB, dst string) (addr string, upstream func(string)) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/once/bench_test.go
@@ -0,0 +1,49 @@
+package once_test
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/wire"
+)
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// fillWitness makes a witness remember n keys and returns its bytes a key.
+func fillWitness(n int) float64 {
+	before := heapBytes()
+	w := once.NewWitness(0, 1_000_000, n)
+	for i := range uint64(n) {
+		w.Claim(wire.Claim{Key: i + 1, Attempt: i + 1, Window: 600_000}, 700_000, 1_700_000)
+	}
+	used := float64(heapBytes()-before) / float64(n)
+	runtime.KeepAlive(w)
+	return used
+}
+
+func TestAKeyCostsTheSameAtAnyDepth(t *testing.T) {
+	small, large := fillWitness(10_000), fillWitness(once.MaxKeys)
+	t.Logf("%.0f bytes a key at 10,000 and %.0f at %d", small, large, once.MaxKeys)
+	if large > 160 {
+		t.Errorf("got %.0f bytes a key, want at most 160", large)
+	}
+}
+
+func BenchmarkClaim(b *testing.B) {
+	w := once.NewWitness(0, 1_000_000, once.MaxKeys)
+	for i := range uint64(once.MaxKeys) {
+		w.Claim(wire.Claim{Key: i + 1, Attempt: 1, Window: 600_000}, 700_000, 1_700_000)
+	}
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		w.Claim(wire.Claim{Key: i%once.MaxKeys + 1, Attempt: 2, Window: 600_000}, 700_001, 1_700_001)
+	}
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -25,19 +25,32 @@
 	goodRev int64
 	// err says why the latest value is not in force; nil if it is.
 	err error
+	// change counts the changes of what is in force; it never goes down.
+	change int64
+}
+
+// maxLevels is the number of branches that can apply to a path.
+const maxLevels = MaxDepth + 1
+
+// cached is the effective values of a path with the changes that they are
+// based on, one for each branch above it and its own.
+type cached struct {
+	values  Values
+	changes [maxLevels]int64
 }
 
 // Tree is the settings as one process knows them. It is not safe for
 // concurrent use.
 type Tree struct {
 	entries map[string]*entry
-	// resolved caches effective values; it is dropped below a changed path.
-	resolved map[string]Values
+	// resolved caches effective values; one is used only while the branches
+	// that it was made of have not changed.
+	resolved map[string]cached
 }
 
 // NewTree returns a tree in which only the defaults are in force.
 func NewTree() *Tree {
-	return &Tree{entries: map[string]*entry{}, resolved: map[string]Values{}}
+	return &Tree{entries: map[string]*entry{}, resolved: map[string]cached{}}
 }
 
 // Applied says what became of a value.
@@ -70,7 +83,7 @@
 		return Invalid, err
 	}
 	e.good, e.goodRev = b, rev
-	t.forget(path)
+	e.change++
 	return InForce, nil
 }
 
@@ -89,8 +102,8 @@
 		return err
 	}
 	e.good, e.goodRev = b, rev
+	e.change++
 	t.entries[path] = e
-	t.forget(path)
 	return nil
 }
 
@@ -104,19 +117,18 @@
 	if rev <= e.rev {
 		return Older
 	}
-	*e = entry{rev: rev}
-	t.forget(path)
+	*e = entry{rev: rev, change: e.change + 1}
 	return InForce
 }
 
-func (t *Tree) forget(path string) {
-	if path == FleetPath {
-		clear(t.resolved)
-		return
-	}
-	maps.DeleteFunc(t.resolved, func(p string, _ Values) bool {
-		return p == path || strings.HasPrefix(p, path+"/")
-	})
+// changes returns the state of the branches that apply to a path.
+func (t *Tree) changes(ancestors []string) (out [maxLevels]int64) {
+	for i, p := range ancestors {
+		if e := t.entries[p]; e != nil {
+			out[i] = e.change
+		}
+	}
+	return out
 }
 
 // LockedKey returns an error if the branch in force at path sets a key that is
@@ -148,12 +160,17 @@
 // Effective returns the values in force at path. A path without a branch of
 // its own has what it inherits.
 func (t *Tree) Effective(path string) Values {
-	if v, ok := t.resolved[path]; ok {
-		return v
+	ancestors := Ancestors(path)
+	if len(ancestors) > maxLevels {
+		return Defaults()
+	}
+	changes := t.changes(ancestors)
+	if c, ok := t.resolved[path]; ok && c.changes == changes {
+		return c.values
 	}
 	v := Defaults()
 	locked := map[string]bool{}
-	for _, p := range Ancestors(path) {
+	for _, p := range ancestors {
 		e := t.entries[p]
 		if e == nil || e.good == nil {
 			continue
@@ -163,7 +180,7 @@
 			locked[k] = true
 		}
 	}
-	t.resolved[path] = v
+	t.resolved[path] = cached{v, changes}
 	return v
 }
 
