--- a/entry/call.go
+++ b/entry/call.go
@@ -43,8 +43,11 @@
 
 	// Set by send and stream.
 	engine string
-	hint   string
-	result wire.Result
+	// hint is the engine that served the chat last; hintIsOwn is true when
+	// this entry remembers it and does not have it from the caller.
+	hint      string
+	hintIsOwn bool
+	result    wire.Result
 	// headSent is true once the caller has got a status.
 	headSent bool
 	// cut is true when the answer had begun and failed: the connection must
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -116,7 +116,7 @@
 			return verdict.New(verdict.NotRun, verdict.UnknownModel, "model %q: not known here; GET /v1/models lists those that are", c.chat.Model)
 		}
 		c.chatKey, c.returning = chatOf(c)
-		c.hint = e.hintOf(c)
+		c.hint, c.hintIsOwn = e.hintOf(c)
 	}
 	if c.pool == "" {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "service %q: no routing.pool in the settings of %s", c.service, c.path)
@@ -180,14 +180,14 @@
 // hintOf returns the engine that last served the chat: as this entry
 // remembers, else as the caller echoes it. A forged or stale hint costs one
 // refused offer at most.
-func (e *Entry) hintOf(c *call) string {
+func (e *Entry) hintOf(c *call) (hint string, own bool) {
 	e.mu.Lock()
-	hint, ok := e.hints.Get(c.chatKey)
+	hint, own = e.hints.Get(c.chatKey)
 	e.mu.Unlock()
-	if ok {
-		return hint
+	if own {
+		return hint, true
 	}
-	return c.r.Header.Get(HeaderHint)
+	return c.r.Header.Get(HeaderHint), false
 }
 
 // promptTokens and cost estimate the request in tokens.
--- a/entry/send.go
+++ b/entry/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -57,7 +58,7 @@
 		}
 		if err == nil {
 			c.engine, c.result = s.Engine, res
-			e.afterAnswer(c, s.Engine)
+			e.afterAnswer(c, s.Engine, homeKnows(c, s.Engine, tries))
 			return nil
 		}
 		last = err
@@ -279,9 +280,15 @@
 	return wire.Result{}, cause
 }
 
+// homeKnows reports whether the home of a chat has been told that it is at
+// engine: by this entry after an earlier turn, or it was the home that said so.
+func homeKnows(c *call, engine string, tries []route.Try) bool {
+	return c.hintIsOwn && c.hint == engine || slices.ContainsFunc(tries, func(t route.Try) bool { return t.Redirect == engine })
+}
+
 // afterAnswer remembers where the chat is now, and tells its home if that is
-// elsewhere.
-func (e *Entry) afterAnswer(c *call, engine string) {
+// elsewhere and news.
+func (e *Entry) afterAnswer(c *call, engine string, known bool) {
 	if c.chatKey == 0 {
 		return
 	}
@@ -293,6 +300,9 @@
 		return
 	}
 	metrics.GetOrCreateCounter("weldfall_spilled_total").Inc()
+	if known {
+		return
+	}
 	go func() {
 		if conn, err := e.links.Get(at.Addr, link.Control); err == nil {
 			_ = conn.Notify(wire.MethodPlaced, wire.Placed{Home: home, Chat: c.chatKey, Engine: engine})
--- a/integration/cost_test.go
+++ b/integration/cost_test.go
@@ -79,6 +79,23 @@
 	}
 }
 
+// BenchmarkRequest measures a request of one token: run it with -benchtime 1x.
+func BenchmarkRequest(b *testing.B) {
+	f := fleettest.Start(b, fleettest.Spec{
+		Engines: 1, Entries: 1, Direct: true, Fleet: "[limits]\nqueue_per_engine = 1000\n",
+		EngineArgs: []string{"--gap-ms", "0", "--prefill", "0", "--slots", "1000"},
+	})
+	url, key := "http://"+f.Entries[0].Callers, fleettest.Key("planning", "ws0")
+	stream(b, url, key, 64, 2, 1)
+	const rounds = 50
+	for b.Loop() {
+		daemon, entry := f.EngineDaemons[0].CPUMicros(), f.Entries[0].CPUMicros()
+		stream(b, url, key, 64, rounds, 1)
+		b.ReportMetric((f.EngineDaemons[0].CPUMicros()-daemon)/(64*rounds), "daemon_us/request")
+		b.ReportMetric((f.Entries[0].CPUMicros()-entry)/(64*rounds), "entry_us/request")
+	}
+}
+
 func path(b *testing.B, gap string, n int) {
 	f := fleettest.Start(b, fleettest.Spec{
 		Engines: 1, Entries: 1, Direct: true, Fleet: "[limits]\nqueue_per_engine = 1000\n",
@@ -101,3 +118,32 @@
 		b.ReportMetric(entry/float64(through.tokens), "entry_us/token")
 	}
 }
+
+// BenchmarkControl measures what a process spends at rest, while a setting
+// changes each second: run it with -benchtime 1x.
+func BenchmarkControl(b *testing.B) {
+	for _, engines := range []int{6, 27} {
+		b.Run(fmt.Sprint("processes=", engines+3), func(b *testing.B) {
+			f := fleettest.Start(b, fleettest.Spec{Engines: engines, Entries: 3, Direct: true})
+			wait(5000)
+			d, e := f.EngineDaemons[0], f.Entries[0]
+			const seconds = 10
+			for b.Loop() {
+				cpu, bytes := d.CPUMicros(), d.Metric("weldfall_control_bytes_total")
+				entryCPU, entryBytes := e.CPUMicros(), e.Metric("weldfall_control_bytes_total")
+				calls := f.PlatformCalls()
+				for i := range seconds {
+					f.Put("planning", fmt.Sprintf("[limits]\ndeadline_ms = %d\n", 10_000+i))
+					wait(1000)
+				}
+				b.ReportMetric((d.CPUMicros()-cpu)/1e4/seconds, "daemon_core_%")
+				b.ReportMetric((e.CPUMicros()-entryCPU)/1e4/seconds, "entry_core_%")
+				b.ReportMetric((d.Metric("weldfall_control_bytes_total")-bytes)/seconds, "daemon_B/s")
+				b.ReportMetric((e.Metric("weldfall_control_bytes_total")-entryBytes)/seconds, "entry_B/s")
+				b.ReportMetric(d.MemoryBytes()/(1<<20), "daemon_MiB")
+				b.ReportMetric(e.MemoryBytes()/(1<<20), "entry_MiB")
+				b.ReportMetric(float64(f.PlatformCalls()-calls)/seconds, "platform_calls/s")
+			}
+		})
+	}
+}
