daemon, link: Prove the verdicts of attempts; gather frames for a millisecond

Cause: each place that says not_run needs a proof, and wake-ups cost more than tokens. Tests: an attempt given up before it arrives is turned away, a replaced daemon does not speak for the one before, deadlines in the queue and while it runs, a full queue, an engine that is not there. Found by reading: a refused connection was taken as certain also for requests without a body, which the HTTP transport may send twice; no longer. A process that woke from a pause waited 3 s for the platform though two peers had told it all; it no longer does.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// After calls f in a goroutine of its own when d has gone by.
+func After(d Millis, f func()) { time.AfterFunc(d.Duration(), f) }
+
 // Sleep waits for d or until ctx is done, and reports whether d went by.
 func Sleep(ctx context.Context, d Millis) bool {
 	t := time.NewTimer(d.Duration())
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -39,20 +39,40 @@
 
 // start runs a daemon before an engine without delays and returns a
 // connection to it.
-func start(tb testing.TB, s link.Handler) *link.Conn {
-	clk := clock.System()
-	eng, peers := listen(tb), listen(tb)
-	srv := &http.Server{Handler: engine.New(engine.Config{ID: "e", Slots: 64, CacheTokens: 1 << 20, Tokens: 10, Clock: clk})}
-	go func() { _ = srv.Serve(eng) }()
+func start(tb testing.TB, h link.Handler) *link.Conn {
+	return startEngine(tb, h, engine.Config{ID: "e", Slots: 64, CacheTokens: 1 << 20, Tokens: 10})
+}
+
+// startSlow has an engine with one slot and 10 ms between tokens.
+func startSlow(tb testing.TB, h link.Handler) *link.Conn {
+	return startEngine(tb, h, engine.Config{ID: "e", Slots: 1, CacheTokens: 1 << 20, Tokens: 10, TokenGap: 10})
+}
+
+func startEngine(tb testing.TB, h link.Handler, cfg engine.Config) *link.Conn {
+	cfg.Clock = clock.System()
+	ln := listen(tb)
+	srv := &http.Server{Handler: engine.New(cfg)}
+	go func() { _ = srv.Serve(ln) }()
 	tb.Cleanup(func() { _ = srv.Close() })
+	return startSlots(tb, h, ln.Addr().String(), cfg.Slots)
+}
+
+func startWith(tb testing.TB, h link.Handler, addr string) *link.Conn {
+	const slots = 64
+	return startSlots(tb, h, addr, slots)
+}
+
+func startSlots(tb testing.TB, h link.Handler, addr string, slots int) *link.Conn {
+	clk := clock.System()
+	peers := listen(tb)
 	d := daemon.New(daemon.Config{
-		ID: "d", Hall: "h", Pool: "p", Engines: []daemon.Engine{{ID: "e", Addr: eng.Addr().String(), Slots: 64}},
+		ID: "d", Hall: "h", Pool: "p", Engines: []daemon.Engine{{ID: "e", Addr: addr, Slots: slots}},
 		Platform: platform.New("http://127.0.0.1:1"), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
 	go func() { _ = d.Run(ctx, peers) }()
-	pool := link.NewPool(clk, s)
+	pool := link.NewPool(clk, h)
 	tb.Cleanup(pool.Close)
 	c, err := pool.Get(peers.Addr().String(), link.Data)
 	if err != nil {
--- /dev/null
+++ b/daemon/verdict_test.go
@@ -0,0 +1,88 @@
+package daemon_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+func call[T any](t *testing.T, c *link.Conn, method string, params any) T {
+	t.Helper()
+	var out T
+	if err := c.Call(context.Background(), method, params, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestAnAttemptGivenUpBeforeItArrivesIsTurnedAway(t *testing.T) {
+	c := start(t, &sink{})
+	if got := call[wire.Canceled](t, c, wire.MethodCancel, wire.Cancel{Attempt: 9, Boot: link.Boot()}); got.Verdict != verdict.NotRun {
+		t.Errorf("cancel: got %q, want not_run", got.Verdict)
+	}
+	if got := call[wire.Result](t, c, wire.MethodRun, run(9, 5)); got.Verdict != verdict.NotRun || !got.Refused {
+		t.Errorf("late arrival: got %+v, want it refused", got)
+	}
+	if got := call[wire.Result](t, c, wire.MethodResume, wire.Resume{Attempt: 10, Boot: link.Boot()}); got.Verdict != verdict.NotRun || !got.Refused {
+		t.Errorf("resume of one that never came: got %+v, want it refused", got)
+	}
+	if got := call[wire.Result](t, c, wire.MethodRun, run(10, 5)); !got.Refused {
+		t.Errorf("late arrival after a resume: got %+v, want it refused", got)
+	}
+}
+
+func TestAReplacedDaemonDoesNotSpeakForTheOneBefore(t *testing.T) {
+	c := start(t, &sink{})
+	const before = 12345
+	if got := call[wire.Result](t, c, wire.MethodResume, wire.Resume{Attempt: 9, Boot: before}); got.Verdict != verdict.MayHaveRun {
+		t.Errorf("resume: got %+v, want may_have_run", got)
+	}
+	if got := call[wire.Canceled](t, c, wire.MethodCancel, wire.Cancel{Attempt: 9, Boot: before}); got.Verdict != verdict.MayHaveRun {
+		t.Errorf("cancel: got %+v, want may_have_run", got)
+	}
+}
+
+func TestADeadlineInTheQueueIsNotRunAndOneWhileItRunsMayHaveRun(t *testing.T) {
+	c := startSlow(t, &sink{})
+	first, second := run(1, 200), run(2, 200)
+	first.Left, second.Left = 1500, 200
+	done := make(chan wire.Result)
+	go func() { done <- call[wire.Result](t, c, wire.MethodRun, first) }()
+	clock.Sleep(context.Background(), 100)
+	if got := call[wire.Result](t, c, wire.MethodRun, second); got.Verdict != verdict.NotRun || got.Reason != verdict.Deadline {
+		t.Errorf("in the queue: got %+v, want not_run for the deadline", got)
+	}
+	if got := <-done; got.Verdict != verdict.MayHaveRun || got.Reason != verdict.Deadline {
+		t.Errorf("while it ran: got %+v, want may_have_run for the deadline", got)
+	}
+}
+
+func TestAFullQueueShedsAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	c := startSlow(t, &sink{})
+	results := make(chan wire.Result, 3)
+	for i := range uint64(3) {
+		r := run(i+1, 300)
+		r.QueueLimit, r.Left = 1, 800
+		go func() { results <- call[wire.Result](t, c, wire.MethodRun, r) }()
+		clock.Sleep(context.Background(), 50)
+	}
+	if got := <-results; got.Verdict != verdict.NotRun || got.Reason != verdict.Shed || got.RetryAfter <= 0 {
+		t.Errorf("first: got %+v, want the one shed, with not_run and a time", got)
+	}
+	for range 2 {
+		if got := <-results; got.Reason != verdict.Deadline {
+			t.Errorf("others: got %+v, want them to reach their deadline", got)
+		}
+	}
+}
+
+func TestAnEngineThatIsNotThereIsCertain(t *testing.T) {
+	c := startWith(t, &sink{}, "127.0.0.1:1")
+	if got := call[wire.Result](t, c, wire.MethodRun, run(1, 5)); got.Verdict != verdict.NotRun || !got.Refused || got.Reason != verdict.Unreachable {
+		t.Errorf("got %+v, want a refusal with not_run", got)
+	}
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -41,7 +41,7 @@
 	n.cfg.Log.Warn("pause_noticed", "gap_ms", int64(gap))
 	n.mu.Lock()
 	n.view.Distrust()
-	n.caughtUp, n.readOK = false, false
+	n.caughtUp, n.readOK, n.renewing = false, false, true
 	clear(n.heardPeers)
 	n.startAt = n.clk.Now()
 	n.ready.Store(false)
@@ -152,7 +152,7 @@
 	enoughPeers := n.caughtUp && len(n.heardPeers) >= min(startPeers, max(1, listed))
 	alone := listed == 0 && len(n.cfg.Bootstrap) == 0
 	waited := n.clk.Now()-n.startAt > startPatience
-	if (n.readOK && (enoughPeers || alone || waited)) || (enoughPeers && waited) {
+	if (n.readOK && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing)) {
 		n.ready.Store(true)
 		n.cfg.Log.Info("ready", "from_platform", n.readOK, "peers_heard", len(n.heardPeers))
 	}
@@ -249,7 +249,6 @@
 func (n *Node) AnnounceLeaving() {
 	n.mu.Lock()
 	n.view.SaidLeaving(n.cfg.ID)
-	n.leaving = true
 	peers := n.view.Peers()
 	n.viewChanged()
 	n.mu.Unlock()
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -84,7 +84,8 @@
 	branchesComplete bool
 	fetchLimit       *rate.Limiter
 	readOK           bool
-	leaving          bool
+	// renewing is true after a pause: what is here is old, but not missing.
+	renewing bool
 
 	ready   atomic.Bool
 	pauses  atomic.Int64
@@ -470,6 +471,7 @@
 	defer n.viewChanged()
 	if it.Gone {
 		n.view.Dropped(it.Key, now)
+		n.loads.Forget(n.listedEngines())
 		n.cfg.Log.Info("instance_gone", "instance", it.Key, "revision", it.Rev)
 		return
 	}
@@ -482,6 +484,17 @@
 	n.cfg.Log.Debug("instance_listed", "instance", in.ID, "state", in.State, "revision", it.Rev)
 }
 
+// listedEngines returns whether an engine is on the list; the caller holds mu.
+func (n *Node) listedEngines() func(string) bool {
+	listed := map[string]bool{}
+	for _, in := range n.view.Listing() {
+		for _, e := range in.Engines {
+			listed[e.ID] = true
+		}
+	}
+	return func(engine string) bool { return listed[engine] }
+}
+
 func (n *Node) applySetting(it wire.Item) {
 	if it.Gone {
 		n.tree.Remove(it.Key, it.Rev)
--- a/link/codec.go
+++ b/link/codec.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/wire"
 )
 
@@ -45,12 +46,23 @@
 	w   *bufio.Writer
 	buf bytes.Buffer
 	enc *msgpack.Encoder
+	// armed is true while frames wait for a flush that is due.
+	armed bool
+	// failed is the error of a flush that nobody waited for.
+	failed error
 }
 
+// writeBuffer is the size of the buffer for messages on their way out.
+const writeBuffer = 32 << 10
+
+// gather is how long a frame that is not an answer's first may wait for
+// others of the same connection, so that they go in one write.
+const gather clock.Millis = 1
+
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
 func newStream(conn io.ReadWriteCloser, class Class, frame func(wire.Frame)) *stream {
-	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriter(conn), class: class, frame: frame}
+	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriterSize(conn, writeBuffer), class: class, frame: frame}
 	s.enc = msgpack.NewEncoder(&s.buf)
 	s.enc.UseArrayEncodedStructs(true)
 	return s
@@ -68,21 +80,46 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count("out", data)
-	return s.write(formatRPC, data)
+	if err := s.write(formatRPC, data); err != nil {
+		return err
+	}
+	return s.w.Flush()
 }
 
-// WriteFrame sends a frame.
+// WriteFrame sends a frame: the first of an answer at once, others with those
+// that come within a moment. An error may be told with a later frame.
 func (s *stream) WriteFrame(f wire.Frame) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
 	s.buf.Reset()
 	if err := s.enc.Encode(f); err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
-	return s.write(formatFrame, s.buf.Bytes())
+	if err := s.write(formatFrame, s.buf.Bytes()); err != nil {
+		return err
+	}
+	if f.Head != nil {
+		return s.w.Flush()
+	}
+	if !s.armed {
+		s.armed = true
+		clock.After(gather, s.flush)
+	}
+	return nil
+}
+
+// flush sends the frames that were gathered.
+func (s *stream) flush() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = false
+	s.failed = s.w.Flush()
 }
 
-// write sends one message; the caller holds mu.
+// write puts one message in the buffer; the caller holds mu.
 func (s *stream) write(f format, data []byte) error {
 	if len(data) > MaxMessage {
 		return fmt.Errorf("encode message: %d bytes exceed the limit of %d", len(data), MaxMessage)
@@ -93,10 +130,8 @@
 	if _, err := s.w.Write(head[:n+1]); err != nil {
 		return err
 	}
-	if _, err := s.w.Write(data); err != nil {
-		return err
-	}
-	return s.w.Flush()
+	_, err := s.w.Write(data)
+	return err
 }
 
 // ReadObject implements jsonrpc2.ObjectStream. Frames that come first are
--- a/target/target.go
+++ b/target/target.go
@@ -83,7 +83,10 @@
 		client = c.fresh
 	}
 	res, err := client.Do(req)
-	if err != nil && errors.Is(err, syscall.ECONNREFUSED) {
+	// A request without a body may have been sent before on a connection that
+	// broke, and be sent again by the transport; then a refusal proves nothing.
+	again := !r.Once && len(r.Body) == 0
+	if errors.Is(err, syscall.ECONNREFUSED) && !again {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return res, err
