demo: Let each partner weigh reuse against skew by its floor

At such means the bound moves chats for single requests. routing.load_floor is 4 for the planning desks, who weigh reuse most, and stays 2 for Vigia, who weighs skew most.

--- a/commands/demo.go
+++ b/commands/demo.go
@@ -41,11 +41,14 @@
 	model      string
 	service    string
 	workspaces int
+	// floor is routing.load_floor: the planning desks weigh cache reuse most,
+	// Vigía load skew.
+	floor int
 }
 
 var deployments = []deployment{
-	{"planning", []string{"halfway-tree", "new-kingston", "portmore"}, "drafting", "drafting-1", "desk", 10},
-	{"vigia", []string{"moin-a", "moin-b", "limon-centro"}, "language", "language-1", "position", 10},
+	{"planning", []string{"halfway-tree", "new-kingston", "portmore"}, "drafting", "drafting-1", "desk", 10, 4},
+	{"vigia", []string{"moin-a", "moin-b", "limon-centro"}, "language", "language-1", "position", 10, 2},
 }
 
 // services is how many instances each plain service has.
@@ -152,7 +155,7 @@
 	}
 	f.platform.Put("config", settings.FleetPath, models.String())
 	for _, d := range deployments {
-		f.platform.Put("config", d.partner, "[fairness]\npartner_share = 1.0\n")
+		f.platform.Put("config", d.partner, fmt.Sprintf("[fairness]\npartner_share = 1.0\n[routing]\nload_floor = %d\n", d.floor))
 		for i := range d.workspaces {
 			ws := fmt.Sprintf("ws%d", i)
 			path := d.partner + "/" + ws
