daemon: Ask the node for loads without the engine's lock

Cause: a refusal asked the node for the freshest loads under the engine's lock, while an answer to a peer's exchange asks the engine for its load under the node's: the two waited for each other, and a load of 75 s on the demo never ended (60 calls without an answer, seen in a dump of the goroutines). Ruled out: the gathering of frames, in the same build. The test has offers and exchanges at the same time: before, it stood still until its 20 s were over; after, 2.6 s for the package.

--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -72,12 +72,22 @@
 // enter decides about a request and, when it is admitted, queues it. The
 // returned channel delivers the turn; it is nil when the request is refused.
 func (e *engine) enter(a *attempt, s route.State) (<-chan fair.Item, wire.Result) {
+	turn, res := e.admit(a, s)
+	if turn == nil {
+		// The node is asked while no lock of the engine is held: it asks the
+		// engine for its load under its own.
+		res.Loads = append(res.Loads, e.others()...)
+	}
+	return turn, res
+}
+
+func (e *engine) admit(a *attempt, s route.State) (<-chan fair.Item, wire.Result) {
 	r := a.run
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.queue.Slots()
 	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
-	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: append([]wire.Load{{Engine: e.id, Requests: e.requests()}}, e.others()...)}
+	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
 	switch ans := route.Decide(offer, s, e.book).(type) {
 	case route.Redirect:
 		res.Reason, res.Redirect, res.Cached, res.Message = verdict.NotCached, ans.Engine, ans.Cached, "another engine may hold the chat"
@@ -95,11 +105,10 @@
 		ID: r.Attempt, Partner: r.Partner, Workspace: r.Workspace,
 		PartnerShare: share(r.PartnerShare), WorkspaceShare: share(r.WorkspaceShare), Cost: max(1, r.Cost),
 	}, e.clk.Now())
-	// A free slot takes the longest waiting before anything is given up.
-	e.dispatch()
 	for _, it := range shed {
 		e.shed(it)
 	}
+	e.dispatch()
 	return turn, wire.Result{}
 }
 
--- a/daemon/verdict_test.go
+++ b/daemon/verdict_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
@@ -86,3 +88,35 @@
 		t.Errorf("got %+v, want a refusal with not_run", got)
 	}
 }
+
+// TestRefusalsAndExchangesDoNotWaitForEachOther has entries offer and peers
+// ask at the same time: both need what the engine and the node know.
+func TestRefusalsAndExchangesDoNotWaitForEachOther(t *testing.T) {
+	c := start(t, &sink{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for g := range uint64(4) {
+		wg.Go(func() {
+			for i := range uint64(500) {
+				r := run(g*1000+i+1, 1)
+				r.Mode = wire.ModeCachedOnly
+				var res wire.Result
+				if err := c.Call(ctx, wire.MethodRun, r, &res); err != nil {
+					t.Errorf("offer: %v", err)
+					return
+				}
+			}
+		})
+		wg.Go(func() {
+			for range 500 {
+				var res wire.Exchanged
+				if err := c.Call(ctx, wire.MethodExchange, wire.Exchange{From: "peer"}, &res); err != nil {
+					t.Errorf("exchange: %v", err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
