daemon: Prove that a leaving daemon finishes and refuses by itself

Cause: with the drain, or the refusal of a leaving daemon, taken out the integration tests still passed: the entries hear of the leave from others within a second, and short answers ended while prefixes were handed over. Now a test of the daemon alone has both (it fails without each), and long answers run through the stop of a daemon's process.

--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -49,12 +49,17 @@
 }
 
 func startEngine(tb testing.TB, h link.Handler, cfg engine.Config) *link.Conn {
+	return startSlots(tb, h, serveEngine(tb, cfg), cfg.Slots)
+}
+
+// serveEngine runs an engine stand-in and returns its address.
+func serveEngine(tb testing.TB, cfg engine.Config) string {
 	cfg.Clock = clock.System()
 	ln := listen(tb)
 	srv := &http.Server{Handler: engine.New(cfg)}
 	go func() { _ = srv.Serve(ln) }()
 	tb.Cleanup(func() { _ = srv.Close() })
-	return startSlots(tb, h, ln.Addr().String(), cfg.Slots)
+	return ln.Addr().String()
 }
 
 func startWith(tb testing.TB, h link.Handler, addr string) *link.Conn {
@@ -63,6 +68,11 @@
 }
 
 func startSlots(tb testing.TB, h link.Handler, addr string, slots int) *link.Conn {
+	c, _ := startDaemon(tb, h, addr, slots)
+	return c
+}
+
+func startDaemon(tb testing.TB, h link.Handler, addr string, slots int) (*link.Conn, *daemon.Daemon) {
 	clk := clock.System()
 	peers := listen(tb)
 	d := daemon.New(daemon.Config{
@@ -78,7 +88,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return c
+	return c, d
 }
 
 func run(attempt uint64, tokens int) wire.Run {
--- a/daemon/verdict_test.go
+++ b/daemon/verdict_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/standin/engine"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -120,3 +121,23 @@
 	}
 	wg.Wait()
 }
+
+func TestALeavingDaemonFinishesWhatItHasAndRefusesTheRest(t *testing.T) {
+	addr := serveEngine(t, engine.Config{ID: "e", Slots: 4, CacheTokens: 1 << 20, TokenGap: 5})
+	c, d := startDaemon(t, &sink{}, addr, 4)
+	done := make(chan wire.Result)
+	go func() { done <- call[wire.Result](t, c, wire.MethodRun, run(1, 60)) }()
+	clock.Sleep(context.Background(), 50)
+	left := make(chan int)
+	go func() { left <- d.Leave(context.Background()) }()
+	clock.Sleep(context.Background(), 50)
+	if got := call[wire.Result](t, c, wire.MethodRun, run(2, 5)); got.Verdict != verdict.NotRun || got.Reason != verdict.Leaving || !got.Refused {
+		t.Errorf("new work: got %+v, want a refusal", got)
+	}
+	if got := <-done; got.Verdict != verdict.Ran {
+		t.Errorf("work in flight: got %+v, want it whole", got)
+	}
+	if got := <-left; got != 0 {
+		t.Errorf("got %d cut off, want none", got)
+	}
+}
--- a/integration/leave_test.go
+++ b/integration/leave_test.go
@@ -45,11 +45,23 @@
 
 func TestAPlannedStopOfADaemonCutsOffNothing(t *testing.T) {
 	f := fleettest.Start(t, leaveSpec)
+	var wg sync.WaitGroup
+	long := make([]answer, 9)
 	w := underLoad(t, f, f.Entries, func() {
+		for i := range long {
+			wg.Go(func() { long[i] = chat(f.Entries[i%2], chatBody(true, 150, "long", "", string(rune('a'+i)))).send() })
+		}
+		wait(300)
 		f.EngineDaemons[0].Terminate()
 		<-f.EngineDaemons[0].Done()
+		wg.Wait()
 	})
 	wantAllWhole(t, w)
+	for i, a := range long {
+		if !a.whole {
+			t.Errorf("long answer %d: got status %d %s %s, want it whole", i, a.status, a.verdict, a.reason)
+		}
+	}
 	if log := f.EngineDaemons[0].Log(); !strings.Contains(log, "msg=drained") || !strings.Contains(log, "cut_off=0") {
 		t.Error("got no drained line with cut_off=0")
 	}
