fleet: Let a daemon start from its peers, within the control budget

Cause: a daemon that started read the platform from the beginning, all branches of 12,000 workspaces included (3.6 MB at 300 bytes), and asked its peers ten times a second until it had the whole list: 32 KB/s for 26 s with 3,200 daemons, where 5 KB/s are allowed. Ruled out: waiting at a second's pace to be ready (261 s). Change: a daemon with bootstrap peers leaves the platform alone, needs the fleet's and the partners' settings alone to be ready, and catches up on the list at 2,000 bytes an answer, once a second; it believes two peers at once if the platform has spoken to anybody within 12 s; nobody takes itself for a reader with half a list. After: under 25,000 control bytes in the first 5 s beside 3,000 branches (test).

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -118,6 +118,7 @@
 	n.sample(res.Loads)
 	n.heardPeers[id] = true
 	n.caughtUp = n.upToDate(res.Revs)
+	n.listComplete = n.store.Upto(wire.TopicInstances) >= res.Revs[wire.TopicInstances]
 	if rev, ok := res.Revs[wire.TopicBranches]; ok {
 		n.branchesComplete = n.store.Upto(wire.TopicBranches) >= rev
 	}
@@ -128,9 +129,14 @@
 }
 
 // upToDate reports whether this process has all that the peer had of the
-// topics that decisions need at once; the caller holds mu.
+// topics that decisions need at once; the caller holds mu. A daemon can decide
+// before it has the whole list, which takes minutes for a large fleet.
 func (n *Node) upToDate(revs map[wire.Topic]int64) bool {
-	for _, t := range []wire.Topic{wire.TopicCore, wire.TopicInstances} {
+	needed := []wire.Topic{wire.TopicCore}
+	if n.cfg.Role == member.Entry {
+		needed = append(needed, wire.TopicInstances)
+	}
+	for _, t := range needed {
 		if n.store.Upto(t) < revs[t] {
 			return false
 		}
@@ -142,6 +148,10 @@
 // platform and its peers before it makes do with one of them.
 const startPatience clock.Millis = 3000
 
+// freshEnough is the age of the platform's latest word to anybody at which
+// peers alone are believed: a watch answers after watchWait at the latest.
+const freshEnough = watchWait + 2000
+
 // settleReady decides whether the node knows enough to serve.
 func (n *Node) settleReady(listed int) {
 	n.mu.Lock()
@@ -152,7 +162,8 @@
 	enoughPeers := n.caughtUp && len(n.heardPeers) >= min(startPeers, max(1, listed))
 	alone := listed == 0 && len(n.cfg.Bootstrap) == 0
 	waited := n.clk.Now()-n.startAt > startPatience
-	if (n.readOK && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing)) {
+	fresh := n.store.Fresh(n.clk.Now()) < freshEnough
+	if (n.readOK && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing || fresh)) {
 		n.ready.Store(true)
 		n.cfg.Log.Info("ready", "from_platform", n.readOK, "peers_heard", len(n.heardPeers))
 	}
@@ -269,6 +280,10 @@
 func (n *Node) isReader() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if len(n.cfg.Bootstrap) > 0 && !n.listComplete {
+		// With half of a list everybody would be among the first.
+		return false
+	}
 	var ids []route.Target
 	self := false
 	for _, in := range n.view.Listing() {
@@ -305,7 +320,9 @@
 // readLoop reads one topic of the platform while this process is a reader.
 func (n *Node) readLoop(t platform.Topic) func(context.Context) {
 	return func(ctx context.Context) {
-		first := true
+		// A daemon that has peers to ask leaves the platform alone: it needs a
+		// small part of what a read from the start brings.
+		first := n.cfg.Role == member.Entry || len(n.cfg.Bootstrap) == 0
 		for ctx.Err() == nil {
 			if !first && !n.mayRead() {
 				clock.Sleep(ctx, jitter(readerCheck))
@@ -330,7 +347,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.store.Fresh(n.clk.Now()) < staleAfter && n.ready.Load() {
+	if n.store.Fresh(n.clk.Now()) < staleAfter && n.ready.Load() || n.clk.Now()-n.startAt < startPatience {
 		return false
 	}
 	return rand.Float64() < strayReads/float64(len(n.view.Peers())+1)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -80,6 +80,8 @@
 	// heardPeers counts distinct peers that answered since the start.
 	heardPeers map[string]bool
 	caughtUp   bool
+	// listComplete is true once a peer had nothing newer of the list.
+	listComplete bool
 	// branchesComplete is true once a peer had no branch that is not here.
 	branchesComplete bool
 	fetchLimit       *rate.Limiter
--- a/integration/settings_test.go
+++ b/integration/settings_test.go
@@ -158,6 +158,13 @@
 	f.Put("vigia/many7", "[access]\nkey_sha256 = [\""+settings.HashKey("vigia.many7.secret")+"\"]\n")
 	// Peers alone: a start must not need the platform either.
 	f.Eventually("first entry has the tree", func() bool { return f.Entries[0].Setting("vigia/many2999", deadlineKey) == 5000.0 })
+	engine := f.StartEngine(2)
+	d := f.StartDaemon(engine, "drafting", 2)
+	f.Eventually("new daemon", d.Ready)
+	wait(4000)
+	if got, want := d.Metric("weldfall_control_bytes_total"), 25_000.0; got > want {
+		t.Errorf("got %.0f control bytes of a daemon in its first 5 s, want at most %.0f", got, want)
+	}
 	f.Mode("down")
 	fresh := f.StartEntry(1)
 	f.Entries = append(f.Entries, fresh)
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -48,8 +48,9 @@
 	chunkBytes int
 }
 
-// DefaultChunkBytes is about a second's worth of the control budget.
-const DefaultChunkBytes = 3000
+// DefaultChunkBytes is what the control budget of 5,000 bytes a second leaves
+// for catching up beside the ordinary traffic.
+const DefaultChunkBytes = 2000
 
 // itemOverhead is the envelope of an item in bytes, for the chunk's bound.
 const itemOverhead = 64
