daemon: Count the load without a lock

A dump showed a second circle: the poll of an engine asked the node for the reserve under the engine's lock, while an exchange asked the engine for its load under the node's. Ruled out: more such places one by one; the load is an atomic count now, so the node never waits for an engine.

--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -35,6 +36,8 @@
 	// milliseconds, for telling a shed caller when to come back.
 	serviceTime float64
 	eventSeq    int64
+	// counted is requests() as of the latest change of the queue.
+	counted atomic.Int64
 	// others returns the freshest loads known of other engines.
 	others func() []wire.Load
 }
@@ -53,10 +56,10 @@
 // requests returns the load: running and waiting. The caller holds mu.
 func (e *engine) requests() int { return e.queue.Running() + e.queue.Len() }
 
+// load takes no lock: the node asks for it under its own, and this package
+// asks the node under the engine's.
 func (e *engine) load() wire.Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return wire.Load{Engine: e.id, Requests: e.requests()}
+	return wire.Load{Engine: e.id, Requests: int(e.counted.Load())}
 }
 
 // loads returns the engine's own load and the freshest of others.
@@ -74,8 +77,6 @@
 func (e *engine) enter(a *attempt, s route.State) (<-chan fair.Item, wire.Result) {
 	turn, res := e.admit(a, s)
 	if turn == nil {
-		// The node is asked while no lock of the engine is held: it asks the
-		// engine for its load under its own.
 		res.Loads = append(res.Loads, e.others()...)
 	}
 	return turn, res
@@ -150,6 +151,7 @@
 
 // dispatch gives free slots to those whose turn it is; the caller holds mu.
 func (e *engine) dispatch() {
+	defer func() { e.counted.Store(int64(e.requests())) }()
 	for {
 		it, ok := e.queue.Pop(e.clk.Now())
 		if !ok {
@@ -167,6 +169,7 @@
 	ok := e.queue.Remove(id)
 	if ok {
 		e.forget(id)
+		e.counted.Store(int64(e.requests()))
 	}
 	return ok
 }
@@ -207,11 +210,12 @@
 	for clock.Sleep(ctx, pollPeriod*9/10+clock.Millis(rand.Int64N(int64(pollPeriod)/5))) {
 		callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 		report, err := e.client.Load(callCtx)
+		ratio := reserveRatio()
 		if err == nil {
 			e.mu.Lock()
 			e.book.SetCapacity(report.CacheCapacity)
 			if report.Slots > 0 {
-				e.queue.SetSlots(report.Slots, int(reserveRatio()*float64(report.Slots)))
+				e.queue.SetSlots(report.Slots, int(ratio*float64(report.Slots)))
 			}
 			after := e.eventSeq
 			e.mu.Unlock()
--- a/daemon/verdict_test.go
+++ b/daemon/verdict_test.go
@@ -90,16 +90,18 @@
 	}
 }
 
-// TestRefusalsAndExchangesDoNotWaitForEachOther has entries offer and peers
-// ask at the same time: both need what the engine and the node know.
+// TestRefusalsAndExchangesDoNotWaitForEachOther has entries offer, peers ask
+// and the engine be polled at the same time: all need what the engine and the
+// node know. It goes on for a few polls.
 func TestRefusalsAndExchangesDoNotWaitForEachOther(t *testing.T) {
 	c := start(t, &sink{})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
+	const offers = 6000
 	var wg sync.WaitGroup
 	for g := range uint64(4) {
 		wg.Go(func() {
-			for i := range uint64(500) {
+			for i := uint64(0); ctx.Err() == nil && i < offers; i++ {
 				r := run(g*1000+i+1, 1)
 				r.Mode = wire.ModeCachedOnly
 				var res wire.Result
@@ -110,7 +112,7 @@
 			}
 		})
 		wg.Go(func() {
-			for range 500 {
+			for i := 0; ctx.Err() == nil && i < offers; i++ {
 				var res wire.Exchanged
 				if err := c.Call(ctx, wire.MethodExchange, wire.Exchange{From: "peer"}, &res); err != nil {
 					t.Errorf("exchange: %v", err)
--- /dev/null
+++ b/integration/surge_test.go
@@ -0,0 +1,77 @@
+package integration_test
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/internal/fleettest"
+)
+
+// TestASurgeIsShedAtOnceAndTheOtherPartnerIsServed floods two small engines
+// with one partner's chats. Every request gets an answer, the other partner's
+// are all whole, and what was shed did not run.
+func TestASurgeIsShedAtOnceAndTheOtherPartnerIsServed(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Spec{
+		Engines: 2, Entries: 2, Fleet: "[limits]\nqueue_per_engine = 8\n",
+		EngineArgs: []string{"--gap-ms", "4", "--slots", "5", "--lag-ms", "500"},
+	})
+	// Slots and reserve are known once the engines have been polled.
+	wait(1500)
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var shed, whole int
+	var others []answer
+	for range 60 {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				a := chat(f.Entries[n%2], chatBody(true, 50, "surge")).send()
+				mu.Lock()
+				if a.whole {
+					whole++
+				} else {
+					shed++
+					others = append(others, a)
+				}
+				mu.Unlock()
+				if !a.whole {
+					wait(20)
+				}
+			}
+		})
+	}
+	wait(500)
+	clk := clock.System()
+	var took []int64
+	for n := range 20 {
+		q := chat(f.Entries[n%2], chatBody(true, 50, "calm"))
+		q.key = fleettest.Key("vigia", "ws0")
+		start := clk.Micros()
+		if a := q.send(); !a.whole {
+			t.Errorf("other partner: got %d %s, want a whole answer", a.status, a.reason)
+		}
+		took = append(took, clk.Micros()-start)
+	}
+	stop.Store(true)
+	wg.Wait()
+	ran := map[string]bool{}
+	for _, e := range f.Engines {
+		for _, r := range f.RunsOf(e) {
+			ran[r.Key] = true
+		}
+	}
+	for _, a := range others {
+		if a.status != http.StatusTooManyRequests || a.verdict != "not_run" || a.header.Get("Retry-After") == "" || ran[requestOf(a)] {
+			t.Errorf("got %d %s %s, ran %t, want 429, not_run and when to come back", a.status, a.verdict, a.reason, ran[requestOf(a)])
+		}
+	}
+	if shed == 0 || whole == 0 {
+		t.Errorf("got %d shed and %d whole, want both", shed, whole)
+	}
+	slices.Sort(took)
+	t.Logf("%d whole and %d shed of the surge; the other partner's median %d us", whole, shed, took[len(took)/2])
+}
