--- a/entry/send.go
+++ b/entry/send.go
@@ -110,10 +110,10 @@
 		Attempt: attempt, Request: c.id, Engine: s.Engine, Mode: s.Mode,
 		Partner: c.partner, Workspace: c.workspace, Service: c.service,
 		PartnerShare: v.Fairness.PartnerShare, WorkspaceShare: v.Fairness.WorkspaceShare, Priority: v.Fairness.Priority,
-		Chat: c.chatKey, Returning: c.returning,
+		Chat:   c.chatKey,
 		Method: c.r.Method, Path: targetPath(c), Header: targetHeader(c.r), Body: c.body,
 		Stream: c.chat.Stream, WantUsage: c.chat.StreamOptions.IncludeUsage,
-		Prompt: c.promptTokens(), Cost: c.cost(), Left: c.left(e.clk.Now()), Once: c.once,
+		Cost: c.cost(), Left: c.left(e.clk.Now()), Once: c.once,
 		Mean: mean, LoadBound: v.Routing.LoadBound, LoadFloor: v.Routing.LoadFloor, QueueLimit: v.Limits.QueuePerEngine, Loads: e.node.FreshLoads(),
 	}
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -90,7 +89,6 @@
 	renewing bool
 
 	ready   atomic.Bool
-	pauses  atomic.Int64
 	startAt clock.Millis
 	wakeup  chan struct{}
 }
@@ -141,9 +139,6 @@
 // platform or has what its peers have.
 func (n *Node) Ready() bool { return n.ready.Load() }
 
-// Pauses returns how often this process noticed that it had stood still.
-func (n *Node) Pauses() int64 { return n.pauses.Load() }
-
 // Effective returns the settings in force at path.
 func (n *Node) Effective(path string) settings.Values {
 	n.mu.Lock()
@@ -190,13 +185,6 @@
 	return n.store.Revs()
 }
 
-// Workspaces lists the workspace paths with a branch in force.
-func (n *Node) Workspaces() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.DeleteFunc(n.tree.Paths(), func(p string) bool { return settings.Depth(p) != 2 })
-}
-
 // targetsTTL bounds how long the targets of a pool are cached: hold-offs and
 // back-offs end by time alone.
 const targetsTTL clock.Millis = 100
--- /dev/null
+++ b/fleet/read.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/route"
+	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// readersPerHall is how many processes of a data hall read the platform.
+const readersPerHall = 2
+
+// isReader reports whether this process is one of the few in its data hall
+// that read the platform: those ranked first for the hall's name.
+func (n *Node) isReader() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.cfg.Bootstrap) > 0 && !n.listComplete {
+		// With half of a list everybody would be among the first.
+		return false
+	}
+	var ids []route.Target
+	self := false
+	for _, in := range n.view.Listing() {
+		if in.Hall == n.cfg.Hall && n.view.State(in.ID) == member.Live {
+			ids = append(ids, route.NewTarget(in.ID, 1))
+			self = self || in.ID == n.cfg.ID
+		}
+	}
+	if !self {
+		return len(n.view.Peers()) == 0
+	}
+	for _, i := range route.Rank(route.ChatKey("reader", n.cfg.Hall), ids, readersPerHall) {
+		if ids[i].ID() == n.cfg.ID {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// watchWait is how long a read waits at the platform for a change.
+	watchWait clock.Millis = 10_000
+	// readBackoff is the wait after a failed read.
+	readBackoff clock.Millis = 1000
+	// readerCheck is how often a process asks itself whether it is a reader.
+	readerCheck clock.Millis = 1000
+	// staleAfter is the age of the freshest news from the platform at which
+	// processes other than the readers try for themselves.
+	staleAfter clock.Millis = 15_000
+	// strayReads is about how many such reads a second the whole fleet makes.
+	strayReads = 20
+)
+
+// readLoop reads one topic of the platform while this process is a reader.
+func (n *Node) readLoop(t platform.Topic) func(context.Context) {
+	return func(ctx context.Context) {
+		// A daemon that has peers to ask leaves the platform alone: it needs a
+		// small part of what a read from the start brings.
+		first := n.cfg.Role == member.Entry || len(n.cfg.Bootstrap) == 0
+		for ctx.Err() == nil {
+			if !first && !n.mayRead() {
+				clock.Sleep(ctx, jitter(readerCheck))
+				continue
+			}
+			wait := watchWait
+			if first || !n.isReader() {
+				wait = 0
+			}
+			ok := n.read(ctx, t, wait)
+			first = first && !ok && !n.Ready()
+			if !ok {
+				clock.Sleep(ctx, jitter(readBackoff))
+			}
+		}
+	}
+}
+
+func (n *Node) mayRead() bool {
+	if n.isReader() {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.store.Fresh(n.clk.Now()) < staleAfter && n.ready.Load() || n.clk.Now()-n.startAt < startPatience {
+		return false
+	}
+	return rand.Float64() < strayReads/float64(len(n.view.Peers())+1)
+}
+
+// read takes what the platform has after what this process has; it returns
+// false on failure. Answers older than that change nothing.
+func (n *Node) read(ctx context.Context, t platform.Topic, wait clock.Millis) bool {
+	n.mu.Lock()
+	after := n.readAfter(t)
+	n.mu.Unlock()
+	b, err := n.cfg.Platform.Changes(ctx, t, after, wait)
+	if err != nil {
+		if ctx.Err() == nil {
+			metrics.GetOrCreateCounter("weldfall_platform_failed_total").Inc()
+			n.cfg.Log.Warn("platform_unreachable", "topic", t, "error", err)
+		}
+		return false
+	}
+	n.mu.Lock()
+	items := n.toItems(t, b)
+	news := n.learn(items)
+	for _, topic := range topicsOf(t) {
+		n.store.Complete(topic, b.Rev)
+	}
+	if b.Rev >= after {
+		n.store.Heard(0, n.clk.Now())
+	}
+	n.readOK = true
+	n.mu.Unlock()
+	n.push(news, nil)
+	n.settleReady(0)
+	return true
+}
+
+func topicsOf(t platform.Topic) []wire.Topic {
+	if t == platform.Instances {
+		return []wire.Topic{wire.TopicInstances}
+	}
+	return []wire.Topic{wire.TopicCore, wire.TopicBranches}
+}
+
+// readAfter is the lowest revision that all held topics of t are complete to;
+// the caller holds mu.
+func (n *Node) readAfter(t platform.Topic) int64 {
+	after := int64(-1)
+	for _, topic := range topicsOf(t) {
+		if !n.store.Holds(topic) {
+			continue
+		}
+		if rev := n.store.Upto(topic); after < 0 || rev < after {
+			after = rev
+		}
+	}
+	return max(0, after)
+}
+
+// toItems turns a batch into items; each names the one before it in its
+// topic, so that peers can tell whether they missed any.
+func (n *Node) toItems(t platform.Topic, b platform.Batch) []wire.Item {
+	prev := map[wire.Topic]int64{}
+	for _, topic := range topicsOf(t) {
+		prev[topic] = n.store.Upto(topic)
+	}
+	items := make([]wire.Item, 0, len(b.Items))
+	for _, it := range b.Items {
+		topic := wire.TopicInstances
+		if t == platform.Config {
+			topic = wire.TopicBranches
+			if settings.Depth(it.Key) <= 1 {
+				topic = wire.TopicCore
+			}
+		}
+		items = append(items, wire.Item{Topic: topic, Key: it.Key, Rev: it.Rev, Prev: prev[topic], Value: it.Value, Gone: it.Gone})
+		prev[topic] = it.Rev
+	}
+	return items
+}
--- a/route/book.go
+++ b/route/book.go
@@ -73,9 +73,6 @@
 	}
 }
 
-// Clear forgets the cache, after an engine's restart.
-func (b *Book) Clear() { b.chats.Purge() }
-
 // Cached returns the tokens of chat that the engine is believed to hold.
 func (b *Book) Cached(chat uint64) int {
 	p, _ := b.chats.Peek(chat)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -65,9 +65,7 @@
 
 	// Chat is the chat's hash, zero for a plain service.
 	Chat uint64 `json:"c,omitempty"`
-	// Returning is true when the chat had an earlier turn.
-	Returning bool `json:"rt,omitempty"`
-	Mode      Mode `json:"md,omitempty"`
+	Mode Mode   `json:"md,omitempty"`
 
 	Method string            `json:"m"`
 	Path   string            `json:"u"`
@@ -77,9 +75,8 @@
 	// WantUsage is true when the caller asked for the usage in the stream.
 	WantUsage bool `json:"wu,omitempty"`
 
-	// Prompt and Cost are estimates in tokens; Cost includes the answer.
-	Prompt int `json:"pt,omitempty"`
-	Cost   int `json:"ct"`
+	// Cost is an estimate in tokens, prompt and answer.
+	Cost int `json:"ct"`
 	// Left is the time to the deadline in milliseconds.
 	Left clock.Millis `json:"l"`
 	Once *Once        `json:"o,omitempty"`
@@ -157,8 +154,6 @@
 	Frames int    `json:"f,omitempty"`
 	Usage  Usage  `json:"us,omitzero"`
 	Loads  []Load `json:"ld,omitempty"`
-	// Replayed is true when the answer is that of an earlier attempt.
-	Replayed bool `json:"rp,omitempty"`
 }
 
 // Cancel asks that an attempt be given up.
