burn: Report cache reuse, load skew and control traffic; fair: Do not hold others' queues against a partner

Cause: (1) the users' three measures stood in three places; they are in the burn report now, added up over processes where that is exact. (2) beside a surge on its pool a partner's requests were refused for a load bound that the other's queue had filled, and went from engine to engine: 95th percentile 254 ms alone, 348 ms beside the surge. (3) a process that catches up no longer hands on what all others have.

--- a/burn/burn.go
+++ b/burn/burn.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -133,6 +134,7 @@
 	byPath map[string]*series
 	// first and between are latencies in microseconds by partner/service.
 	first, between map[string]*hdrhistogram.Histogram
+	reuse          map[string]Tokens
 }
 
 // Bounds of the histograms, in microseconds, and their precision: two
@@ -148,7 +150,7 @@
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{byPath: map[string]*series{}, first: map[string]*hdrhistogram.Histogram{}, between: map[string]*hdrhistogram.Histogram{}}
+	return &Recorder{byPath: map[string]*series{}, first: map[string]*hdrhistogram.Histogram{}, between: map[string]*hdrhistogram.Histogram{}, reuse: map[string]Tokens{}}
 }
 
 // Observe counts one event under the objectives in force for it.
@@ -228,11 +230,13 @@
 	// First and Between are encoded histograms by partner/service.
 	First   map[string][]byte `json:"first,omitempty"`
 	Between map[string][]byte `json:"between,omitempty"`
+	// Measures are the users' three measures.
+	Measures Measures `json:"measures"`
 }
 
 // Snapshot returns the counts at now.
 func (r *Recorder) Snapshot(now clock.Millis) Snapshot {
-	s := Snapshot{First: encode(r.first), Between: encode(r.between)}
+	s := Snapshot{First: encode(r.first), Between: encode(r.between), Measures: Measures{Reuse: maps.Clone(r.reuse)}}
 	for path, se := range r.byPath {
 		for wi, w := range se.windows {
 			for oi, o := range Objectives {
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -115,6 +115,33 @@
 	}
 }
 
+func TestTheThreeMeasuresAreMerged(t *testing.T) {
+	var snaps []burn.Snapshot
+	for i := range 2 {
+		r := burn.NewRecorder()
+		r.Turn("planning", 1000, 700+100*i)
+		s := r.Snapshot(0)
+		s.Measures.Skew = map[string]float64{"drafting": 1.2 + float64(i)/10}
+		s.Measures.Control = map[string]float64{"in": 1000, "out": 500}
+		snaps = append(snaps, s)
+	}
+	rep, err := burn.Merge([]string{"a", "b"}, snaps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]float64{}
+	for _, m := range rep.Measures {
+		got[m.Measure+" "+m.Of] = m.Value
+	}
+	for name, want := range map[string]float64{
+		"cache reuse of returning chats planning": 0.75, "load skew drafting": 1.3, "control traffic a": 1500, "control traffic b": 1500,
+	} {
+		if math.Abs(got[name]-want) > 1e-9 {
+			t.Errorf("%s: got %v, want %v", name, got[name], want)
+		}
+	}
+}
+
 func TestThePageNamesWhatBurns(t *testing.T) {
 	r := burn.NewRecorder()
 	observe(r, "planning/ws0/chat", 100, 30, 0)
--- a/burn/html.go
+++ b/burn/html.go
@@ -100,6 +100,10 @@
 {{range .Bars}}<rect class="{{.Class}}" x="{{.X}}" y="{{.Y}}" width="{{.W}}" height="{{.H}}"/><text x="{{mid .}}" y="{{up .}}" text-anchor="middle">{{.Value}}</text><text transform="translate({{mid .}},160) rotate(25)">{{.Label}}</text>
 {{end}}<line x1="0" x2="{{.Width}}" y1="{{.Line}}" y2="{{.Line}}" stroke="#555" stroke-dasharray="4 4"/></svg></figure>
 {{end}}
+<h2>Measures</h2>
+<table><tr><th>measure</th><th>of</th><th>value</th><th>unit</th></tr>
+{{range .Report.Measures}}<tr><td>{{.Measure}}</td><td>{{.Of}}</td><td>{{printf "%.3f" .Value}}</td><td>{{.Unit}}</td></tr>
+{{end}}</table>
 <h2>Times</h2>
 <table><tr><th>flow</th><th>time</th><th>p50 ms</th><th>p95 ms</th><th>p99 ms</th><th>requests</th></tr>
 {{range .Report.Percentiles}}<tr><td>{{.Flow}}</td><td>{{.What}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P95}}</td><td>{{printf "%.1f" .P99}}</td><td>{{.N}}</td></tr>
--- a/burn/merge.go
+++ b/burn/merge.go
@@ -20,6 +20,8 @@
 	Rows        []Row         `json:"rows"`
 	Percentiles []Percentiles `json:"percentiles"`
 	Alerts      []Alert       `json:"alerts"`
+	// Measures are cache reuse, load skew and control traffic.
+	Measures []MeasureRow `json:"measures"`
 }
 
 // Alert is a budget that is being spent too fast in two windows at once.
@@ -66,7 +68,7 @@
 			}
 		}
 	}
-	rep := Report{Sources: sources}
+	rep := Report{Sources: sources, Measures: measures(sources, snaps)}
 	for k, r := range rows {
 		r.Burn = r.Rate(r.Target)
 		rows[k] = r
--- a/commands/burn.go
+++ b/commands/burn.go
@@ -61,6 +61,10 @@
 	for _, p := range rep.Percentiles {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%.1f ms\t%.1f ms\t%.1f ms\t%d\n", p.Flow, p.What, p.P50, p.P95, p.P99, p.N)
 	}
+	_, _ = fmt.Fprintln(w, "\nMEASURE\tOF\tVALUE\tUNIT")
+	for _, m := range rep.Measures {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%s\n", m.Measure, m.Of, m.Value, m.Unit)
+	}
 	for _, a := range rep.Alerts {
 		_, _ = fmt.Fprintf(w, "\n%s\t%s\t%s\tburn %.1f\n", strings.ToUpper(a.Severity), a.Path, a.Objective, a.Burn)
 	}
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -87,6 +87,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.queue.Slots()
+	s.Owed = e.queue.Owed(r.Partner, share(r.PartnerShare), e.clk.Now())
 	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
 	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
 	switch ans := route.Decide(offer, s, e.book).(type) {
--- a/entry/account.go
+++ b/entry/account.go
@@ -22,6 +22,9 @@
 		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_prompt_tokens_total{partner=%q}`, c.partner)).Add(c.result.Usage.Prompt)
 		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_cached_tokens_total{partner=%q}`, c.partner)).Add(c.result.Usage.Cached)
 	}
+	if c.returning && v == verdict.Ran {
+		e.burn.Turn(c.partner, c.result.Usage.Prompt, c.result.Usage.Cached)
+	}
 	e.observeBurn(c, v, reason)
 	args := []any{
 		"request", c.id, "partner", c.partner, "workspace", c.workspace, "service", c.service,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,13 @@
 	b.r.Observe(ev, t, now)
 }
 
+// Turn counts a returning chat turn.
+func (b *burnRecorder) Turn(partner string, prompt, cached int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.r.Turn(partner, prompt, cached)
+}
+
 // New returns an entry that is not yet running.
 func New(cfg Config) *Entry {
 	// NewLRU fails only for sizes that are not positive.
@@ -114,8 +121,11 @@
 // Burn returns what this entry has counted.
 func (e *Entry) Burn() burn.Snapshot {
 	e.burn.mu.Lock()
-	defer e.burn.mu.Unlock()
-	return e.burn.r.Snapshot(e.clk.Now())
+	s := e.burn.r.Snapshot(e.clk.Now())
+	e.burn.mu.Unlock()
+	s.Measures.Skew = e.node.Skew()
+	s.Measures.Control = link.ControlRate(e.clk.Now())
+	return s
 }
 
 // Call implements link.Handler.
--- a/fair/queue.go
+++ b/fair/queue.go
@@ -140,15 +140,43 @@
 	return it, true
 }
 
-// underShare returns the waiting partner furthest behind among those that run
-// less than their share of the slots, nil if there is none.
-func (q *Queue) underShare(now clock.Millis) *flow {
+// presentShares adds up the shares of the partners that are about.
+func (q *Queue) presentShares(now clock.Millis) float64 {
 	total := 0.0
 	for _, c := range q.root.children {
 		if c.index >= 0 || c.running > 0 || now-c.lastPush < Presence {
 			total += c.share
 		}
 	}
+	return total
+}
+
+// Owed reports whether others wait here while the partner has less than its
+// share of the slots, running and waiting: its next request will be served
+// before theirs, so that their waiting is no reason to turn it away.
+func (q *Queue) Owed(partner string, share float64, now clock.Millis) bool {
+	if q.length == 0 {
+		return false
+	}
+	total, has := q.presentShares(now), 0
+	if c, ok := q.root.children[partner]; ok {
+		has = c.running
+		for _, w := range c.children {
+			has += w.items.Len()
+		}
+		if c.index < 0 && c.running == 0 && now-c.lastPush >= Presence {
+			total += share
+		}
+	} else {
+		total += share
+	}
+	return float64(has) < float64(q.slots)*share/total
+}
+
+// underShare returns the waiting partner furthest behind among those that run
+// less than their share of the slots, nil if there is none.
+func (q *Queue) underShare(now clock.Millis) *flow {
+	total := q.presentShares(now)
 	var best *flow
 	for _, c := range q.root.active {
 		if float64(c.running) < float64(q.slots)*c.share/total && (best == nil || c.vtime < best.vtime) {
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -90,6 +90,29 @@
 	}
 }
 
+func TestAPartnerUnderItsShareIsOwedASlotOnlyWhereOthersWait(t *testing.T) {
+	q := fair.New(100, 4)
+	push := func(id uint64, partner string) { q.Push(item(id, partner, "w", 10), 0) }
+	if q.Owed("b", 1, 0) {
+		t.Error("idle engine: got owed, want the bound to hold")
+	}
+	for i := range uint64(8) {
+		push(i, "a")
+		q.Pop(0)
+	}
+	if q.Owed("a", 1, 0) {
+		t.Error("alone and waiting: got owed, want not")
+	}
+	if !q.Owed("b", 1, 0) {
+		t.Error("another that has nothing: got not owed, want owed")
+	}
+	push(100, "b")
+	push(101, "b")
+	if q.Owed("b", 1, 0) {
+		t.Error("with half of the slots: got owed, want not")
+	}
+}
+
 // TestQueueKeepsItsPromises drives random pushes, pops and removals: nothing
 // is lost or given twice, the bound holds, and the queue is work-conserving.
 func TestQueueKeepsItsPromises(t *testing.T) {
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -120,6 +120,10 @@
 	}
 	n.mu.Unlock()
 	metrics.GetOrCreateCounter("weldfall_exchange_total").Inc()
+	if len(news) > handOnAtMost {
+		// This process is catching up; the others have had these for long.
+		news = nil
+	}
 	n.push(news, leaving)
 	n.settleReady(listed)
 }
@@ -140,6 +144,9 @@
 	return true
 }
 
+// handOnAtMost is how many items that came with an exchange are handed on.
+const handOnAtMost = 3
+
 // startPatience is how long a starting process waits to hear from both the
 // platform and its peers before it makes do with one of them.
 const startPatience clock.Millis = 3000
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -391,6 +391,33 @@
 	return out
 }
 
+// Skew returns the highest load of an engine over the mean of its pool, per
+// slot, for each pool with a load.
+func (n *Node) Skew() map[string]float64 {
+	type sums struct {
+		requests, slots int
+		top             float64
+	}
+	pools := map[string]*sums{}
+	for _, e := range n.Engines() {
+		s := pools[e.Pool]
+		if s == nil {
+			s = &sums{}
+			pools[e.Pool] = s
+		}
+		s.requests += e.Requests
+		s.slots += e.Slots
+		s.top = max(s.top, float64(e.Requests)/float64(max(1, e.Slots)))
+	}
+	out := map[string]float64{}
+	for pool, s := range pools {
+		if s.requests > 0 {
+			out[pool] = s.top * float64(s.slots) / float64(s.requests)
+		}
+	}
+	return out
+}
+
 // Handle answers the control messages that every process takes. It reports
 // false for other methods.
 func (n *Node) Handle(method string, params json.RawMessage) (any, bool, error) {
--- a/link/codec.go
+++ b/link/codec.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -203,6 +204,21 @@
 	if s.class == Data {
 		return
 	}
-	name := fmt.Sprintf(`weldfall_control_bytes_total{direction=%q,kind=%q}`, direction, kindOf(data))
+	name := fmt.Sprintf(`%s{direction=%q,kind=%q}`, controlMetric, direction, kindOf(data))
 	metrics.GetOrCreateCounter(name).Add(len(data))
 }
+
+// controlMetric is the name of the counters of control bytes.
+const controlMetric = "weldfall_control_bytes_total"
+
+// ControlRate returns the control bytes a second since the start of the
+// process, by direction and kind.
+func ControlRate(now clock.Millis) map[string]float64 {
+	out := map[string]float64{}
+	for _, name := range metrics.ListMetricNames() {
+		if labels, ok := strings.CutPrefix(name, controlMetric); ok {
+			out[labels] = float64(metrics.GetOrCreateCounter(name).Get()) * 1000 / float64(max(1, now))
+		}
+	}
+	return out
+}
--- a/route/admit.go
+++ b/route/admit.go
@@ -21,6 +21,9 @@
 	Bound   float64
 	Floor   int
 	Leaving bool
+	// Owed is true when the requester's partner has less than its share of an
+	// engine where others wait; their queue is not held against it.
+	Owed bool
 }
 
 // Answer is what the daemon makes of an offer: Admit, Redirect or Refuse.
@@ -63,7 +66,7 @@
 			return Refuse{NotCached: true}
 		}
 	}
-	if o.Mode != wire.ModeForce && s.Mean >= 0 && s.Requests+1 > Limit(s.Bound, s.Mean, s.Floor, s.Slots, s.Engines) {
+	if o.Mode != wire.ModeForce && !s.Owed && s.Mean >= 0 && s.Requests+1 > Limit(s.Bound, s.Mean, s.Floor, s.Slots, s.Engines) {
 		return Refuse{OverBound: true}
 	}
 	return Admit{}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -162,6 +162,10 @@
 			t.Errorf("%s at the limit: got %+v, want a refusal for the load", mode, ans)
 		}
 	}
+	s.Owed = true
+	if _, ok := route.Decide(route.Offer{Chat: 1, Mode: wire.ModeNormal}, s, book).(route.Admit); !ok {
+		t.Error("owed a slot: got a refusal, want the others' queue not held against it")
+	}
 	s.Leaving, s.Requests = true, 0
 	if ans, ok := route.Decide(route.Offer{Mode: wire.ModeForce}, s, book).(route.Refuse); !ok || !ans.Leaving {
 		t.Errorf("leaving: got %+v, want a refusal", ans)
