--- a/fleet/read.go
+++ b/fleet/read.go
@@ -120,7 +120,10 @@
 	}
 	n.readOK = true
 	n.mu.Unlock()
-	n.push(news, nil)
+	if after > 0 {
+		// A read from the start is this process catching up, and no news.
+		n.push(news, nil)
+	}
 	n.settleReady(0)
 	return true
 }
