daemon: Wait for a turn in one place

Cause: reading as a newcomer: serve had three ways out of the queue, and one of them could wait for ever: an attempt whose deadline passed while it was shed waited for a turn that never comes (a goroutine for each, no slot). The wait and the run are functions of their own now, with one rule after a withdrawal that found nothing. A decision asks for the pool's load alone instead of ranking it once more. All tests of the daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -226,7 +226,7 @@
 
 // state is what the decision needs beside the engine's own state.
 func (d *Daemon) state(r wire.Run) route.State {
-	_, _, engines, mean := d.node.Next(d.cfg.Pool, r.Chat, r.Engine)
+	engines, mean := d.node.PoolLoad(d.cfg.Pool)
 	if r.Mean >= 0 {
 		mean = r.Mean
 	}
@@ -244,40 +244,12 @@
 			close(deadline)
 		}
 	}()
-	var it fair.Item
-	select {
-	case it = <-turn:
-	case <-deadline:
-		d.giveUp(a, verdict.Deadline, "the deadline passed in the queue")
-		if e.withdraw(a.run.Attempt) {
-			return
-		}
-		it = <-turn
-	case <-a.ctx.Done():
-		if e.withdraw(a.run.Attempt) {
-			return
-		}
-		select {
-		case it = <-turn:
-		default:
-			// Shed: its place is gone already.
-			return
-		}
+	it, ok := d.awaitTurn(e, a, turn, deadline)
+	if !ok {
+		return
 	}
 	from := d.clk.Now()
-	res := wire.Result{Verdict: verdict.NotRun}
-	if a.start() {
-		watch := make(chan struct{})
-		go func() {
-			select {
-			case <-deadline:
-				d.giveUp(a, verdict.Deadline, "the deadline passed while it ran")
-			case <-watch:
-			}
-		}()
-		res = e.relay(a)
-		close(watch)
-	}
+	res := d.relay(e, a, deadline)
 	cost := res.Usage.Prompt - res.Usage.Cached + res.Usage.Completion
 	if cost == 0 {
 		cost = it.Cost
@@ -291,6 +263,46 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_attempts_total{engine=%q,verdict=%q}`, e.id, res.Verdict)).Inc()
 }
 
+// awaitTurn returns the item with which the attempt holds a slot. It reports
+// false when the attempt ended in the queue: shed, given up or out of time.
+func (d *Daemon) awaitTurn(e *engine, a *attempt, turn <-chan fair.Item, deadline <-chan struct{}) (fair.Item, bool) {
+	select {
+	case it := <-turn:
+		return it, true
+	case <-deadline:
+		d.giveUp(a, verdict.Deadline, "the deadline passed in the queue")
+	case <-a.ctx.Done():
+	}
+	if e.withdraw(a.run.Attempt) {
+		return fair.Item{}, false
+	}
+	select {
+	case it := <-turn:
+		// The turn came at the same moment; the slot must be given back.
+		return it, true
+	default:
+		// Shed: its place is gone already.
+		return fair.Item{}, false
+	}
+}
+
+// relay runs an attempt that has its turn, until the deadline at most.
+func (d *Daemon) relay(e *engine, a *attempt, deadline <-chan struct{}) wire.Result {
+	if !a.start() {
+		return wire.Result{Verdict: verdict.NotRun}
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-deadline:
+			d.giveUp(a, verdict.Deadline, "the deadline passed while it ran")
+		case <-ended:
+		}
+	}()
+	return e.relay(a)
+}
+
 // giveUp ends an attempt and, if it was sent, cancels it at the engine.
 func (d *Daemon) giveUp(a *attempt, reason verdict.Reason, message string) verdict.Verdict {
 	v := a.giveUp(reason, message, d.clk.Now())
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -265,20 +265,28 @@
 	return id, pt.daemons[id], true
 }
 
-// Next returns the best ranked engine for a chat other than engine, with its
-// daemon, and the size and mean load per slot of the pool.
-func (n *Node) Next(pool string, key uint64, engine string) (next string, at member.Instance, engines int, mean float64) {
+// Next returns the best ranked engine for a chat other than engine, "" if
+// there is none, with its daemon.
+func (n *Node) Next(pool string, key uint64, engine string) (next string, at member.Instance) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clk.Now()
-	pt := n.pool(pool, now)
-	mean = perSlot(n.mean(pt, now))
+	pt := n.pool(pool, n.clk.Now())
 	for _, i := range route.Rank(key, pt.list, 2) {
-		if id := pt.list[i].ID(); id != engine && next == "" {
-			next, at = id, pt.daemons[id]
+		if id := pt.list[i].ID(); id != engine {
+			return id, pt.daemons[id]
 		}
 	}
-	return next, at, len(pt.list), mean
+	return "", member.Instance{}
+}
+
+// PoolLoad returns the number of engines of a pool and its mean load per
+// slot, below zero if too little is known.
+func (n *Node) PoolLoad(pool string) (engines int, mean float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clk.Now()
+	pt := n.pool(pool, now)
+	return len(pt.list), perSlot(n.mean(pt, now))
 }
 
 // SampleLoads takes load reports that came with an answer.
