entry: Name the engine in chat answers; check the reasons against the docs

Cause: callers could echo a hint that no answer ever gave them; answers to chats carry it now, and a forged one does no harm (test). Two reasons were never used, two were in no page: a test compares them.

--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+func TestEveryReasonIsInTheCallersPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/CALLERS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := os.ReadFile("../verdict/verdict.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`Reason += "([a-z_]+)"`).FindAllSubmatch(source, -1)
+	for _, m := range found {
+		if !strings.Contains(string(page), "`"+string(m[1])+"`") {
+			t.Errorf("%s is not in docs/CALLERS.md", m[1])
+		}
+	}
+	if len(found) < 15 {
+		t.Errorf("got %d reasons, want more", len(found))
+	}
+}
+
 func runMain(argv ...string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
 	code = commands.Main(argv, &o, &e)
--- a/entry/call.go
+++ b/entry/call.go
@@ -43,6 +43,8 @@
 
 	// Set by send and stream.
 	engine string
+	// offered is the engine that the latest offer went to.
+	offered string
 	// hint is the engine that served the chat last; hintIsOwn is true when
 	// this entry remembers it and does not have it from the caller.
 	hint      string
--- a/entry/send.go
+++ b/entry/send.go
@@ -49,6 +49,7 @@
 			return e.shed(c, d.(route.Shed), last)
 		}
 		c.attempts++
+		c.offered = s.Engine
 		res, err := e.attempt(ctx, c, s, to, mean)
 		e.node.Ended(s.Engine)
 		if res.Refused {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -67,6 +67,9 @@
 		header.Set(k, v)
 	}
 	header.Set(HeaderRequest, c.id)
+	if c.chatKey != 0 {
+		header.Set(HeaderHint, c.offered)
+	}
 	c.w.WriteHeader(h.Status)
 	c.headSent = true
 }
@@ -119,7 +122,7 @@
 		return http.StatusConflict
 	case verdict.Deadline:
 		return http.StatusGatewayTimeout
-	case verdict.NoEngine, verdict.NotReady, verdict.Draining, verdict.Leaving, verdict.Unreachable:
+	case verdict.NoEngine, verdict.NotReady, verdict.Leaving, verdict.Unreachable:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadGateway
--- a/integration/callers_test.go
+++ b/integration/callers_test.go
@@ -217,6 +217,14 @@
 			t.Errorf("%s: got %s, want a cached prefix through the other entry", name, a.body)
 		}
 	}
+	if got, want := first.header.Get("Weldfall-Hint"), fieldOf(f.Entries[0].Log(), "engine"); got == "" || got != want {
+		t.Errorf("hint: got %q, want the engine %q", got, want)
+	}
+	forged := chat(f.Entries[1], chatBody(false, 4, opening, first.content, "again"))
+	forged.headers = map[string]string{"Weldfall-Hint": "engine-99"}
+	if a := forged.send(); !a.whole {
+		t.Errorf("forged hint: got %d %s, want a whole answer", a.status, a.reason)
+	}
 	withKey := strings.Replace(chatBody(false, 4, "changing "+opening), `"stream"`, `"prompt_cache_key":"chat-7","stream"`, 1)
 	header := map[string]string{"Weldfall-Chat": "chat-8"}
 	for range 2 {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -288,3 +289,27 @@
 		t.Errorf("got %v allocations at 12, 480 and 10,000 engines, want no growth", got)
 	}
 }
+
+func TestAChatInTheBookCostsLittle(t *testing.T) {
+	bytes := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	cost := func(n int) float64 {
+		before := bytes()
+		b := route.NewBook(1 << 40)
+		for i := range uint64(n) {
+			b.Ran(i+1, 1000, 1)
+		}
+		used := float64(bytes()-before) / float64(n)
+		runtime.KeepAlive(b)
+		return used
+	}
+	small, large := cost(8_000), cost(60_000)
+	t.Logf("%.0f bytes a chat at 8,000, %.0f at 60,000", small, large)
+	if large > 250 {
+		t.Errorf("got %.0f bytes a chat, want at most 250", large)
+	}
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -44,9 +44,7 @@
 	LinkLost       Reason = "link_lost"
 	EngineFailed   Reason = "engine_failed"
 	Duplicate      Reason = "duplicate_key"
-	InProgress     Reason = "in_progress"
 	UnknownHistory Reason = "unknown_history"
-	Draining       Reason = "draining"
 	NotReady       Reason = "not_ready"
 )
 
