once, wire, clock: Rank only the witnesses; drop copies and what nothing uses

Cause: reading the whole change once more. (2) A claim was given back at witnesses worked out anew, which may be others after a change of the list; it is given back where it was asked. (3) The same decoding stood seven times, the measuring of heap bytes four times, the look-up of a stream twice: one function each. (4) The manual clock and the engine's logger were never used.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 )
 
@@ -19,66 +18,26 @@
 func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
 
 // Clock tells monotonic and wall time. The zero value is not usable; use
-// System or NewManual.
+// System.
 type Clock struct {
 	// start is the origin of Now; it carries a monotonic reading.
 	start time.Time
-	// manual is nil for the system clock.
-	manual *manual
 }
 
-type manual struct {
-	mu  sync.Mutex
-	now Millis
-}
-
-// manualEpoch keeps manual wall readings away from zero, which means unknown.
-const manualEpoch Millis = 1_700_000_000_000
-
 // System returns the clock of this process.
 func System() *Clock { return &Clock{start: time.Now()} }
 
-// NewManual returns a clock that stands still until Advance is called.
-func NewManual() *Clock { return &Clock{manual: &manual{}} }
-
 // Now returns the monotonic milliseconds since the clock was made. It goes on
 // counting while the process is stopped.
-func (c *Clock) Now() Millis {
-	if c.manual != nil {
-		c.manual.mu.Lock()
-		defer c.manual.mu.Unlock()
-		return c.manual.now
-	}
-	return FromDuration(time.Since(c.start))
-}
+func (c *Clock) Now() Millis { return FromDuration(time.Since(c.start)) }
 
 // Micros returns the monotonic microseconds since the clock was made, for
 // latency histograms alone.
-func (c *Clock) Micros() int64 {
-	if c.manual != nil {
-		return int64(c.Now()) * 1000
-	}
-	return time.Since(c.start).Microseconds()
-}
+func (c *Clock) Micros() int64 { return time.Since(c.start).Microseconds() }
 
 // Wall returns milliseconds since the Unix epoch. Wall clocks differ between
 // instances, so it may only be compared with an allowance.
-func (c *Clock) Wall() Millis {
-	if c.manual != nil {
-		return manualEpoch + c.Now()
-	}
-	return Millis(time.Now().UnixMilli())
-}
-
-// Advance moves a manual clock forward; it does nothing on the system clock.
-func (c *Clock) Advance(d Millis) {
-	if c.manual == nil {
-		return
-	}
-	c.manual.mu.Lock()
-	defer c.manual.mu.Unlock()
-	c.manual.now += d
-}
+func (c *Clock) Wall() Millis { return Millis(time.Now().UnixMilli()) }
 
 // Every calls f every period until ctx is done.
 func Every(ctx context.Context, period Millis, f func()) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,7 @@
 		Clock: cfg.Clock, Log: cfg.Log, Pool: d.links, Loads: d.loads,
 	})
 	for _, e := range cfg.Engines {
-		d.engines[e.ID] = newEngine(e.ID, e.Addr, e.Slots, cfg.Clock, cfg.Log, d.node.FreshLoads)
+		d.engines[e.ID] = newEngine(e.ID, e.Addr, e.Slots, cfg.Clock, d.node.FreshLoads)
 	}
 	return d
 }
@@ -134,33 +134,33 @@
 	}
 	switch method {
 	case wire.MethodRun:
-		var r wire.Run
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, fmt.Errorf("run: %w", err)
+		r, err := wire.Decode[wire.Run](method, params)
+		if err != nil {
+			return nil, err
 		}
 		return d.run(c, r), nil
 	case wire.MethodResume:
-		var r wire.Resume
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, fmt.Errorf("resume: %w", err)
+		r, err := wire.Decode[wire.Resume](method, params)
+		if err != nil {
+			return nil, err
 		}
 		return d.resume(c, r), nil
 	case wire.MethodCancel:
-		var r wire.Cancel
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, fmt.Errorf("cancel: %w", err)
+		r, err := wire.Decode[wire.Cancel](method, params)
+		if err != nil {
+			return nil, err
 		}
 		return d.cancel(r), nil
 	case wire.MethodClaim:
-		var r wire.Claim
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, fmt.Errorf("claim: %w", err)
+		r, err := wire.Decode[wire.Claim](method, params)
+		if err != nil {
+			return nil, err
 		}
 		return d.claim(r), nil
 	case wire.MethodImport:
-		var r wire.Import
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, fmt.Errorf("import: %w", err)
+		r, err := wire.Decode[wire.Import](method, params)
+		if err != nil {
+			return nil, err
 		}
 		return struct{}{}, d.importCache(r)
 	}
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -25,7 +24,6 @@
 	id     string
 	client *target.Client
 	clk    *clock.Clock
-	log    *slog.Logger
 
 	mu      sync.Mutex
 	queue   *fair.Queue
@@ -45,9 +43,9 @@
 // defaultCache is assumed until the engine reports its memory, in tokens.
 const defaultCache = 1 << 20
 
-func newEngine(id, addr string, slots int, clk *clock.Clock, log *slog.Logger, others func() []wire.Load) *engine {
+func newEngine(id, addr string, slots int, clk *clock.Clock, others func() []wire.Load) *engine {
 	return &engine{
-		id: id, others: others, client: target.New(addr), clk: clk, log: log,
+		id: id, others: others, client: target.New(addr), clk: clk,
 		queue: fair.New(1, max(1, slots)), queued: map[uint64]*attempt{}, granted: map[uint64]chan fair.Item{},
 		book: route.NewBook(defaultCache), serviceTime: 100,
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/once"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
@@ -40,6 +41,8 @@
 	once *wire.Once
 	// claimed is the attempt number under which the key is promised.
 	claimed uint64
+	// witnesses are those that were asked for the promise.
+	witnesses []once.Daemon
 
 	// Set by send and stream.
 	engine string
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -32,6 +32,7 @@
 	if cutOff || len(witnesses) == 0 {
 		return claimError(c, once.Unknown{Need: once.Need(len(witnesses))}).WithRetryAfter(2000)
 	}
+	c.witnesses = witnesses
 	attempt := max(1, rand.Uint64())
 	msg := wire.Claim{Key: c.once.Key, Attempt: attempt, Born: c.once.Born, Window: c.once.Window}
 	if c.once.Born > 0 {
@@ -110,8 +111,7 @@
 
 // release takes the claims of an attempt back that has not run and will not.
 func (e *Entry) release(c *call, attempt uint64) {
-	witnesses, _, _ := e.node.Witnesses(c.once.Key, c.once.Window)
-	for _, w := range witnesses {
+	for _, w := range c.witnesses {
 		go func() {
 			if conn, err := e.links.Get(w.Addr, link.Control); err == nil {
 				_ = conn.Notify(wire.MethodRelease, wire.Claim{Key: c.once.Key, Attempt: attempt})
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -431,15 +430,15 @@
 func (n *Node) Handle(method string, params json.RawMessage) (any, bool, error) {
 	switch method {
 	case wire.MethodExchange:
-		var e wire.Exchange
-		if err := json.Unmarshal(params, &e); err != nil {
-			return nil, true, fmt.Errorf("exchange: %w", err)
+		e, err := wire.Decode[wire.Exchange](method, params)
+		if err != nil {
+			return nil, true, err
 		}
 		return n.answer(e), true, nil
 	case wire.MethodFetch:
-		var f wire.Fetch
-		if err := json.Unmarshal(params, &f); err != nil {
-			return nil, true, fmt.Errorf("fetch: %w", err)
+		f, err := wire.Decode[wire.Fetch](method, params)
+		if err != nil {
+			return nil, true, err
 		}
 		return n.answerFetch(f), true, nil
 	}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/internal/heaptest"
 	"github.com/weldfall/weldfall/member"
 )
 
@@ -126,24 +126,18 @@
 }
 
 func TestAnInstanceCostsLittle(t *testing.T) {
-	bytes := func() uint64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
 	const n = 3300
-	before := bytes()
-	v := member.NewView("me", 0)
-	for i := range n {
-		in := instance(fmt.Sprint("daemon-", i))
-		for e := range 3 {
-			in.Engines = append(in.Engines, member.EngineInfo{ID: fmt.Sprint("engine-", 3*i+e), Slots: 64})
+	used := heaptest.BytesEach(n, func() *member.View {
+		v := member.NewView("me", 0)
+		for i := range n {
+			in := instance(fmt.Sprint("daemon-", i))
+			for e := range 3 {
+				in.Engines = append(in.Engines, member.EngineInfo{ID: fmt.Sprint("engine-", 3*i+e), Slots: 64})
+			}
+			v.Listed(in, 1)
 		}
-		v.Listed(in, 1)
-	}
-	used := float64(bytes()-before) / n
-	runtime.KeepAlive(v)
+		return v
+	})
 	t.Logf("%.0f bytes an instance with three engines", used)
 	if used > 1500 {
 		t.Errorf("got %.0f bytes an instance, want at most 1,500", used)
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -1,30 +1,23 @@
 package once_test
 
 import (
-	"runtime"
+	"fmt"
 	"testing"
 
+	"github.com/weldfall/weldfall/internal/heaptest"
 	"github.com/weldfall/weldfall/once"
 	"github.com/weldfall/weldfall/wire"
 )
 
-func heapBytes() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // fillWitness makes a witness remember n keys and returns its bytes a key.
 func fillWitness(n int) float64 {
-	before := heapBytes()
-	w := once.NewWitness(0, 1_000_000, n)
-	for i := range uint64(n) {
-		w.Claim(wire.Claim{Key: i + 1, Attempt: i + 1, Window: 600_000}, 700_000, 1_700_000)
-	}
-	used := float64(heapBytes()-before) / float64(n)
-	runtime.KeepAlive(w)
-	return used
+	return heaptest.BytesEach(n, func() *once.Witness {
+		w := once.NewWitness(0, 1_000_000, n)
+		for i := range uint64(n) {
+			w.Claim(wire.Claim{Key: i + 1, Attempt: i + 1, Window: 600_000}, 700_000, 1_700_000)
+		}
+		return w
+	})
 }
 
 func TestAKeyCostsTheSameAtAnyDepth(t *testing.T) {
@@ -47,3 +40,19 @@
 		w.Claim(wire.Claim{Key: i%once.MaxKeys + 1, Attempt: 2, Window: 600_000}, 700_001, 1_700_001)
 	}
 }
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 3200} {
+		b.Run(fmt.Sprint("daemons=", n), func(b *testing.B) {
+			daemons := make([]once.Daemon, n)
+			for i := range daemons {
+				daemons[i] = once.Daemon{ID: fmt.Sprint("daemon-", i)}
+			}
+			key := uint64(0)
+			for b.Loop() {
+				key++
+				once.Choose(key, daemons)
+			}
+		})
+	}
+}
--- a/once/claim.go
+++ b/once/claim.go
@@ -57,10 +57,15 @@
 // gone. Daemons must be in the same order everywhere or in none.
 func Choose(key uint64, daemons []Daemon) (witnesses []Daemon, gone int) {
 	targets := make([]route.Target, len(daemons))
+	absent := 0
 	for i, d := range daemons {
 		targets[i] = route.NewTarget(d.ID, 1)
+		if d.Gone {
+			absent++
+		}
 	}
-	ranked := route.Rank(key, targets, len(daemons))
+	// No more can be looked at, and Rank costs the more the more it returns.
+	ranked := route.Rank(key, targets, Witnesses+absent)
 	for _, i := range ranked {
 		if len(witnesses) == Witnesses {
 			break
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"runtime"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/weldfall/weldfall/internal/heaptest"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -291,21 +291,14 @@
 }
 
 func TestAChatInTheBookCostsLittle(t *testing.T) {
-	bytes := func() uint64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
 	cost := func(n int) float64 {
-		before := bytes()
-		b := route.NewBook(1 << 40)
-		for i := range uint64(n) {
-			b.Ran(i+1, 1000, 1)
-		}
-		used := float64(bytes()-before) / float64(n)
-		runtime.KeepAlive(b)
-		return used
+		return heaptest.BytesEach(n, func() *route.Book {
+			b := route.NewBook(1 << 40)
+			for i := range uint64(n) {
+				b.Ran(i+1, 1000, 1)
+			}
+			return b
+		})
 	}
 	small, large := cost(8_000), cost(60_000)
 	t.Logf("%.0f bytes a chat at 8,000, %.0f at 60,000", small, large)
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 
+	"github.com/weldfall/weldfall/internal/heaptest"
 	"github.com/weldfall/weldfall/settings"
 )
 
@@ -58,11 +58,7 @@
 
 func TestABranchCostsTheSameInALargeTree(t *testing.T) {
 	cost := func(n int) float64 {
-		before := heapBytes()
-		tree := grow(n)
-		used := float64(heapBytes()-before) / float64(n)
-		runtime.KeepAlive(tree)
-		return used
+		return heaptest.BytesEach(n, func() *settings.Tree { return grow(n) })
 	}
 	small, large := cost(200), cost(12_000)
 	t.Logf("%.0f bytes a branch at 200, %.0f at 12,000", small, large)
@@ -70,10 +66,3 @@
 		t.Errorf("got %.0f and %.0f bytes a branch, want at most 8,000 and no growth", small, large)
 	}
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -324,12 +324,20 @@
 	}()
 }
 
-func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+// stream returns the stream that the path names, or answers 404 and nil.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request) *stream {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	s := e.streams[mux.Vars(r)["attempt"]]
-	e.mu.Unlock()
 	if s == nil {
 		http.Error(w, "unknown attempt", http.StatusNotFound)
+	}
+	return s
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	s := e.stream(w, r)
+	if s == nil {
 		return
 	}
 	if r.URL.Query().Get("plain") != "" {
@@ -342,11 +350,8 @@
 
 // cancel ends a stream and says whether it had started.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	s := e.streams[mux.Vars(r)["attempt"]]
-	e.mu.Unlock()
+	s := e.stream(w, r)
 	if s == nil {
-		http.Error(w, "unknown attempt", http.StatusNotFound)
 		return
 	}
 	s.cancel()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3,6 +3,9 @@
 package wire
 
 import (
+	"encoding/json"
+	"fmt"
+
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -23,6 +26,15 @@
 	MethodHello    = "hello"
 )
 
+// Decode reads the parameters of a method; the error names the method.
+func Decode[T any](method string, params json.RawMessage) (T, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return v, fmt.Errorf("%s: %w", method, err)
+	}
+	return v, nil
+}
+
 // Mode says how far a daemon may go when it decides about a request.
 type Mode string
 
