--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,70 @@
+// Package budget bounds what a process sends beyond the first time of each
+// request, so that retries of the whole fleet stay within a share of its
+// requests. Each process keeps to the ratio of its own requests; since the
+// ratio holds for each, it holds for the sum, and no process needs to know the
+// others. It is pure: the time is handed in, and callers lock.
+package budget
+
+import "github.com/weldfall/weldfall/common/clock"
+
+// slices is how many parts the window is counted in.
+const slices = 20
+
+// Config sets up a Budget.
+type Config struct {
+	// Ratio is how many repeats are allowed for each request.
+	Ratio float64
+	// Window is the time over which both are counted.
+	Window clock.Millis
+	// Extra is how many repeats this process may add to the ratio.
+	Extra float64
+}
+
+// Budget counts the requests and the repeats of one service.
+type Budget struct {
+	cfg Config
+	// counts has one slice of the window each; at is the number of the latest.
+	counts [slices]count
+	at     int64
+}
+
+type count struct{ requests, repeats int }
+
+// New returns a budget that has counted nothing.
+func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
+
+func (b *Budget) advance(now clock.Millis) *count {
+	n := int64(now) / max(1, int64(b.cfg.Window)/slices)
+	if n-b.at >= slices {
+		b.counts = [slices]count{}
+	} else {
+		for i := b.at + 1; i <= n; i++ {
+			b.counts[i%slices] = count{}
+		}
+	}
+	b.at = max(b.at, n)
+	return &b.counts[b.at%slices]
+}
+
+// Request counts a request that is about to be sent for the first time.
+func (b *Budget) Request(now clock.Millis) { b.advance(now).requests++ }
+
+// Left returns how many repeats are allowed now.
+func (b *Budget) Left(now clock.Millis) float64 {
+	b.advance(now)
+	requests, repeats := 0, 0
+	for _, c := range b.counts {
+		requests += c.requests
+		repeats += c.repeats
+	}
+	return b.cfg.Ratio*float64(requests) + b.cfg.Extra - float64(repeats)
+}
+
+// Spend takes one repeat, or reports that none is left.
+func (b *Budget) Spend(now clock.Millis) bool {
+	if b.Left(now) < 1 {
+		return false
+	}
+	b.advance(now).repeats++
+	return true
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -27,6 +27,7 @@
 type args struct {
 	Entry   *entryCmd   `arg:"subcommand:entry" help:"run the process on the callers' side"`
 	Daemon  *daemonCmd  `arg:"subcommand:daemon" help:"run the process beside a target"`
+	Gate    *gateCmd    `arg:"subcommand:gate" help:"run the entry of the users' platform, which reaches engines directly"`
 	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a whole fleet on loopback in one process"`
 	Standin *standinCmd `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a plain service"`
 	Check   *checkCmd   `arg:"subcommand:check" help:"check branches of the settings before they are published"`
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -19,8 +19,8 @@
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/entry"
 	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/standin/engine"
 	standinplatform "github.com/weldfall/weldfall/standin/platform"
 	"github.com/weldfall/weldfall/standin/service"
@@ -218,7 +218,7 @@
 	}
 	dm := daemon.New(daemon.Config{
 		ID: id + "-daemon", Hall: hall, Pool: pool, Engines: []daemon.Engine{{ID: id, Addr: addr, Slots: demoSlots}},
-		Platform: platform.New(f.platformURL), Clock: f.clk, Log: log,
+		Platform: source.New(f.platformURL), Clock: f.clk, Log: log,
 	})
 	f.publish(member.Instance{
 		ID: id + "-daemon", Role: member.Daemon, Addr: ls[0].Addr().String(), Hall: hall, Pool: pool,
@@ -238,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	e := entry.New(entry.Config{ID: id, Hall: hall, Platform: platform.New(f.platformURL), Clock: f.clk, Log: log})
+	e := entry.New(entry.Config{ID: id, Hall: hall, Platform: source.New(f.platformURL), Clock: f.clk, Log: log})
 	f.publish(member.Instance{ID: id, Role: member.Entry, Addr: ls[1].Addr().String(), Hall: hall, State: member.Live})
 	f.closers = append(f.closers, servePages(ls[2], admin.Handler(e)))
 	f.entries = append(f.entries, e)
--- /dev/null
+++ b/commands/gate.go
@@ -0,0 +1,93 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/logline"
+	"github.com/weldfall/weldfall/gate"
+	"github.com/weldfall/weldfall/platform"
+)
+
+type gateCmd struct {
+	MetricsPort int    `arg:"--metrics-port" default:"9464" help:"port of /metrics on the address of this process"`
+	LogLevel    string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+// memoryShare is the part of the memory limit at which the collector works
+// harder; the rest is for sockets and stacks.
+const memoryShare = 0.6
+
+func (c *gateCmd) run(out, _ io.Writer) error {
+	boot, err := platform.LoadBoot()
+	if err != nil {
+		return usageError{err}
+	}
+	w := logline.NewWriter(out)
+	defer w.Close()
+	log, err := logline.New(w, c.LogLevel, boot.ID)
+	if err != nil {
+		return usagef("log level %w", err)
+	}
+	if boot.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryShare))
+	}
+	ls, err := listenAll(boot.Listen, boot.ReadyListen, fmt.Sprintf("%s:%d", boot.IP, c.MetricsPort))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log.Info("started", "role", "gate", "version", Version, "hall", boot.Hall, "listen", boot.Listen, "store", boot.Store)
+	return runGate(ctx, boot, log, ls)
+}
+
+// runGate serves until ctx is done and what is in flight has finished.
+func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener) error {
+	clk := clock.System()
+	g := gate.New(gate.Config{
+		ID: boot.ID, Hall: boot.Hall, Dialect: platform.Dialect(), Bounds: gate.Bounds(boot.Bounds), Clock: clk, Log: log,
+	})
+	reader := platform.NewReader(platform.NewStore(boot.Store), g, clk, log)
+	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stopReading()
+	wg.Go(func() { reader.FollowConfig(readCtx) })
+	wg.Go(func() { reader.FollowEngines(readCtx) })
+	stopPages := servePages(ls[1], readyPages(g))
+	defer stopPages()
+	stopMetrics := servePages(ls[2], metricsPages())
+	defer stopMetrics()
+	return g.Run(ctx, ls[0])
+}
+
+func readyPages(g *gate.Gate) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}).Methods(http.MethodGet, http.MethodHead)
+	return r
+}
+
+func metricsPages() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.MetricsPath, func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }).Methods(http.MethodGet)
+	return r
+}
--- a/commands/process.go
+++ b/commands/process.go
@@ -18,7 +18,7 @@
 	"github.com/weldfall/weldfall/common/strict"
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/entry"
-	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/source"
 )
 
 // processFile is the small settings file of an entry or a daemon: what a
@@ -122,7 +122,7 @@
 		return err
 	}
 	e := entry.New(entry.Config{
-		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: platform.New(f.Platform),
+		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform),
 		Clock: clock.System(), Log: log,
 	})
 	stopPages := servePages(ls[2], admin.Handler(e))
@@ -148,7 +148,7 @@
 	}
 	d := daemon.New(daemon.Config{
 		ID: f.ID, Hall: f.Hall, Pool: f.Pool, Engines: f.Engines, Bootstrap: f.Bootstrap,
-		Platform: platform.New(f.Platform), Clock: clock.System(), Log: log,
+		Platform: source.New(f.Platform), Clock: clock.System(), Log: log,
 	})
 	stopPages := servePages(ls[1], admin.Handler(d))
 	defer stopPages()
--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -98,3 +98,6 @@
 
 // Deadline returns the point d from now for libraries that want a time.Time.
 func Deadline(d Millis) time.Time { return time.Now().Add(d.Duration()) }
+
+// Never returns the point that takes a deadline away.
+func Never() time.Time { return time.Time{} }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,9 +20,9 @@
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/member"
 	"github.com/weldfall/weldfall/once"
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -43,7 +43,7 @@
 	Pool      string
 	Engines   []Engine
 	Bootstrap []string
-	Platform  *platform.Client
+	Platform  *source.Client
 	Clock     *clock.Clock
 	Log       *slog.Logger
 }
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -13,7 +13,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/standin/engine"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
@@ -77,7 +77,7 @@
 	peers := listen(tb)
 	d := daemon.New(daemon.Config{
 		ID: "d", Hall: "h", Pool: "p", Engines: []daemon.Engine{{ID: "e", Addr: addr, Slots: slots}},
-		Platform: platform.New("http://127.0.0.1:1"), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Platform: source.New("http://127.0.0.1:1"), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
--- /dev/null
+++ b/engines/book.go
@@ -0,0 +1,293 @@
+package engines
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/route"
+)
+
+// Bounds of the choice.
+const (
+	// silenceLimit is how long an engine may leave requests without a sign
+	// before new ones go elsewhere. A model engine sends an event each 20 to
+	// 50 ms to every stream; reading the longest prompts holds them up for
+	// about 400 ms.
+	silenceLimit clock.Millis = 700
+	// suspectRate is the share of failures over that of the whole service
+	// from which an engine is passed over.
+	suspectRate = 0.2
+	// mostSuspects is the part of a pool that may be passed over at once;
+	// when more look bad the fault is likely ours or everybody's.
+	mostSuspects = 0.5
+)
+
+// Book holds the engines of all services.
+type Book struct {
+	byID      map[string]*Engine
+	byService map[string]*pool
+}
+
+// pool is the engines of one service, sorted by id, leaving ones too.
+type pool struct{ engines []*Engine }
+
+// NewBook returns a book without engines.
+func NewBook() *Book { return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}} }
+
+// Change is what a new word about an engine came to.
+type Change string
+
+const (
+	Same    Change = "same"
+	Joined  Change = "joined"
+	Left    Change = "leaving"
+	Changed Change = "changed"
+	Gone    Change = "gone"
+)
+
+// Put records an engine as listed. An engine that was leaving stays so.
+func (b *Book) Put(in Info, now clock.Millis) Change {
+	in.Slots = max(1, in.Slots)
+	e, ok := b.byID[in.ID]
+	if !ok {
+		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}})
+		return Joined
+	}
+	in.Leaving = in.Leaving || e.info.Leaving
+	if e.info == in {
+		return Same
+	}
+	left := in.Leaving && !e.info.Leaving
+	moved := in.Service != e.info.Service
+	if moved {
+		b.drop(e)
+	}
+	e.info, e.target = in, route.NewTarget(in.ID, in.Slots)
+	if moved {
+		b.add(e)
+	}
+	if left {
+		return Left
+	}
+	return Changed
+}
+
+func (b *Book) add(e *Engine) {
+	b.byID[e.info.ID] = e
+	p := b.byService[e.info.Service]
+	if p == nil {
+		p = &pool{}
+		b.byService[e.info.Service] = p
+	}
+	at, _ := slices.BinarySearchFunc(p.engines, e, byID)
+	p.engines = slices.Insert(p.engines, at, e)
+}
+
+func byID(a, b *Engine) int { return cmp.Compare(a.info.ID, b.info.ID) }
+
+func (b *Book) drop(e *Engine) {
+	delete(b.byID, e.info.ID)
+	p := b.byService[e.info.Service]
+	p.engines = slices.DeleteFunc(p.engines, func(x *Engine) bool { return x == e })
+}
+
+// Remove records that an engine is no longer listed, and returns it as it
+// was, or false.
+func (b *Book) Remove(id string) (Info, bool) {
+	e, ok := b.byID[id]
+	if !ok {
+		return Info{}, false
+	}
+	b.drop(e)
+	return e.info, true
+}
+
+// Get returns an engine by id, or nil.
+func (b *Book) Get(id string) *Engine { return b.byID[id] }
+
+// IDs returns the ids of all engines, sorted.
+func (b *Book) IDs() []string {
+	ids := make([]string, 0, len(b.byID))
+	for id := range b.byID {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Size returns the number of engines of a service that are not leaving.
+func (b *Book) Size(service string) int {
+	p := b.byService[service]
+	if p == nil {
+		return 0
+	}
+	n := 0
+	for _, e := range p.engines {
+		if !e.info.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Query is a request that needs an engine.
+type Query struct {
+	Service string
+	// Key is the hash of what an engine may remember of the request, zero if
+	// there is nothing.
+	Key uint64
+	// Hall is where this entry is; among equals an engine there is taken.
+	Hall string
+	// Bound is the highest load of an engine as a multiple of the mean, above
+	// 1, and Slack is added to it.
+	Bound float64
+	Slack float64
+	// Tried are engines that have had the request.
+	Tried []string
+	// Random breaks ties, 0 to 1.
+	Random float64
+}
+
+// Choice is the engine for a request and the inputs that decided.
+type Choice struct {
+	Engine *Engine
+	// Rank is the place of the engine in the key's ranking, 0 for its home.
+	Rank int
+	// Load and Mean are the estimates at the time.
+	Load float64
+	Mean float64
+	// Usable is how many engines could have been chosen.
+	Usable int
+}
+
+// Choose returns the engine for a request, or false if there is none.
+func (b *Book) Choose(q Query, now clock.Millis) (Choice, bool) {
+	p := b.byService[q.Service]
+	if p == nil {
+		return Choice{}, false
+	}
+	usable := p.usable(q, now)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	others := meanOthers(usable, now)
+	mean := 0.0
+	for _, e := range usable {
+		mean += e.load(others, now)
+	}
+	mean /= float64(len(usable))
+	c := Choice{Mean: mean, Usable: len(usable)}
+	if q.Key != 0 {
+		c.byKey(q, usable, others, now)
+	}
+	if c.Engine == nil {
+		c.byLoad(q, usable, others, now)
+	}
+	return c, true
+}
+
+// usable returns the engines that can be chosen: those that are not leaving,
+// not tried and not under suspicion, unless most of the pool is.
+func (p *pool) usable(q Query, now clock.Millis) []*Engine {
+	live := make([]*Engine, 0, len(p.engines))
+	for _, e := range p.engines {
+		if !e.info.Leaving {
+			live = append(live, e)
+		}
+	}
+	rate := meanRate(live, now)
+	good := make([]*Engine, 0, len(live))
+	for _, e := range live {
+		if !e.suspect(rate, now) {
+			good = append(good, e)
+		}
+	}
+	if float64(len(good)) < (1-mostSuspects)*float64(len(live)) {
+		good = live
+	}
+	untried := func(in []*Engine) []*Engine {
+		return slices.DeleteFunc(slices.Clone(in), func(e *Engine) bool { return slices.Contains(q.Tried, e.info.ID) })
+	}
+	if u := untried(good); len(u) > 0 {
+		return u
+	}
+	return untried(live)
+}
+
+// suspect reports whether new requests had better go elsewhere.
+func (e *Engine) suspect(rate float64, now clock.Millis) bool {
+	if e.health.held(now) || e.silence(now) > silenceLimit {
+		return true
+	}
+	return e.health.rate(now) > rate+suspectRate
+}
+
+// meanRate is the share of failures of all engines together.
+func meanRate(live []*Engine, now clock.Millis) float64 {
+	good, bad := 0.0, 0.0
+	for _, e := range live {
+		e.health.fade(now)
+		good += e.health.good
+		bad += e.health.bad
+	}
+	if good+bad == 0 {
+		return 0
+	}
+	return bad / (good + bad)
+}
+
+// meanOthers is the mean of what engines have of other entries' requests, by
+// those whose word is fresh.
+func meanOthers(in []*Engine, now clock.Millis) float64 {
+	sum, n := 0.0, 0
+	for _, e := range in {
+		if e.told && now-e.othersAt < 4*othersHalfLife {
+			sum += e.others
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// byKey takes the first engine in the key's ranking that has room.
+func (c *Choice) byKey(q Query, usable []*Engine, others float64, now clock.Millis) {
+	targets := make([]route.Target, len(usable))
+	for i, e := range usable {
+		targets[i] = e.target
+	}
+	bound := q.Bound*c.Mean + q.Slack
+	for rank, i := range route.Rank(q.Key, targets, len(targets)) {
+		e := usable[i]
+		if l := e.load(others, now); l+1 <= bound {
+			c.Engine, c.Rank, c.Load = e, rank, l
+			return
+		}
+	}
+}
+
+// hallBonus is the load in requests a slot that an engine of another data
+// hall counts as more: less than one request at the smallest engines.
+const hallBonus = 0.1
+
+// byLoad takes the engine with the least load a slot.
+func (c *Choice) byLoad(q Query, usable []*Engine, others float64, now clock.Millis) {
+	best, bestScore := -1, 0.0
+	start := int(q.Random * float64(len(usable)))
+	for k := range usable {
+		i := (start + k) % len(usable)
+		e := usable[i]
+		s := e.load(others, now) / float64(e.info.Slots)
+		if e.info.Hall != q.Hall {
+			s += hallBonus
+		}
+		if best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	c.Engine, c.Rank = usable[best], -1
+	c.Load = c.Engine.load(others, now)
+}
--- /dev/null
+++ b/engines/engine.go
@@ -0,0 +1,116 @@
+// Package engines is what one entry believes about the engines that it sends
+// to directly: who is there by the platform's list, how loaded each is by its
+// own answers, and whether it can be trusted by what became of requests. It
+// is pure: news and the time are handed in, and callers lock.
+package engines
+
+import (
+	"math"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/route"
+)
+
+// Info is an engine as the platform lists it.
+type Info struct {
+	ID      string
+	Service string
+	// Addr is host:port.
+	Addr string
+	Hall string
+	// Slots is how many requests run at once, at least 1.
+	Slots int
+	// Leaving engines finish what they have and take nothing new.
+	Leaving bool
+	// Warmup is how much longer the engine stays slow after its start.
+	Warmup clock.Millis
+}
+
+// Load is what an engine said of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+}
+
+// Engine is one engine and what is believed about it.
+type Engine struct {
+	info   Info
+	target route.Target
+	// inflight counts our requests at the engine; it is never negative.
+	inflight int
+	// others is how many requests of other entries the engine had at heardAt,
+	// never negative.
+	others   float64
+	othersAt clock.Millis
+	// told is true once the engine has said its load.
+	told bool
+	// heardAt is when the engine last sent anything.
+	heardAt clock.Millis
+	// waitingSince is when the oldest silence began: the time of the first
+	// request that was sent after the engine was last heard. Zero if nothing
+	// is awaited.
+	waitingSince clock.Millis
+	health       health
+	// seenAt is when the engine was first listed here.
+	seenAt clock.Millis
+}
+
+// Info returns the engine as listed.
+func (e *Engine) Info() Info { return e.info }
+
+// Inflight returns the number of our requests at the engine.
+func (e *Engine) Inflight() int { return e.inflight }
+
+// othersHalfLife is how fast the word of an engine about its load loses its
+// weight against the mean of all: requests last half a second on average, so
+// after a second most of them have been replaced.
+const othersHalfLife clock.Millis = 1000
+
+// load estimates the requests at the engine. mean is the mean of what other
+// entries have at an engine.
+func (e *Engine) load(mean float64, now clock.Millis) float64 {
+	if !e.told {
+		return float64(e.inflight) + mean
+	}
+	w := math.Exp2(-float64(now-e.othersAt) / float64(othersHalfLife))
+	return float64(e.inflight) + mean + (e.others-mean)*w
+}
+
+// silence returns how long the engine has left requests without any sign.
+func (e *Engine) silence(now clock.Millis) clock.Millis {
+	if e.waitingSince == 0 {
+		return 0
+	}
+	return now - e.waitingSince
+}
+
+// Start counts a request that is about to be sent.
+func (e *Engine) Start(now clock.Millis) {
+	e.inflight++
+	if e.waitingSince == 0 {
+		e.waitingSince = now
+	}
+}
+
+// Heard records that the engine sent something.
+func (e *Engine) Heard(now clock.Millis) {
+	e.heardAt = now
+	e.waitingSince = now
+}
+
+// Told records the load that an answer carries, which counts our own
+// requests too.
+func (e *Engine) Told(l Load, now clock.Millis) {
+	e.others = max(0, float64(l.Running+l.Waiting-e.inflight))
+	e.othersAt = now
+	e.told = true
+}
+
+// Finish counts the end of a request.
+func (e *Engine) Finish(o Outcome, now clock.Millis) {
+	e.inflight = max(0, e.inflight-1)
+	if e.inflight == 0 {
+		e.waitingSince = 0
+	}
+	e.health.note(o, now)
+}
--- /dev/null
+++ b/engines/health.go
@@ -0,0 +1,94 @@
+package engines
+
+import (
+	"math"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// Outcome is what became of a request at an engine, as far as it tells
+// something about the engine.
+type Outcome string
+
+const (
+	// Good is a whole answer.
+	Good Outcome = "good"
+	// Neutral says nothing: the caller left, or the deadline was short.
+	Neutral Outcome = "neutral"
+	// Failed is a failure of the engine, a broken or a wrong answer.
+	Failed Outcome = "failed"
+	// Refused is an engine that is full.
+	Refused Outcome = "refused"
+	// Unreachable is an engine that took no connection or fell silent.
+	Unreachable Outcome = "unreachable"
+	// Departed is an engine that is not the one that is listed.
+	Departed Outcome = "departed"
+)
+
+// Bounds of suspicion.
+const (
+	// holdFirst is how long an engine is left alone after it could not be
+	// reached: about one heartbeat, after which the list knows more.
+	holdFirst clock.Millis = 1000
+	// holdMost bounds the doubling of the hold.
+	holdMost clock.Millis = 8000
+	// holdRefused is how long an engine that was full is left alone.
+	holdRefused clock.Millis = 150
+	// rateHalfLife is how fast results are forgotten.
+	rateHalfLife clock.Millis = 3000
+	// rateLeast is the weight of results below which no rate is judged.
+	rateLeast = 3.0
+)
+
+// health is the record of an engine's results.
+type health struct {
+	// good and bad are sums of results, fading with rateHalfLife.
+	good, bad float64
+	at        clock.Millis
+	// heldUntil is when the engine may be tried again.
+	heldUntil clock.Millis
+	// hold is the length of the latest hold; it doubles with each failure to
+	// reach the engine and ends with a good answer.
+	hold clock.Millis
+}
+
+func (h *health) fade(now clock.Millis) {
+	if now <= h.at {
+		return
+	}
+	w := math.Exp2(-float64(now-h.at) / float64(rateHalfLife))
+	h.good *= w
+	h.bad *= w
+	h.at = now
+}
+
+func (h *health) note(o Outcome, now clock.Millis) {
+	h.fade(now)
+	switch o {
+	case Good:
+		h.good++
+		h.hold = 0
+	case Failed:
+		h.bad++
+	case Refused:
+		h.heldUntil = max(h.heldUntil, now+holdRefused)
+	case Unreachable, Departed:
+		h.bad++
+		if h.heldUntil <= now {
+			h.hold = min(holdMost, max(holdFirst, 2*h.hold))
+		}
+		h.heldUntil = max(h.heldUntil, now+h.hold)
+	case Neutral:
+	}
+}
+
+// rate returns the share of failures, or zero if too little is known.
+func (h *health) rate(now clock.Millis) float64 {
+	h.fade(now)
+	if h.good+h.bad < rateLeast {
+		return 0
+	}
+	return h.bad / (h.good + h.bad)
+}
+
+func (h *health) held(now clock.Millis) bool { return now < h.heldUntil }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,8 +24,8 @@
 	"github.com/weldfall/weldfall/fleet"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -50,7 +50,7 @@
 	ID        string
 	Hall      string
 	Bootstrap []string
-	Platform  *platform.Client
+	Platform  *source.Client
 	Clock     *clock.Clock
 	Log       *slog.Logger
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -18,9 +18,9 @@
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/member"
 	"github.com/weldfall/weldfall/once"
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/spread"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -52,7 +52,7 @@
 	Hall string
 	// Bootstrap has addresses of peers to ask before the list is known.
 	Bootstrap []string
-	Platform  *platform.Client
+	Platform  *source.Client
 	Clock     *clock.Clock
 	Log       *slog.Logger
 	Pool      *link.Pool
@@ -128,7 +128,7 @@
 // Run keeps the node up to date until ctx is done.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.exchangeLoop, n.tickLoop, n.readLoop(platform.Config), n.readLoop(platform.Instances)} {
+	for _, f := range []func(context.Context){n.exchangeLoop, n.tickLoop, n.readLoop(source.Config), n.readLoop(source.Instances)} {
 		wg.Go(func() { f(ctx) })
 	}
 	wg.Wait()
--- a/fleet/read.go
+++ b/fleet/read.go
@@ -8,9 +8,9 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/wire"
 )
 
@@ -60,7 +60,7 @@
 )
 
 // readLoop reads one topic of the platform while this process is a reader.
-func (n *Node) readLoop(t platform.Topic) func(context.Context) {
+func (n *Node) readLoop(t source.Topic) func(context.Context) {
 	return func(ctx context.Context) {
 		// A daemon that has peers to ask leaves the platform alone: it needs a
 		// small part of what a read from the start brings.
@@ -97,7 +97,7 @@
 
 // read takes what the platform has after what this process has; it returns
 // false on failure. Answers older than that change nothing.
-func (n *Node) read(ctx context.Context, t platform.Topic, wait clock.Millis) bool {
+func (n *Node) read(ctx context.Context, t source.Topic, wait clock.Millis) bool {
 	n.mu.Lock()
 	after := n.readAfter(t)
 	n.mu.Unlock()
@@ -128,8 +128,8 @@
 	return true
 }
 
-func topicsOf(t platform.Topic) []wire.Topic {
-	if t == platform.Instances {
+func topicsOf(t source.Topic) []wire.Topic {
+	if t == source.Instances {
 		return []wire.Topic{wire.TopicInstances}
 	}
 	return []wire.Topic{wire.TopicCore, wire.TopicBranches}
@@ -137,7 +137,7 @@
 
 // readAfter is the lowest revision that all held topics of t are complete to;
 // the caller holds mu.
-func (n *Node) readAfter(t platform.Topic) int64 {
+func (n *Node) readAfter(t source.Topic) int64 {
 	after := int64(-1)
 	for _, topic := range topicsOf(t) {
 		if !n.store.Holds(topic) {
@@ -152,7 +152,7 @@
 
 // toItems turns a batch into items; each names the one before it in its
 // topic, so that peers can tell whether they missed any.
-func (n *Node) toItems(t platform.Topic, b platform.Batch) []wire.Item {
+func (n *Node) toItems(t source.Topic, b source.Batch) []wire.Item {
 	prev := map[wire.Topic]int64{}
 	for _, topic := range topicsOf(t) {
 		prev[topic] = n.store.Upto(topic)
@@ -160,7 +160,7 @@
 	items := make([]wire.Item, 0, len(b.Items))
 	for _, it := range b.Items {
 		topic := wire.TopicInstances
-		if t == platform.Config {
+		if t == source.Config {
 			topic = wire.TopicBranches
 			if settings.Depth(it.Key) <= 1 {
 				topic = wire.TopicCore
--- /dev/null
+++ b/gate/call.go
@@ -0,0 +1,117 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/events"
+	"github.com/weldfall/weldfall/table"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	r  *http.Request
+	id string
+	// start is when the request's head had been read.
+	start clock.Millis
+	// until is when the request is given up: the earlier of the caller's
+	// deadline and the route's timeout.
+	until clock.Millis
+	// patience is how long the caller waits; zero if it does not say.
+	patience  clock.Millis
+	table     *table.Table
+	route     *table.Route
+	service   string
+	workspace *table.Workspace
+	body      []byte
+
+	// key is the hash of what engines may remember of the request.
+	key    uint64
+	tokens int
+
+	// tried are the engines that were chosen, in order.
+	tried []string
+	// ran counts the engines that may have run the request.
+	ran int
+	// refused counts the engines that said that they did not run it.
+	refused int
+	// unsent counts the engines that could not be reached.
+	unsent int
+	// rank is the place of the latest engine in the key's ranking.
+	rank int
+	load float64
+	mean float64
+
+	// began is true once the head of the answer was written.
+	began bool
+	// split holds what the caller has of a stream.
+	split events.Splitter
+	// firstAt is when the first bytes of the answer's body were written.
+	firstAt  clock.Millis
+	lastAt   clock.Millis
+	pause    clock.Millis
+	bytesOut int64
+	status   int
+	resumed  int
+	// cut is true when the answer must be broken off.
+	cut    bool
+	filter string
+	err    *verdict.Error
+	note   string
+}
+
+// left returns the time until the request is given up.
+func (c *call) left(now clock.Millis) clock.Millis { return c.until - now }
+
+// mayHaveRun reports whether any engine may have run the request.
+func (c *call) mayHaveRun() bool { return c.ran > 0 }
+
+// verdict is what is known when the request fails now.
+func (c *call) verdict() verdict.Verdict {
+	if c.mayHaveRun() {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// wrote records bytes of the answer's body.
+func (c *call) wrote(n int, now clock.Millis) {
+	if n == 0 {
+		return
+	}
+	if c.bytesOut == 0 {
+		c.firstAt = now
+	} else {
+		c.pause = max(c.pause, now-c.lastAt)
+	}
+	c.lastAt = now
+	c.bytesOut += int64(n)
+}
+
+// write sends bytes of the body to the caller.
+func (c *call) write(p []byte, now clock.Millis) error {
+	n, err := c.w.Write(p)
+	c.wrote(n, now)
+	return err
+}
+
+// bound limits the time for which a caller that does not read is waited for.
+func (c *call) bound(now clock.Millis) {
+	// A connection without deadlines is bounded by the request's context.
+	_ = c.rc.SetWriteDeadline(clock.Deadline(c.left(now) + writeSlack))
+}
+
+// writeSlack is what a caller may take beyond the deadline to read an answer
+// that is ready.
+const writeSlack clock.Millis = 2000
+
+const millisPerSecond = 1000
+
+// seconds formats d as Retry-After, which takes fractions here.
+func seconds(d clock.Millis) string {
+	return strconv.FormatFloat(float64(d)/millisPerSecond, 'f', -1, 64)
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,258 @@
+// Package gate is the entry of a deployment whose engines are reached
+// directly, by plain HTTP, without daemons between. It takes callers'
+// requests, finds the engine of each, and relays the whole answer. filters.go
+// lists the way of a request; what the operators publish and which engines
+// there are is handed in by an adapter.
+package gate
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/weldfall/weldfall/budget"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/fresh"
+	"github.com/weldfall/weldfall/table"
+	"github.com/weldfall/weldfall/upstream"
+)
+
+// Dialect gives the names on the wire between callers, this process and the
+// engines.
+type Dialect struct {
+	// RequestID is unique to each attempt of a caller.
+	RequestID string
+	// Deadline is how many milliseconds the caller waits.
+	Deadline string
+	// Prompt lists the parts of a prompt.
+	Prompt string
+	// Tenant tells engines the workspace.
+	Tenant string
+	// Priority tells engines the rank of a request, 0 first.
+	Priority string
+	// ExpectEngine makes every engine but the named one refuse.
+	ExpectEngine string
+	// NotRun marks an answer of an engine that did not run the request.
+	NotRun string
+	// Load is an engine's load: running, waiting and slots.
+	Load string
+	// LastEventID takes a stream up after the named event.
+	LastEventID string
+	// Reserved headers are the system's to set: callers' are dropped.
+	Reserved []string
+	// Internal headers of engines are not for callers.
+	Internal []string
+}
+
+// Bounds are the promises that the operators ask for.
+type Bounds struct {
+	// Revocation is how long after its removal a key may still be accepted.
+	Revocation clock.Millis
+	// Grace is how long a stopping process may go on.
+	Grace clock.Millis
+	// RetryRatio, RetryExtra and RetryWindow bound repeats of the whole fleet.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow clock.Millis
+	// LoadBound is the highest load of an engine as a multiple of the mean.
+	LoadBound float64
+}
+
+// Config sets up a Gate.
+type Config struct {
+	ID      string
+	Hall    string
+	Dialect Dialect
+	Bounds  Bounds
+	Clock   *clock.Clock
+	Log     *slog.Logger
+}
+
+// Gate is the entry of one process.
+type Gate struct {
+	cfg  Config
+	clk  *clock.Clock
+	log  *slog.Logger
+	wire Dialect
+	// reserved and internal are sets of canonical header names.
+	reserved map[string]bool
+	internal map[string]bool
+	pool     *upstream.Pool
+	table    atomic.Pointer[table.Table]
+	draining atomic.Bool
+	active   atomic.Int64
+	lastSeen atomic.Int64
+	counts   counts
+
+	// mu guards what follows.
+	mu      sync.Mutex
+	book    *engines.Book
+	budgets map[string]*budget.Budget
+	// published is the age of the table, listed that of the list of engines.
+	published fresh.Belief
+	listed    fresh.Belief
+	// wasReady is what the log was last told.
+	wasReady bool
+}
+
+// New returns a gate that knows nothing yet.
+func New(cfg Config) *Gate {
+	d := cfg.Dialect
+	g := &Gate{
+		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d,
+		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
+		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
+		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
+	}
+	return g
+}
+
+func nameSet(names []string) map[string]bool {
+	set := map[string]bool{}
+	for _, n := range names {
+		set[http.CanonicalHeaderKey(n)] = true
+	}
+	return set
+}
+
+// Limits of belief.
+const (
+	// revocationMargin is taken off the bound for revoked keys: clocks of two
+	// machines may run apart by a hundredth, and a process may be held up
+	// between its check and its send.
+	revocationMargin clock.Millis = 700
+	// denialAge is the greatest age of the table at which a key or a path that
+	// it does not know is refused for good; an older table may lack it.
+	denialAge clock.Millis = 2500
+)
+
+// keyAge is the greatest age of the table at which keys are accepted.
+func (g *Gate) keyAge() clock.Millis { return g.cfg.Bounds.Revocation - revocationMargin }
+
+// SetTable puts a newer version of the routes and keys in force, known to be
+// true at the given time. An older version than the one in force is ignored.
+func (g *Gate) SetTable(t *table.Table, at clock.Millis) {
+	old := g.table.Load()
+	if old != nil && t.Version() < old.Version() {
+		g.log.Warn("table ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
+		return
+	}
+	g.table.Store(t)
+	g.mu.Lock()
+	g.published.Confirm(at)
+	for _, id := range g.book.IDs() {
+		g.boundConns(t, g.book.Get(id).Info())
+	}
+	g.mu.Unlock()
+	if old == nil || old.Version() != t.Version() {
+		g.log.Info("table in force", "version", t.Version(), "age_ms", g.clk.Now()-at)
+	}
+}
+
+// ConfirmTable records that the table in force was still the newest at the
+// given time.
+func (g *Gate) ConfirmTable(at clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.published.Confirm(at)
+}
+
+// ConfirmEngines records that the list of engines was complete at the given
+// time.
+func (g *Gate) ConfirmEngines(at clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed.Confirm(at)
+}
+
+// connShare is the part of an engine's connections that one entry may take.
+// Entries come and go and do not count each other; a dozen of them that all
+// press on one engine at once stay below its bound.
+const connShare = 12
+
+// leastConns is the share of connections that an entry may always take.
+const leastConns = 8
+
+func (g *Gate) boundConns(t *table.Table, in engines.Info) {
+	if t == nil {
+		return
+	}
+	if s, ok := t.Service(in.Service); ok && s.MaxConns > 0 {
+		g.pool.SetMost(in.Addr, max(leastConns, s.MaxConns/connShare))
+	}
+}
+
+// PutEngine records an engine as listed.
+func (g *Gate) PutEngine(in engines.Info) {
+	g.mu.Lock()
+	change := g.book.Put(in, g.clk.Now())
+	g.boundConns(g.table.Load(), in)
+	g.mu.Unlock()
+	if change != engines.Same {
+		g.log.Info("engine", "change", string(change), "engine", in.ID, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
+	}
+}
+
+// RemoveEngine records that an engine is no longer listed.
+func (g *Gate) RemoveEngine(id, cause string) {
+	g.mu.Lock()
+	in, ok := g.book.Remove(id)
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	g.pool.Forget(in.Addr)
+	g.log.Info("engine", "change", string(engines.Gone), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
+}
+
+// EngineIDs returns the ids of all engines, sorted.
+func (g *Gate) EngineIDs() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.IDs()
+}
+
+// Ready reports whether the gate is fit to serve.
+func (g *Gate) Ready() bool {
+	t := g.table.Load()
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ready := t != nil && g.listed.Known() && !g.draining.Load()
+	if ready && t.Keyed() {
+		ready = g.published.Within(g.keyAge(), now)
+	}
+	if ready != g.wasReady {
+		g.wasReady = ready
+		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.draining.Load())
+	}
+	return ready
+}
+
+// budget returns the retry budget of a service. The caller holds mu.
+func (g *Gate) budget(service string) *budget.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = budget.New(budget.Config{
+			Ratio: g.cfg.Bounds.RetryRatio * retryShare, Window: g.cfg.Bounds.RetryWindow,
+			Extra: g.cfg.Bounds.RetryExtra / extraShare,
+		})
+		g.budgets[service] = b
+	}
+	return b
+}
+
+const (
+	// retryShare keeps the ratio of one process a little under the fleet's,
+	// since windows are not aligned.
+	retryShare = 0.9
+	// extraShare is the number of entries that may each use their part of the
+	// extra repeats; a fleet of more entries would need a smaller part.
+	extraShare = 32
+)
+
+// random returns a number from 0 to 1 that breaks ties.
+func random() float64 { return rand.Float64() }
--- /dev/null
+++ b/gate/relay.go
@@ -0,0 +1,210 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/upstream"
+)
+
+const (
+	// plainLimit is the largest answer in bytes that is held until it is
+	// whole, so that one that breaks off can be told as a failure. A larger
+	// one is passed on as it comes.
+	plainLimit = 256 << 10
+	// relayBuffer is the size of the buffer for a stream, in bytes.
+	relayBuffer = 8 << 10
+	// drainLimit bounds what is read of an answer that nobody wants, in bytes.
+	drainLimit = 64 << 10
+	// resumeSilence is how long a resumable stream may pause before it is
+	// taken up elsewhere: over twice the pauses that operators ask for, and
+	// under the two seconds after which callers abandon a stream.
+	resumeSilence clock.Millis = 1000
+)
+
+// held is a whole answer that is not yet passed on.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// drain reads the rest of an answer, so that its connection can be kept.
+func drain(a *upstream.Answer) {
+	// An answer that cannot be read to its end costs its connection.
+	_, _ = io.CopyN(io.Discard, a, drainLimit)
+}
+
+// relay passes the answer on to the caller.
+func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) outcome {
+	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	if a.StatusCode == http.StatusOK && kindIsStream(c.route) && strings.TrimSpace(mediaType) == "text/event-stream" {
+		return g.relayStream(ctx, c, e, a)
+	}
+	if c.began {
+		return broken{fmt.Errorf("status %d in place of the rest of a stream", a.StatusCode)}
+	}
+	return g.relayPlain(ctx, c, a)
+}
+
+// relayPlain holds an answer until it is whole.
+func (g *Gate) relayPlain(ctx context.Context, c *call, a *upstream.Answer) outcome {
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, a, plainLimit)
+	switch {
+	case err == nil:
+		return g.relayLong(ctx, c, a, body.Bytes())
+	case !errors.Is(err, io.EOF):
+		return brokenOr(ctx, err)
+	}
+	h := &held{status: a.StatusCode, header: a.Header, body: body.Bytes()}
+	switch {
+	case promises(a.StatusCode):
+		return broken{fmt.Errorf("status %d without word that the request did not run", a.StatusCode)}
+	case a.StatusCode >= http.StatusInternalServerError:
+		return failed{h}
+	}
+	g.pass(c, h)
+	return answered{}
+}
+
+// promises reports whether callers take a status for "has not run and never
+// will", which only an engine's own word can back.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// brokenOr is the outcome of a read that failed.
+func brokenOr(ctx context.Context, err error) outcome {
+	if ctx.Err() != nil {
+		return callerGone{}
+	}
+	return broken{err}
+}
+
+// pass writes a whole answer to the caller.
+func (g *Gate) pass(c *call, h *held) {
+	g.copyHead(c, h.header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	g.begin(c, h.status)
+	// A caller that is gone needs no answer; the account shows the bytes.
+	_ = c.write(h.body, g.clk.Now())
+}
+
+// relayLong passes on an answer that is too long to be held.
+func (g *Gate) relayLong(ctx context.Context, c *call, a *upstream.Answer, first []byte) outcome {
+	g.copyHead(c, a.Header)
+	if a.ContentLength >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	g.begin(c, a.StatusCode)
+	if err := c.write(first, g.clk.Now()); err != nil {
+		return callerGone{}
+	}
+	buf := make([]byte, relayBuffer)
+	for {
+		n, err := a.Read(buf)
+		if werr := c.write(buf[:n], g.clk.Now()); werr != nil {
+			return callerGone{}
+		}
+		if errors.Is(err, io.EOF) {
+			return answered{}
+		}
+		if err != nil {
+			return brokenOr(ctx, err)
+		}
+	}
+}
+
+// relayStream passes whole events on as they come. Nothing is written before
+// the first of them, so that a stream that breaks off before it can be
+// answered as a failure or taken elsewhere.
+func (g *Gate) relayStream(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) outcome {
+	buf := make([]byte, relayBuffer)
+	for {
+		a.Limit(g.streamLimit(c))
+		n, err := a.Read(buf)
+		if n > 0 {
+			g.heard(e.ID, "")
+		}
+		whole, ok := c.split.Add(buf[:n])
+		if !ok {
+			return broken{errors.New("an event without an end")}
+		}
+		ended := errors.Is(err, io.EOF)
+		if ended && len(c.split.Pending()) > 0 {
+			whole = append(whole, c.split.Pending()...)
+			c.split.Drop()
+		}
+		if len(whole) > 0 || ended {
+			if !g.passEvents(c, a, whole, a.Buffered() == 0 || ended) {
+				return callerGone{}
+			}
+		}
+		if ended {
+			return answered{}
+		}
+		if err != nil {
+			c.split.Drop()
+			return brokenOr(ctx, err)
+		}
+	}
+}
+
+// streamLimit is how long the engine may take for its next bytes.
+func (g *Gate) streamLimit(c *call) clock.Millis {
+	left := c.left(g.clk.Now())
+	if c.route.Repeatable() && c.ran < c.route.Attempts {
+		return min(left, resumeSilence)
+	}
+	return left
+}
+
+// passEvents writes events and reports whether the caller took them.
+func (g *Gate) passEvents(c *call, a *upstream.Answer, whole []byte, flush bool) bool {
+	if !c.began {
+		g.copyHead(c, a.Header)
+		g.begin(c, a.StatusCode)
+	}
+	if err := c.write(whole, g.clk.Now()); err != nil {
+		return false
+	}
+	return !flush || c.rc.Flush() == nil
+}
+
+// copyHead sets the engine's headers on the answer.
+func (g *Gate) copyHead(c *call, from http.Header) {
+	dropped := connectionNames(from)
+	to := c.w.Header()
+	for k, v := range from {
+		if !hopByHop[k] && !g.internal[k] && !dropped[k] {
+			to[k] = v
+		}
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		// Without it the library would guess one.
+		to["Content-Type"] = nil
+	}
+}
+
+// begin writes the head of the answer.
+func (g *Gate) begin(c *call, status int) {
+	c.began, c.status = true, status
+	if g.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.bound(g.clk.Now())
+	c.w.WriteHeader(status)
+}
--- /dev/null
+++ b/gate/resolve.go
@@ -0,0 +1,161 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/prompt"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+// Retry hints.
+const (
+	// retryStale is when a process that does not know the settings may know
+	// them again.
+	retryStale clock.Millis = 700
+	// retrySoon is when an engine may be free or back.
+	retrySoon clock.Millis = 250
+)
+
+// bodyLimit bounds a body where the operators name no bound, in bytes.
+const bodyLimit = 4 << 20
+
+// check refuses requests whose deciding headers are missing or repeated.
+func (g *Gate) check(_ context.Context, c *call) *verdict.Error {
+	h := c.r.Header
+	for _, name := range []string{g.wire.RequestID, g.wire.Deadline, g.wire.Prompt, "Authorization"} {
+		if len(h.Values(name)) > 1 {
+			return verdict.New(verdict.NotRun, verdict.BadRequest, "header %s is given twice: send it once", name)
+		}
+	}
+	c.id = h.Get(g.wire.RequestID)
+	if c.id == "" {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "header %s is missing: send an id that is unique to this attempt", g.wire.RequestID)
+	}
+	if d := h.Get(g.wire.Deadline); d != "" {
+		n, err := strconv.ParseInt(d, 10, 64)
+		if err != nil || n <= 0 {
+			return verdict.New(verdict.NotRun, verdict.BadRequest, "header %s: %q is not a number of milliseconds above 0", g.wire.Deadline, d)
+		}
+		c.patience = clock.Millis(min(n, int64(longestHold)))
+	}
+	return nil
+}
+
+// longestHold bounds the time of any request.
+const longestHold clock.Millis = 600_000
+
+// resolve finds the route and what it says of the request.
+func (g *Gate) resolve(_ context.Context, c *call) *verdict.Error {
+	c.table = g.table.Load()
+	if c.table == nil {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry does not know the routes yet").WithRetryAfter(retryStale)
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	route, ok := c.table.Route(c.r.Host, path)
+	if !ok {
+		return g.denied(verdict.NoRoute, "no route for host %q and this path", c.r.Host)
+	}
+	c.route = route
+	hold := longestHold
+	if route.Timeout > 0 {
+		hold = route.Timeout
+	}
+	if c.patience > 0 {
+		hold = min(hold, c.patience)
+	}
+	c.until = c.start + hold
+	if route.Affine {
+		parts := prompt.Parse(c.r.Header.Get(g.wire.Prompt))
+		c.key, c.tokens = prompt.Key(parts), prompt.Tokens(parts)
+	}
+	pick := c.id
+	if c.key != 0 {
+		pick = strconv.FormatUint(c.key, 16)
+	}
+	c.service = route.Pick(pick)
+	return nil
+}
+
+// denied is the refusal of something that the table does not know. A table
+// that may be out of date only says so.
+func (g *Gate) denied(reason verdict.Reason, format string, args ...any) *verdict.Error {
+	now := g.clk.Now()
+	g.mu.Lock()
+	age, current := g.published.Age(now), g.published.Within(denialAge, now)
+	g.mu.Unlock()
+	if !current {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's routes and keys are %d ms old", age).WithRetryAfter(retryStale)
+	}
+	return verdict.New(verdict.NotRun, reason, format, args...)
+}
+
+// authorise finds the workspace of the key. A key is good only while the
+// table is known to be younger than the bound for revoked keys.
+func (g *Gate) authorise(_ context.Context, c *call) *verdict.Error {
+	if !c.table.Keyed() || c.route.Public {
+		return nil
+	}
+	now := g.clk.Now()
+	g.mu.Lock()
+	age, current := g.published.Age(now), g.published.Within(g.keyAge(), now)
+	g.mu.Unlock()
+	if !current {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's keys are %d ms old and may have been revoked", age).WithRetryAfter(retryStale)
+	}
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return g.denied(verdict.Unauthorized, "no bearer key: send Authorization: Bearer KEY")
+	}
+	if c.workspace, ok = c.table.Workspace(strings.TrimSpace(key)); !ok {
+		return g.denied(verdict.Unauthorized, "unknown key")
+	}
+	return nil
+}
+
+// read takes the body, within the bounds for its size and its time.
+func (g *Gate) read(_ context.Context, c *call) *verdict.Error {
+	limit := int64(bodyLimit)
+	if l := c.table.Limits().BodyBytes; l > 0 {
+		limit = l
+	}
+	if c.r.ContentLength > limit {
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has %d bytes, at most %d are taken", c.r.ContentLength, limit)
+	}
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	// A connection without deadlines is bounded by the request's context.
+	_ = c.rc.SetReadDeadline(clock.Deadline(c.left(g.clk.Now())))
+	body, err := readAll(c.r.Body, c.r.ContentLength, limit)
+	_ = c.rc.SetReadDeadline(clock.Never())
+	switch {
+	case errors.Is(err, errTooLarge):
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body did not arrive whole: %w", err)
+	}
+	c.body = body
+	return nil
+}
+
+var errTooLarge = errors.New("too large")
+
+// readAll reads a body of the given length, or of unknown length if negative.
+func readAll(r io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errTooLarge
+	}
+	return body, err
+}
--- /dev/null
+++ b/gate/respond.go
@@ -0,0 +1,155 @@
+package gate
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+// problem is the body of a failure.
+type problem struct {
+	Request string          `json:"request"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason"`
+	Message string          `json:"message"`
+}
+
+// statusOf maps a failure to a status. 503 and 429 say that the request did
+// not run; 502 and 504 say nothing of the kind.
+func statusOf(err *verdict.Error) int {
+	notRun := err.Verdict() == verdict.NotRun
+	switch err.Reason() {
+	case verdict.BadRequest:
+		return http.StatusBadRequest
+	case verdict.Unauthorized:
+		return http.StatusUnauthorized
+	case verdict.NoRoute:
+		return http.StatusNotFound
+	case verdict.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.Deadline:
+		if !notRun {
+			return http.StatusGatewayTimeout
+		}
+	}
+	if notRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// respond writes a failure, or breaks off an answer that has begun.
+func (g *Gate) respond(c *call, err *verdict.Error) {
+	if c.began || c.cut {
+		c.cut = true
+		return
+	}
+	status := statusOf(err)
+	body, jerr := json.Marshal(problem{Request: c.id, Verdict: err.Verdict(), Reason: err.Reason(), Message: err.Message()})
+	if jerr != nil {
+		g.log.Error("problem not encoded", "request", c.id, "error", jerr)
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if c.id != "" {
+		h.Set(g.wire.RequestID, c.id)
+	}
+	if err.RetryAfter() > 0 && err.Verdict() == verdict.NotRun {
+		h.Set("Retry-After", seconds(err.RetryAfter()))
+	}
+	g.begin(c, status)
+	// A caller that is gone needs no answer.
+	_ = c.write(body, g.clk.Now())
+}
+
+// counts are the gate's counters and histograms.
+type counts struct {
+	answers   map[string]*metrics.Counter
+	firstByte *metrics.Histogram
+	total     *metrics.Histogram
+	pause     *metrics.Histogram
+	repeats   *metrics.Counter
+	bytesOut  *metrics.Counter
+}
+
+func newCounts() counts {
+	c := counts{
+		answers:   map[string]*metrics.Counter{},
+		firstByte: metrics.GetOrCreateHistogram("weldfall_first_byte_seconds"),
+		total:     metrics.GetOrCreateHistogram("weldfall_answer_seconds"),
+		pause:     metrics.GetOrCreateHistogram("weldfall_longest_pause_seconds"),
+		repeats:   metrics.GetOrCreateCounter("weldfall_repeats_total"),
+		bytesOut:  metrics.GetOrCreateCounter("weldfall_answer_bytes_total"),
+	}
+	for _, class := range []string{"1xx", "2xx", "3xx", "4xx", "5xx"} {
+		c.answers[class] = metrics.GetOrCreateCounter(`weldfall_answers_total{class="` + class + `"}`)
+	}
+	return c
+}
+
+func inSeconds(d clock.Millis) float64 { return float64(d) / millisPerSecond }
+
+// account counts the end of a call and logs it in one line.
+func (g *Gate) account(c *call) {
+	now := g.clk.Now()
+	if c.status >= 100 && c.status < 600 {
+		g.counts.answers[strconv.Itoa(c.status/100)+"xx"].Inc()
+	}
+	g.counts.total.Update(inSeconds(now - c.start))
+	if c.firstAt > 0 {
+		g.counts.firstByte.Update(inSeconds(c.firstAt - c.start))
+		g.counts.pause.Update(inSeconds(c.pause))
+	}
+	g.counts.bytesOut.Add(int(c.bytesOut))
+	engine := ""
+	if len(c.tried) > 0 {
+		engine = c.tried[len(c.tried)-1]
+	}
+	attrs := []any{
+		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "rank", c.rank,
+		"load", int(c.load * 10), "mean", int(c.mean * 10), "status", c.status,
+		"first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
+	}
+	if c.route != nil {
+		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
+	}
+	if c.err == nil && !c.cut {
+		if c.note != "" {
+			attrs = append(attrs, "note", c.note)
+		}
+		g.log.Info("answered", attrs...)
+		return
+	}
+	attrs = append(attrs, "cut", c.cut, "left_ms", c.until-now)
+	if c.err != nil {
+		attrs = append(attrs, "filter", c.filter, "verdict", c.err.Verdict(), "reason", c.err.Reason(), "error", c.err.Message())
+	}
+	g.log.Warn("failed", attrs...)
+}
+
+// logAgain logs why a request goes to another engine, or why not.
+func (g *Gate) logAgain(c *call, o outcome, e engines.Info, allowed bool, left clock.Millis) {
+	if allowed {
+		g.counts.repeats.Inc()
+	}
+	cause := ""
+	switch o := o.(type) {
+	case unsent:
+		cause = o.err.Error()
+	case refused:
+		cause = "status " + strconv.Itoa(o.status)
+	case broken:
+		cause = o.err.Error()
+	case failed:
+		cause = "status " + strconv.Itoa(o.answer.status)
+	}
+	g.log.Info("attempt ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
+		"again", allowed, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
+}
--- /dev/null
+++ b/gate/server.go
@@ -0,0 +1,100 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// Bounds towards callers that hold before the operators' are known.
+const (
+	maxHeader = 64 << 10
+	// headerTimeout bounds the time in which a head must arrive.
+	headerTimeout clock.Millis = 5000
+	// idleTimeout is how long an idle connection is kept. It is longer than
+	// any bound seen, since callers may use a connection until then.
+	idleTimeout clock.Millis = 60_000
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	now := g.clk.Now()
+	g.lastSeen.Store(int64(now))
+	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, until: now + longestHold, rank: -1}
+	g.serve(r.Context(), c)
+	if c.cut {
+		// The library closes the connection in mid-answer, so that it cannot
+		// look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Run serves callers on ln until ctx is done, and then until what is in
+// flight has finished or the grace is over.
+func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{
+		Handler: g, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSweep()
+	go clock.Every(sweepCtx, sweepPeriod, g.pool.Sweep)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-ctx.Done()
+		g.drain(srv)
+	}()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
+	}
+	<-done
+	return nil
+}
+
+// sweepPeriod is how often idle connections to engines are looked through.
+const sweepPeriod clock.Millis = 1000
+
+// Stopping.
+const (
+	// drainPeriod is how often a stopping process looks whether it may end.
+	drainPeriod clock.Millis = 50
+	// drainQuiet is how long nothing must have come in before a stopping
+	// process ends: the balancer asks each second and takes a process out
+	// after two misses.
+	drainQuiet clock.Millis = 2500
+	// graceMargin is left of the grace for the end of the process itself.
+	graceMargin clock.Millis = 500
+)
+
+// drain turns unready at once, answers what comes in nevertheless, and ends
+// when nothing has come in for a while and all answers are out.
+func (g *Gate) drain(srv *http.Server) {
+	start := g.clk.Now()
+	g.draining.Store(true)
+	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", g.cfg.Bounds.Grace)
+	end := start + g.cfg.Bounds.Grace - graceMargin
+	for g.clk.Now() < end {
+		quiet := g.clk.Now() - max(start, clock.Millis(g.lastSeen.Load()))
+		if g.active.Load() == 0 && quiet >= drainQuiet {
+			break
+		}
+		clock.Sleep(context.Background(), drainPeriod)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), (graceMargin / 2).Duration())
+	defer cancel()
+	left := g.active.Load()
+	if err := srv.Shutdown(ctx); err != nil {
+		g.log.Warn("left", "cut_off", left, "took_ms", g.clk.Now()-start)
+		_ = srv.Close()
+		return
+	}
+	g.log.Info("left", "cut_off", 0, "took_ms", g.clk.Now()-start)
+}
--- /dev/null
+++ b/prompt/prompt.go
@@ -0,0 +1,64 @@
+// Package prompt reads the parts that callers name of their prompts. Engines
+// keep parts in memory, so requests that begin alike are best sent alike. It
+// is pure.
+package prompt
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Part is one piece of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// maxParts bounds the parts that are looked at.
+const maxParts = 64
+
+// Parse reads "ID:TOKENS,ID:TOKENS". What cannot be read is left out: the
+// engine is handed the text as it is, and a worse choice of engine is all that
+// can come of it.
+func Parse(text string) []Part {
+	var parts []Part
+	for item := range strings.SplitSeq(text, ",") {
+		id, n, ok := strings.Cut(strings.TrimSpace(item), ":")
+		if !ok || id == "" || len(parts) == maxParts {
+			break
+		}
+		tokens, err := strconv.Atoi(n)
+		if err != nil || tokens < 0 {
+			break
+		}
+		parts = append(parts, Part{ID: id, Tokens: tokens})
+	}
+	return parts
+}
+
+// Key hashes the parts that other requests may share: all but the last, which
+// is a request's own or its session's. A prompt of one part is hashed whole.
+// It is zero for a prompt without parts.
+func Key(parts []Part) uint64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	shared := parts[:max(1, len(parts)-1)]
+	var b strings.Builder
+	for _, p := range shared {
+		b.WriteString(p.ID)
+		b.WriteByte(',')
+	}
+	return max(1, xxh3.HashString(b.String()))
+}
+
+// Tokens returns the length of the whole prompt.
+func Tokens(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
--- a/platform/client.go
+++ b/source/client.go
@@ -1,7 +1,7 @@
-// Package platform reads the users' platform: configuration values and the
+// Package source reads weldfall's own settings service: configuration values and the
 // list of instances, both with revisions and watched by long poll. Nothing is
 // ever written there.
-package platform
+package source
 
 import (
 	"context"
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,214 @@
+// Package table holds what the operators have published about requests: the
+// routes, the services behind them, the workspaces with their keys, and the
+// bounds for callers. A Table is one version, whole and immutable; the process
+// swaps one for the next. It is pure.
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// Kind says what may be done with a request of a route when an attempt fails.
+type Kind string
+
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Stream answers come as events. Unless the route is resumable, such a
+	// request runs at most once.
+	Stream Kind = "stream"
+)
+
+// Share is a service of a route and its weight among the route's services.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says which service takes the requests of a host and path.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins the path; it starts and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time a request is held.
+	Timeout clock.Millis
+	// Goal is the time within which an answer, or the first event of one,
+	// is on time.
+	Goal clock.Millis
+	// PauseGoal is the longest pause between events that is on time.
+	PauseGoal clock.Millis
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	// Shares is not empty and sorted by service.
+	Shares []Share
+	// Attempts is the most engines that one request is sent to, at least 1.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Affine requests name the parts of their prompt, which engines keep.
+	Affine bool
+	// Resumable streams may go on at another engine.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may be sent to a second engine after
+// the first may have run it.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
+}
+
+// Service is a group of engines that serve the same requests.
+type Service struct {
+	Name string
+	// MaxConns is how many connections one engine takes from all callers.
+	MaxConns int
+	// Slots is how many requests a model engine runs at once; 0 for a plain
+	// service, whose engines tell it themselves.
+	Slots int
+	// Memory is the prompt memory of a model engine in tokens; 0 for a plain
+	// service.
+	Memory int
+}
+
+// Workspace is a group of callers that share keys.
+type Workspace struct {
+	Name string
+	// Keys are bearer keys.
+	Keys []string
+	// Priority goes before that of the route; nil if the workspace has none.
+	Priority *int
+}
+
+// Limits bound what a caller may send. Zero means no bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout clock.Millis
+	IdleTimeout   clock.Millis
+}
+
+// Config is what a Table is made of.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	// Keyed is true when requests need a key, even if no key is left.
+	Keyed      bool
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Table is one version of the published routes and keys.
+type Table struct {
+	version  int64
+	byHost   map[string][]Route
+	services map[string]Service
+	keyed    bool
+	byKey    map[string]*Workspace
+	limits   Limits
+}
+
+// New returns the table of cfg. The longest prefix of a host comes first.
+func New(cfg Config) *Table {
+	t := &Table{
+		version: cfg.Version, limits: cfg.Limits, keyed: cfg.Keyed,
+		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]*Workspace{},
+	}
+	for _, r := range cfg.Routes {
+		r.Host = strings.ToLower(r.Host)
+		slices.SortFunc(r.Shares, func(a, b Share) int { return cmp.Compare(a.Service, b.Service) })
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range cfg.Services {
+		t.services[s.Name] = s
+	}
+	for i := range cfg.Workspaces {
+		w := &cfg.Workspaces[i]
+		for _, k := range w.Keys {
+			t.byKey[k] = w
+		}
+	}
+	return t
+}
+
+// Version returns the version that the operators gave.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds for callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Keyed reports whether requests need a key, but on public routes.
+func (t *Table) Keyed() bool { return t.keyed }
+
+// Route returns the route of a host, with or without a port, and a path, or
+// false if there is none.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := t.byHost[strings.ToLower(host)]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].Prefix) {
+			return &routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Workspace returns the workspace that holds a key, or false.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.byKey[key]
+	return w, ok
+}
+
+// Service returns a service by name, or false.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns the names of all services, sorted.
+func (t *Table) Services() []string {
+	names := make([]string, 0, len(t.services))
+	for n := range t.services {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Pick chooses one of the route's services by weight. Every process gives
+// equal keys the same service.
+func (r *Route) Pick(key string) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += max(0, s.Weight)
+	}
+	if total == 0 {
+		return r.Shares[0].Service
+	}
+	n := int(xxh3.HashString(key) % uint64(total))
+	for _, s := range r.Shares {
+		n -= max(0, s.Weight)
+		if n < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -46,6 +46,8 @@
 	Duplicate      Reason = "duplicate_key"
 	UnknownHistory Reason = "unknown_history"
 	NotReady       Reason = "not_ready"
+	NoRoute        Reason = "no_route"
+	Budget         Reason = "retry_budget"
 )
 
 // Error is a failure with its verdict. It wraps its cause.
