gate: Refuse what a stopping process cannot finish

Ruled out: the grace itself (it ended 0.2 s before the kill). Change: idle connections are closed once the balancer has noticed; a request whose route's longest recent answer does not fit is refused as not run, with a time to come back.

--- a/gate/filters.go
+++ b/gate/filters.go
@@ -18,6 +18,7 @@
 	return []filter{
 		{"check", g.check},         // headers that decide are there once
 		{"resolve", g.resolve},     // the route of host and path
+		{"stay", g.stay},           // a stopping process can finish it
 		{"authorise", g.authorise}, // the workspace that holds the key
 		{"read", g.read},           // the body, within its bound
 		{"send", g.send},           // choose an engine, send, relay the answer
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -53,6 +53,9 @@
 	Revocation clock.Millis
 	// Grace is how long a stopping process may go on.
 	Grace clock.Millis
+	// BalancerLag is how long new connections may come after the process has
+	// turned unready.
+	BalancerLag clock.Millis
 	// RetryRatio, RetryExtra and RetryWindow bound repeats of the whole fleet.
 	RetryRatio  float64
 	RetryExtra  float64
@@ -82,10 +85,12 @@
 	internal map[string]bool
 	pool     *upstream.Pool
 	table    atomic.Pointer[table.Table]
-	draining atomic.Bool
-	active   atomic.Int64
-	lastSeen atomic.Int64
-	counts   counts
+	// leaveBy is when a stopping process ends, 0 while it is not stopping.
+	leaveBy   atomic.Int64
+	active    atomic.Int64
+	lastSeen  atomic.Int64
+	counts    counts
+	durations *durations
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -106,6 +111,7 @@
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
+		durations: newDurations(),
 	}
 	return g
 }
@@ -221,13 +227,13 @@
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ready := t != nil && g.listed.Known() && !g.draining.Load()
+	ready := t != nil && g.listed.Known() && !g.draining()
 	if ready && t.Keyed() {
 		ready = g.published.Within(g.keyAge(), now)
 	}
 	if ready != g.wasReady {
 		g.wasReady = ready
-		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.draining.Load())
+		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.draining())
 	}
 	return ready
 }
@@ -254,5 +260,8 @@
 	extraShare = 32
 )
 
+// draining reports whether the process is stopping.
+func (g *Gate) draining() bool { return g.leaveBy.Load() != 0 }
+
 // random returns a number from 0 to 1 that breaks ties.
 func random() float64 { return rand.Float64() }
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -112,6 +112,9 @@
 	if len(c.tried) > 0 {
 		engine = c.tried[len(c.tried)-1]
 	}
+	if c.err == nil && c.route != nil && c.status == http.StatusOK {
+		g.durations.note(c.route.Name, now-c.start)
+	}
 	attrs := []any{
 		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "rank", c.rank,
 		"load", int(c.load * 10), "mean", int(c.mean * 10), "status", c.status,
--- a/gate/server.go
+++ b/gate/server.go
@@ -67,34 +67,33 @@
 	// drainPeriod is how often a stopping process looks whether it may end.
 	drainPeriod clock.Millis = 50
 	// drainQuiet is how long nothing must have come in before a stopping
-	// process ends: the balancer asks each second and takes a process out
-	// after two misses.
-	drainQuiet clock.Millis = 2500
+	// process ends, once it has closed its idle connections: a few round trips
+	// to callers.
+	drainQuiet clock.Millis = 300
 	// graceMargin is left of the grace for the end of the process itself.
-	graceMargin clock.Millis = 500
+	graceMargin clock.Millis = 400
 )
 
-// drain turns unready at once, answers what comes in nevertheless, and ends
-// when nothing has come in for a while and all answers are out.
+// drain turns unready at once and answers what comes in nevertheless, since
+// the balancer needs a while to notice. Then it closes idle connections, and
+// ends when all answers are out.
 func (g *Gate) drain(srv *http.Server) {
 	start := g.clk.Now()
-	g.draining.Store(true)
-	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", g.cfg.Bounds.Grace)
 	end := start + g.cfg.Bounds.Grace - graceMargin
+	g.leaveBy.Store(int64(end))
+	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", g.cfg.Bounds.Grace)
+	clock.Sleep(context.Background(), min(g.cfg.Bounds.BalancerLag, end-start))
+	srv.SetKeepAlivesEnabled(false)
+	closed := g.clk.Now()
 	for g.clk.Now() < end {
-		quiet := g.clk.Now() - max(start, clock.Millis(g.lastSeen.Load()))
+		quiet := g.clk.Now() - max(closed, clock.Millis(g.lastSeen.Load()))
 		if g.active.Load() == 0 && quiet >= drainQuiet {
 			break
 		}
 		clock.Sleep(context.Background(), drainPeriod)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), (graceMargin / 2).Duration())
-	defer cancel()
 	left := g.active.Load()
-	if err := srv.Shutdown(ctx); err != nil {
-		g.log.Warn("left", "cut_off", left, "took_ms", g.clk.Now()-start)
-		_ = srv.Close()
-		return
-	}
-	g.log.Info("left", "cut_off", 0, "took_ms", g.clk.Now()-start)
+	// What is still open is closed with the process.
+	_ = srv.Close()
+	g.log.Info("left", "cut_off", left, "took_ms", g.clk.Now()-start)
 }
