--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/dial"
 )
 
 // Connections.
@@ -22,14 +23,6 @@
 	// hundred times the way between data halls, and short enough to try
 	// another engine before a caller waits noticeably.
 	dialLimit clock.Millis = 500
-	// userTimeout is how long sent bytes may go unacknowledged before the
-	// kernel gives the connection up.
-	userTimeout clock.Millis = 1500
-	// keepAliveIdle and keepAliveEvery find an engine that has gone dark
-	// while nothing is sent, within about three seconds.
-	keepAliveIdle  clock.Millis = 1000
-	keepAliveEvery clock.Millis = 1000
-	keepAliveCount              = 2
 	// idleLimit is how long an idle connection is kept when the engine tells
 	// no limit of its own.
 	idleLimit clock.Millis = 4000
@@ -39,16 +32,13 @@
 	// readBuffer is the size of a connection's read buffer in bytes: two
 	// dozen events of a stream.
 	readBuffer = 4 << 10
-	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which
-	// package syscall does not name.
-	tcpUserTimeout = 0x12
 )
 
 // Pool keeps connections to engines. It is safe for concurrent use.
 type Pool struct {
 	clk    *clock.Clock
 	names  Names
-	dialer net.Dialer
+	dialer *net.Dialer
 	dials  *metrics.Counter
 	strays *metrics.Counter
 
@@ -64,28 +54,11 @@
 
 // NewPool returns an empty pool.
 func NewPool(clk *clock.Clock, names Names) *Pool {
-	p := &Pool{
-		clk: clk, names: names, idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
+	return &Pool{
+		clk: clk, names: names, dialer: dial.New(dialLimit), idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
 		dials:  metrics.GetOrCreateCounter("weldfall_engine_dials_total"),
 		strays: metrics.GetOrCreateCounter("weldfall_engine_stray_answers_total"),
 	}
-	p.dialer = net.Dialer{
-		Timeout: dialLimit.Duration(),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveEvery.Duration(), Count: keepAliveCount,
-		},
-		Control: func(_, _ string, rc syscall.RawConn) error {
-			var opt error
-			err := rc.Control(func(fd uintptr) {
-				opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout))
-			})
-			if err != nil {
-				return err
-			}
-			return opt
-		},
-	}
-	return p
 }
 
 // SetMost bounds the connections to addr; zero takes the bound away.
