gate, commands: Reload on SIGHUP; close idle connections without a race

(2) At a planned stop a request that had just been read on a kept connection was passed on and its connection closed: net/http's SetKeepAlivesEnabled closes what it still takes for idle. Ruled out for (2): the balancer and the grace; the close came 2 ms after the engine had begun. Change: SIGHUP puts the bounds of the settings file in force, a bad file leaves the old ones; connections of callers know whether a request was begun, and bytes read after the close are not handed on.

--- a/commands/gate.go
+++ b/commands/gate.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"sync"
@@ -31,6 +32,10 @@
 const memoryShare = 0.6
 
 func (c *gateCmd) run(out, _ io.Writer) error {
+	// A reload that comes before the process is up must not end it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return usageError{err}
@@ -50,12 +55,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	log.Info("started", "role", "gate", "version", Version, "hall", boot.Hall, "listen", boot.Listen, "store", boot.Store)
-	return runGate(ctx, boot, log, ls)
+	log.Info("started", "role", "gate", "version", Version, "hall", boot.Hall, "listen", ls[0].Addr(),
+		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "store", boot.Store)
+	return runGate(ctx, boot, log, ls, hup)
 }
 
 // runGate serves until ctx is done and what is in flight has finished.
-func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener) error {
+func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
 	clk := clock.System()
 	g := gate.New(gate.Config{
 		ID: boot.ID, Hall: boot.Hall, Dialect: platform.Dialect(), Bounds: gate.Bounds(boot.Bounds), Clock: clk, Log: log,
@@ -66,6 +72,7 @@
 	defer wg.Wait()
 	defer stopReading()
 	wg.Go(func() { reader.FollowConfig(readCtx) })
+	wg.Go(func() { followBoot(readCtx, g, log, hup) })
 	wg.Go(func() { reader.FollowEngines(readCtx) })
 	stopPages := servePages(ls[1], readyPages(g))
 	defer stopPages()
@@ -74,6 +81,25 @@
 	return g.Run(ctx, ls[0])
 }
 
+// followBoot puts the bounds of the settings file in force at each SIGHUP. A
+// file that cannot be read leaves those before in force.
+func followBoot(ctx context.Context, g *gate.Gate, log *slog.Logger, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		boot, err := platform.LoadBoot()
+		if err != nil {
+			log.Error("reload refused", "error", err)
+			continue
+		}
+		g.SetBounds(gate.Bounds(boot.Bounds))
+		log.Info("reloaded")
+	}
+}
+
 func readyPages(g *gate.Gate) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -85,6 +85,7 @@
 	internal map[string]bool
 	pool     *upstream.Pool
 	table    atomic.Pointer[table.Table]
+	limits   atomic.Pointer[Bounds]
 	// leaveBy is when a stopping process ends, 0 while it is not stopping.
 	leaveBy   atomic.Int64
 	active    atomic.Int64
@@ -113,9 +114,23 @@
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
 		durations: newDurations(),
 	}
+	g.limits.Store(&cfg.Bounds)
 	return g
 }
 
+func (g *Gate) bounds() Bounds { return *g.limits.Load() }
+
+// SetBounds puts other bounds in force.
+func (g *Gate) SetBounds(b Bounds) {
+	if old := g.limits.Swap(&b); *old == b {
+		return
+	}
+	g.mu.Lock()
+	g.budgets = map[string]*budget.Budget{}
+	g.mu.Unlock()
+	g.log.Info("bounds in force", "revocation_ms", b.Revocation, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
+}
+
 func nameSet(names []string) map[string]bool {
 	set := map[string]bool{}
 	for _, n := range names {
@@ -136,7 +151,7 @@
 )
 
 // keyAge is the greatest age of the table at which keys are accepted.
-func (g *Gate) keyAge() clock.Millis { return g.cfg.Bounds.Revocation - revocationMargin }
+func (g *Gate) keyAge() clock.Millis { return g.bounds().Revocation - revocationMargin }
 
 // SetTable puts a newer version of the routes and keys in force, known to be
 // true at the given time. An older version than the one in force is ignored.
@@ -243,8 +258,8 @@
 	b := g.budgets[service]
 	if b == nil {
 		b = budget.New(budget.Config{
-			Ratio: g.cfg.Bounds.RetryRatio * retryShare, Window: g.cfg.Bounds.RetryWindow,
-			Extra: g.cfg.Bounds.RetryExtra / extraShare,
+			Ratio: g.bounds().RetryRatio * retryShare, Window: g.bounds().RetryWindow,
+			Extra: g.bounds().RetryExtra / extraShare,
 		})
 		g.budgets[service] = b
 	}
--- a/gate/send.go
+++ b/gate/send.go
@@ -92,7 +92,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Key: c.key, Hall: g.cfg.Hall, Bound: keyBound(g.cfg.Bounds.LoadBound), Slack: boundSlack,
+		Service: c.service, Key: c.key, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
 		Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
--- a/gate/server.go
+++ b/gate/server.go
@@ -39,8 +39,9 @@
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
+	conns := newCallerConns(ln)
 	srv := &http.Server{
-		Handler: g, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ConnState: conns.state, Handler: g, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
@@ -50,9 +51,9 @@
 	go func() {
 		defer close(done)
 		<-ctx.Done()
-		g.drain(srv)
+		g.drain(srv, conns)
 	}()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(conns); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
 	}
 	<-done
@@ -77,19 +78,21 @@
 // drain turns unready at once and answers what comes in nevertheless, since
 // the balancer needs a while to notice. Then it closes idle connections, and
 // ends when all answers are out.
-func (g *Gate) drain(srv *http.Server) {
+func (g *Gate) drain(srv *http.Server, conns *callerConns) {
 	start := g.clk.Now()
-	end := start + g.cfg.Bounds.Grace - graceMargin
+	b := g.bounds()
+	end := start + b.Grace - graceMargin
 	g.leaveBy.Store(int64(end))
-	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", g.cfg.Bounds.Grace)
-	clock.Sleep(context.Background(), min(g.cfg.Bounds.BalancerLag, end-start))
-	srv.SetKeepAlivesEnabled(false)
+	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", b.Grace)
+	clock.Sleep(context.Background(), min(b.BalancerLag, end-start))
+	g.log.Info("idle connections closed", "connections", conns.closeIdle())
 	closed := g.clk.Now()
 	for g.clk.Now() < end {
 		quiet := g.clk.Now() - max(closed, clock.Millis(g.lastSeen.Load()))
 		if g.active.Load() == 0 && quiet >= drainQuiet {
 			break
 		}
+		conns.closeIdle()
 		clock.Sleep(context.Background(), drainPeriod)
 	}
 	left := g.active.Load()
