--- a/commands/gate.go
+++ b/commands/gate.go
@@ -92,7 +92,7 @@
 		}
 		boot, err := platform.LoadBoot()
 		if err != nil {
-			log.Error("reload refused", "error", err)
+			log.Error("reload_refused", "error", err)
 			continue
 		}
 		g.SetBounds(gate.Bounds(boot.Bounds))
--- a/engines/book.go
+++ b/engines/book.go
@@ -134,7 +134,7 @@
 // Query is a request that needs an engine.
 type Query struct {
 	Service string
-	// Key is the hash of what an engine may remember of the request, zero if
+	// Key is the hash of what an engine may remember of the prompt, zero if
 	// there is nothing.
 	Key uint64
 	// Hall is where this entry is; among equals an engine there is taken.
@@ -152,7 +152,7 @@
 // Choice is the engine for a request and the inputs that decided.
 type Choice struct {
 	Engine *Engine
-	// Rank is the place of the engine in the key's ranking, 0 for its home.
+	// Rank is the place of the engine in the prompt's ranking, 0 for its home.
 	Rank int
 	// Load and Mean are the estimates at the time.
 	Load float64
@@ -253,7 +253,7 @@
 	return sum / float64(n)
 }
 
-// byKey takes the first engine in the key's ranking that has room.
+// byKey takes the first engine in the prompt's ranking that has room.
 func (c *Choice) byKey(q Query, usable []*Engine, others float64, now clock.Millis) {
 	targets := make([]route.Target, len(usable))
 	for i, e := range usable {
--- a/gate/call.go
+++ b/gate/call.go
@@ -29,7 +29,7 @@
 	workspace *table.Workspace
 	body      []byte
 
-	// key is the hash of what engines may remember of the request.
+	// key is the hash of what engines may remember of the prompt.
 	key    uint64
 	tokens int
 
@@ -41,7 +41,7 @@
 	refused int
 	// unsent counts the engines that could not be reached.
 	unsent int
-	// rank is the place of the latest engine in the key's ranking.
+	// rank is the place of the latest engine in the prompt's ranking.
 	rank int
 	load float64
 	mean float64
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -128,7 +128,7 @@
 	g.mu.Lock()
 	g.budgets = map[string]*budget.Budget{}
 	g.mu.Unlock()
-	g.log.Info("bounds in force", "revocation_ms", b.Revocation, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
+	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
 }
 
 func nameSet(names []string) map[string]bool {
@@ -158,7 +158,7 @@
 func (g *Gate) SetTable(t *table.Table, at clock.Millis) {
 	old := g.table.Load()
 	if old != nil && t.Version() < old.Version() {
-		g.log.Warn("table ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
+		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
 		return
 	}
 	g.table.Store(t)
@@ -169,7 +169,7 @@
 	}
 	g.mu.Unlock()
 	if old == nil || old.Version() != t.Version() {
-		g.log.Info("table in force", "version", t.Version(), "age_ms", g.clk.Now()-at)
+		g.log.Info("table_in_force", "version", t.Version(), "age_ms", g.clk.Now()-at)
 	}
 }
 
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -53,7 +53,7 @@
 	status := statusOf(err)
 	body, jerr := json.Marshal(problem{Request: c.id, Verdict: err.Verdict(), Reason: err.Reason(), Message: err.Message()})
 	if jerr != nil {
-		g.log.Error("problem not encoded", "request", c.id, "error", jerr)
+		g.log.Error("problem_not_encoded", "request", c.id, "error", jerr)
 	}
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
@@ -153,6 +153,6 @@
 	case failed:
 		cause = "status " + strconv.Itoa(o.answer.status)
 	}
-	g.log.Info("attempt ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
+	g.log.Info("attempt_ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
 		"again", allowed, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
 }
--- a/gate/send.go
+++ b/gate/send.go
@@ -109,10 +109,10 @@
 	// boundPart is how much of the way from the mean to the operators' bound
 	// a request may fill; the rest is for what other entries send at the same
 	// time.
-	boundPart = 0.5
+	boundPart = 0.75
 	// boundSlack is the number of requests over the bound that are always
 	// allowed, so that a small mean does not scatter chats.
-	boundSlack = 1.5
+	boundSlack = 3.0
 )
 
 // keyBound is the multiple of the mean load up to which a chat stays at the
--- a/gate/server.go
+++ b/gate/server.go
@@ -85,7 +85,7 @@
 	g.leaveBy.Store(int64(end))
 	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", b.Grace)
 	clock.Sleep(context.Background(), min(b.BalancerLag, end-start))
-	g.log.Info("idle connections closed", "connections", conns.closeIdle())
+	g.log.Info("idle_closed", "connections", conns.closeIdle())
 	closed := g.clk.Now()
 	for g.clk.Now() < end {
 		quiet := g.clk.Now() - max(closed, clock.Millis(g.lastSeen.Load()))
