engines, gate: Stay with the engine that remembers; let engines fetch what others keep

Change: an entry remembers which engines it sent the beginnings of prompts to (at most 8,192, four engines each) and stays with the latest that has room. Where another engine is chosen, it is told who keeps more of the prompt: by that memory, or the engine that was first in the ranking before others joined or left.

--- a/engines/book.go
+++ b/engines/book.go
@@ -27,13 +27,16 @@
 type Book struct {
 	byID      map[string]*Engine
 	byService map[string]*pool
+	memory    *memory
 }
 
 // pool is the engines of one service, sorted by id, leaving ones too.
 type pool struct{ engines []*Engine }
 
 // NewBook returns a book without engines.
-func NewBook() *Book { return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}} }
+func NewBook() *Book {
+	return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}, memory: newMemory()}
+}
 
 // Change is what a new word about an engine came to.
 type Change string
@@ -134,9 +137,9 @@
 // Query is a request that needs an engine.
 type Query struct {
 	Service string
-	// Key is the hash of what an engine may remember of the prompt, zero if
-	// there is nothing.
-	Key uint64
+	// Keys are the beginnings of the prompt that an engine may remember, from
+	// the shortest on; none if there are none.
+	Keys []uint64
 	// Hall is where this entry is; among equals an engine there is taken.
 	Hall string
 	// Bound is the highest load of an engine as a multiple of the mean, above
@@ -149,11 +152,28 @@
 	Random float64
 }
 
+// How says by what an engine was chosen.
+type How string
+
+const (
+	// ByMemory is the engine that had a prompt of the same beginning last.
+	ByMemory How = "memory"
+	// ByHome is the first engine of the ranking.
+	ByHome How = "home"
+	// ByRank is a later engine of the ranking: those before have no room.
+	ByRank How = "rank"
+	// ByLoad is the least loaded engine.
+	ByLoad How = "load"
+)
+
 // Choice is the engine for a request and the inputs that decided.
 type Choice struct {
 	Engine *Engine
-	// Rank is the place of the engine in the prompt's ranking, 0 for its home.
-	Rank int
+	// How says by what the engine was chosen.
+	How How
+	// Source is an engine that may keep more of the prompt; nil if none is
+	// known.
+	Source *Engine
 	// Load and Mean are the estimates at the time.
 	Load float64
 	Mean float64
@@ -178,12 +198,16 @@
 	}
 	mean /= float64(len(usable))
 	c := Choice{Mean: mean, Usable: len(usable)}
-	if q.Key != 0 {
-		c.byKey(q, usable, others, now)
+	if len(q.Keys) > 0 {
+		c.byPrompt(q, b.memory, usable, others, now)
 	}
 	if c.Engine == nil {
 		c.byLoad(q, usable, others, now)
 	}
+	if len(q.Keys) > 0 {
+		c.Source = b.source(q, p, c.Engine, now)
+		b.memory.note(q.Keys, c.Engine.info.ID)
+	}
 	return c, true
 }
 
@@ -253,22 +277,88 @@
 	return sum / float64(n)
 }
 
-// byKey takes the first engine in the prompt's ranking that has room.
-func (c *Choice) byKey(q Query, usable []*Engine, others float64, now clock.Millis) {
-	targets := make([]route.Target, len(usable))
-	for i, e := range usable {
-		targets[i] = e.target
-	}
+// byPrompt takes the engine that had the prompt last, or else the first in
+// the prompt's ranking, if it has room.
+func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
+	key := q.Keys[len(q.Keys)-1]
 	bound := q.Bound*c.Mean + q.Slack
-	for rank, i := range route.Rank(q.Key, targets, len(targets)) {
-		e := usable[i]
-		if l := e.load(others, now); l+1 <= bound {
-			c.Engine, c.Rank, c.Load = e, rank, l
+	take := func(e *Engine, how How) bool {
+		l := e.load(others, now)
+		if l+1 > bound {
+			return false
+		}
+		c.Engine, c.How, c.Load = e, how, l
+		return true
+	}
+	for _, id := range m.holders(key) {
+		i := slices.IndexFunc(usable, func(e *Engine) bool { return e.info.ID == id })
+		if i >= 0 && take(usable[i], ByMemory) {
+			return
+		}
+	}
+	how := ByHome
+	for _, e := range ranked(key, usable) {
+		if take(e, how) {
 			return
 		}
+		how = ByRank
 	}
 }
 
+// ranked returns the engines in the order of a key's ranking.
+func ranked(key uint64, in []*Engine) []*Engine {
+	targets := make([]route.Target, len(in))
+	for i, e := range in {
+		targets[i] = e.target
+	}
+	out := make([]*Engine, len(in))
+	for i, at := range route.Rank(key, targets, len(targets)) {
+		out[i] = in[at]
+	}
+	return out
+}
+
+// youth is for how long an engine that joined is taken to lack what its place
+// in the rankings would make it keep.
+const youth clock.Millis = 15_000
+
+// source returns an engine that may keep more of the prompt than the chosen
+// one. Leaving engines still give what they have.
+func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
+	for i := len(q.Keys) - 1; i >= 0; i-- {
+		if b.memory.holds(q.Keys[i], chosen.info.ID) {
+			return nil
+		}
+		for _, id := range b.memory.holders(q.Keys[i]) {
+			if e := b.byID[id]; e != nil && e.sound(now) {
+				return e
+			}
+		}
+	}
+	return p.formerHome(q.Keys[len(q.Keys)-1], chosen, now)
+}
+
+// formerHome returns the engine that was first in the ranking before engines
+// joined and left lately, unless it is the chosen one or not known.
+func (p *pool) formerHome(key uint64, chosen *Engine, now clock.Millis) *Engine {
+	old := slices.DeleteFunc(slices.Clone(p.engines), func(e *Engine) bool { return now-e.seenAt < youth })
+	if len(old) == 0 {
+		return nil
+	}
+	if home := ranked(key, old)[0]; home != chosen && home.sound(now) {
+		return home
+	}
+	return nil
+}
+
+// sound reports whether an engine answers, as far as is known.
+func (e *Engine) sound(now clock.Millis) bool {
+	return !e.health.held(now) && e.silence(now) <= silenceLimit && now-e.heardAt < soundFor && e.heardAt > 0
+}
+
+// soundFor is how long the last sign of an engine is good for.
+const soundFor clock.Millis = 3000
+
 // hallBonus is the load in requests a slot that an engine of another data
 // hall counts as more: less than one request at the smallest engines.
 const hallBonus = 0.1
@@ -288,6 +378,6 @@
 			best, bestScore = i, s
 		}
 	}
-	c.Engine, c.Rank = usable[best], -1
+	c.Engine, c.How = usable[best], ByLoad
 	c.Load = c.Engine.load(others, now)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/events"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
@@ -29,8 +30,8 @@
 	workspace *table.Workspace
 	body      []byte
 
-	// key is the hash of what engines may remember of the prompt.
-	key    uint64
+	// keys are the beginnings of the prompt that engines may remember.
+	keys   []uint64
 	tokens int
 
 	// tried are the engines that were chosen, in order.
@@ -41,10 +42,12 @@
 	refused int
 	// unsent counts the engines that could not be reached.
 	unsent int
-	// rank is the place of the latest engine in the prompt's ranking.
-	rank int
-	load float64
-	mean float64
+	// how says by what the latest engine was chosen, fetched whether it was
+	// told who keeps more of the prompt.
+	how     engines.How
+	fetched bool
+	load    float64
+	mean    float64
 
 	// began is true once the head of the answer was written.
 	began bool
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -33,6 +33,8 @@
 	Tenant string
 	// Priority tells engines the rank of a request, 0 first.
 	Priority string
+	// FetchFrom names an engine that keeps more of the prompt.
+	FetchFrom string
 	// ExpectEngine makes every engine but the named one refuse.
 	ExpectEngine string
 	// NotRun marks an answer of an engine that did not run the request.
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -72,11 +72,11 @@
 	c.until = c.start + hold
 	if route.Affine {
 		parts := prompt.Parse(c.r.Header.Get(g.wire.Prompt))
-		c.key, c.tokens = prompt.Key(parts), prompt.Tokens(parts)
+		c.keys, c.tokens = prompt.Keys(parts), prompt.Tokens(parts)
 	}
 	pick := c.id
-	if c.key != 0 {
-		pick = strconv.FormatUint(c.key, 16)
+	if n := len(c.keys); n > 0 {
+		pick = strconv.FormatUint(c.keys[n-1], 16)
 	}
 	c.service = route.Pick(pick)
 	return nil
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -116,7 +116,7 @@
 		g.durations.note(c.route.Name, now-c.start)
 	}
 	attrs := []any{
-		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "rank", c.rank,
+		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "fetched", c.fetched,
 		"load", int(c.load * 10), "mean", int(c.mean * 10), "status", c.status,
 		"first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
--- a/gate/send.go
+++ b/gate/send.go
@@ -66,13 +66,13 @@
 			c.cut = true
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case failed:
-			if err := g.again(c, o, e); err != nil {
+			if err := g.again(c, o, e.Info); err != nil {
 				c.note = err.Error()
 				g.pass(c, o.answer)
 				return nil
 			}
 		case unsent, refused, broken:
-			if err := g.again(c, o, e); err != nil {
+			if err := g.again(c, o, e.Info); err != nil {
 				return err
 			}
 		}
@@ -87,22 +87,35 @@
 }
 
 // choose takes the engine for the next attempt and counts the request there.
-func (g *Gate) choose(c *call) (engines.Info, *verdict.Error) {
+func (g *Gate) choose(c *call) (pick, *verdict.Error) {
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Key: c.key, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
+		Service: c.service, Keys: c.keys, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
 		Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
-		return engines.Info{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
+		return pick{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
 	}
 	in := ch.Engine.Info()
 	ch.Engine.Start(now)
 	c.tried = append(c.tried, in.ID)
-	c.rank, c.load, c.mean = ch.Rank, ch.Load, ch.Mean
-	return in, nil
+	c.how, c.load, c.mean = ch.How, ch.Load, ch.Mean
+	p := pick{Info: in}
+	if ch.Source != nil {
+		p.source = ch.Source.Info().Addr
+	}
+	c.fetched = p.source != ""
+	return p, nil
+}
+
+// pick is the engine of an attempt.
+type pick struct {
+	engines.Info
+	// source is the address of an engine that may keep more of the prompt, ""
+	// if none is known.
+	source string
 }
 
 const (
@@ -125,20 +138,20 @@
 }
 
 // attempt sends the request to an engine and relays the answer.
-func (g *Gate) attempt(ctx context.Context, c *call, e engines.Info) outcome {
+func (g *Gate) attempt(ctx context.Context, c *call, e pick) outcome {
 	now := g.clk.Now()
 	req := g.request(c, e, now)
 	a, err := g.pool.Do(ctx, e.Addr, req, g.headLimit(c, now))
 	if err != nil {
-		return g.sendFailed(ctx, c, e, err)
+		return g.sendFailed(ctx, c, e.Info, err)
 	}
 	defer a.Close()
 	g.heard(e.ID, a.Header.Get(g.wire.Load))
 	if a.NotRun() {
-		return g.engineRefused(c, e, a)
+		return g.engineRefused(c, e.Info, a)
 	}
 	c.ran++
-	o := g.relay(ctx, c, e, a)
+	o := g.relay(ctx, c, e.Info, a)
 	g.finish(e.ID, judge(ctx, o))
 	return o
 }
@@ -305,7 +318,7 @@
 }
 
 // request returns what the engine is sent.
-func (g *Gate) request(c *call, e engines.Info, now clock.Millis) *upstream.Request {
+func (g *Gate) request(c *call, e pick, now clock.Millis) *upstream.Request {
 	h := make(http.Header, len(c.r.Header)+headersAdded)
 	dropped := connectionNames(c.r.Header)
 	for k, v := range c.r.Header {
@@ -322,6 +335,9 @@
 	if c.workspace != nil {
 		h.Set(g.wire.Tenant, c.workspace.Name)
 	}
+	if e.source != "" {
+		h.Set(g.wire.FetchFrom, e.source)
+	}
 	if id := c.split.LastID(); id != "" {
 		h.Set(g.wire.LastEventID, id)
 	}
@@ -332,7 +348,7 @@
 }
 
 // headersAdded is how many headers this process adds.
-const headersAdded = 6
+const headersAdded = 7
 
 // leastUrgent is the largest rank that engines know.
 const leastUrgent = 9
--- a/gate/server.go
+++ b/gate/server.go
@@ -27,7 +27,7 @@
 	defer g.active.Add(-1)
 	now := g.clk.Now()
 	g.lastSeen.Store(int64(now))
-	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, until: now + longestHold, rank: -1}
+	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, until: now + longestHold}
 	g.serve(r.Context(), c)
 	if c.cut {
 		// The library closes the connection in mid-answer, so that it cannot
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -38,20 +38,22 @@
 	return parts
 }
 
-// Key hashes the parts that other requests may share: all but the last, which
-// is a request's own or its session's. A prompt of one part is hashed whole.
-// It is zero for a prompt without parts.
-func Key(parts []Part) uint64 {
+// Keys hashes the beginnings that other requests may share: one for each part
+// but the last, which is a request's own or its session's, from the shortest
+// on. A prompt of one part is hashed whole. Keys are never zero.
+func Keys(parts []Part) []uint64 {
 	if len(parts) == 0 {
-		return 0
+		return nil
 	}
 	shared := parts[:max(1, len(parts)-1)]
+	keys := make([]uint64, 0, len(shared))
 	var b strings.Builder
 	for _, p := range shared {
 		b.WriteString(p.ID)
 		b.WriteByte(',')
+		keys = append(keys, max(1, xxh3.HashString(b.String())))
 	}
-	return max(1, xxh3.HashString(b.String()))
+	return keys
 }
 
 // Tokens returns the length of the whole prompt.
