engines: Give short prompts two or three homes

Change: a prompt under 1,000 shared tokens has three homes, under 2,500 two; the least loaded by what the entry knows takes the request. Ruled out: a tighter bound alone, which sends long prompts away as well.

--- a/engines/book.go
+++ b/engines/book.go
@@ -140,6 +140,8 @@
 	// Keys are the beginnings of the prompt that an engine may remember, from
 	// the shortest on; none if there are none.
 	Keys []uint64
+	// Tokens is the length of the longest of them.
+	Tokens int
 	// Hall is where this entry is; among equals an engine there is taken.
 	Hall string
 	// Bound is the highest load of an engine as a multiple of the mean, above
@@ -277,8 +279,9 @@
 	return sum / float64(n)
 }
 
-// byPrompt takes the engine that had the prompt last, or else the first in
-// the prompt's ranking, if it has room.
+// byPrompt takes the least loaded of the prompt's homes, or else the next in
+// its ranking that has room. A prompt with one home stays with the engine that
+// had it last.
 func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
 	key := q.Keys[len(q.Keys)-1]
 	bound := q.Bound*c.Mean + q.Slack
@@ -290,21 +293,49 @@
 		c.Engine, c.How, c.Load = e, how, l
 		return true
 	}
-	for _, id := range m.holders(key) {
-		i := slices.IndexFunc(usable, func(e *Engine) bool { return e.info.ID == id })
-		if i >= 0 && take(usable[i], ByMemory) {
-			return
+	order := ranked(key, usable)
+	n := min(homes(q.Tokens), len(order))
+	if n == 1 {
+		for _, id := range m.holders(key) {
+			i := slices.IndexFunc(usable, func(e *Engine) bool { return e.info.ID == id })
+			if i >= 0 && take(usable[i], ByMemory) {
+				return
+			}
 		}
 	}
-	how := ByHome
-	for _, e := range ranked(key, usable) {
+	slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
+	for i, e := range order {
+		how := ByHome
+		if i >= n {
+			how = ByRank
+		}
 		if take(e, how) {
 			return
 		}
-		how = ByRank
 	}
 }
 
+const (
+	// oneHome and twoHomes are the lengths in tokens from which a prompt has
+	// one home, or two; a shorter one has three. Reading it at each of them is
+	// the price of balance: a thousand tokens hold an engine up for about 25
+	// ms.
+	oneHome  = 2500
+	twoHomes = 1000
+	mostHome = 3
+)
+
+// homes returns how many engines share the requests of a prompt.
+func homes(tokens int) int {
+	switch {
+	case tokens >= oneHome:
+		return 1
+	case tokens >= twoHomes:
+		return 2
+	}
+	return mostHome
+}
+
 // ranked returns the engines in the order of a key's ranking.
 func ranked(key uint64, in []*Engine) []*Engine {
 	targets := make([]route.Target, len(in))
--- a/gate/call.go
+++ b/gate/call.go
@@ -31,7 +31,8 @@
 	body      []byte
 
 	// keys are the beginnings of the prompt that engines may remember.
-	keys   []uint64
+	keys []uint64
+	// tokens is the length of the longest of them.
 	tokens int
 
 	// tried are the engines that were chosen, in order.
--- a/gate/send.go
+++ b/gate/send.go
@@ -92,7 +92,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
 		Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -56,10 +56,13 @@
 	return keys
 }
 
-// Tokens returns the length of the whole prompt.
-func Tokens(parts []Part) int {
+// SharedTokens returns the length of what other requests may share.
+func SharedTokens(parts []Part) int {
+	if len(parts) == 0 {
+		return 0
+	}
 	n := 0
-	for _, p := range parts {
+	for _, p := range parts[:max(1, len(parts)-1)] {
 		n += p.Tokens
 	}
 	return n
