--- a/gate/gate.go
+++ b/gate/gate.go
@@ -143,10 +143,11 @@
 
 // Limits of belief.
 const (
-	// revocationMargin is taken off the bound for revoked keys: clocks of two
-	// machines may run apart by a hundredth, and a process may be held up
-	// between its check and its send.
-	revocationMargin clock.Millis = 700
+	// revocationMargin is taken off the bound for revoked keys: the clocks of
+	// two machines may run apart by a few parts in a hundred. The check reads
+	// the clock after the request has come in, so a pause of the process needs
+	// no margin.
+	revocationMargin clock.Millis = 150
 	// denialAge is the greatest age of the table at which a key or a path that
 	// it does not know is refused for good; an older table may lack it.
 	denialAge clock.Millis = 2500
