engines: Keep short prompts too where they are remembered

Cause: with two or three homes, a short prompt's homes moved to engines that joined. Change: the homes are the engines that had the prompt last; the ranking fills up. Kept since it is the same rule for all lengths.

--- a/engines/book.go
+++ b/engines/book.go
@@ -280,39 +280,49 @@
 }
 
 // byPrompt takes the least loaded of the prompt's homes, or else the next in
-// its ranking that has room. A prompt with one home stays with the engine that
-// had it last.
+// its ranking that has room. The homes are the engines that had the prompt
+// last, and where these are too few the first of the ranking: an engine that
+// joins does not take over what others remember.
 func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
 	key := q.Keys[len(q.Keys)-1]
 	bound := q.Bound*c.Mean + q.Slack
-	take := func(e *Engine, how How) bool {
-		l := e.load(others, now)
-		if l+1 > bound {
-			return false
-		}
-		c.Engine, c.How, c.Load = e, how, l
-		return true
-	}
 	order := ranked(key, usable)
 	n := min(homes(q.Tokens), len(order))
-	if n == 1 {
-		for _, id := range m.holders(key) {
-			i := slices.IndexFunc(usable, func(e *Engine) bool { return e.info.ID == id })
-			if i >= 0 && take(usable[i], ByMemory) {
-				return
-			}
-		}
-	}
+	known := bringForward(order, m.holders(key))
 	slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
 	for i, e := range order {
-		how := ByHome
-		if i >= n {
-			how = ByRank
+		l := e.load(others, now)
+		if l+1 > bound {
+			continue
 		}
-		if take(e, how) {
-			return
+		c.Engine, c.Load = e, l
+		switch {
+		case i >= n:
+			c.How = ByRank
+		case known >= n:
+			c.How = ByMemory
+		default:
+			c.How = ByHome
+		}
+		return
+	}
+}
+
+// bringForward moves the engines with the given ids to the front, in the order
+// of the ids, and returns how many there were.
+func bringForward(order []*Engine, ids []string) int {
+	n := 0
+	for _, id := range ids {
+		i := slices.IndexFunc(order[n:], func(e *Engine) bool { return e.info.ID == id })
+		if i < 0 {
+			continue
 		}
+		e := order[n+i]
+		copy(order[n+1:n+i+1], order[n:n+i])
+		order[n] = e
+		n++
 	}
+	return n
 }
 
 const (
