peers: Let entries tell each other how fresh the table is, and loads

Change: entries ask each other (three neighbours in turn, 300 ms) for the age of the same version and for loads; one of all proves the table, the others hear of it. What a peer knew a ms before it answered is true as of the question less a, an interval for 'now' as in the related paper on Spanner's clock. Contents come from the store alone.

--- a/commands/gate.go
+++ b/commands/gate.go
@@ -19,6 +19,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/gate"
+	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/platform"
 )
 
@@ -55,14 +56,14 @@
 	if boot.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(boot.Memory) * memoryShare))
 	}
-	ls, err := listenAll(boot.Listen, boot.ReadyListen, fmt.Sprintf("%s:%d", boot.IP, c.MetricsPort))
+	ls, err := listenAll(boot.Listen, boot.ReadyListen, fmt.Sprintf("%s:%d", boot.IP, c.MetricsPort), boot.PeersListen)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	log.Info("started", "role", "gate", "version", Version, "hall", boot.Hall, "listen", ls[0].Addr(),
-		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "store", boot.Store)
+		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "peers", ls[3].Addr(), "store", boot.Store)
 	return runGate(ctx, boot, log, ls, hup)
 }
 
@@ -77,9 +78,12 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stopReading()
-	wg.Go(func() { reader.FollowConfig(readCtx) })
+	others := peers.New(peers.Config{
+		ID: boot.ID, Addr: ls[3].Addr().String(), Seeds: boot.Peers, Facts: g, Clock: clk, Log: log,
+	})
+	wg.Go(func() { others.Run(readCtx, ls[3]) })
 	wg.Go(func() { followBoot(readCtx, g, log, hup) })
-	wg.Go(func() { reader.FollowEngines(readCtx) })
+	wg.Go(func() { reader.Run(readCtx) })
 	stopPages := servePages(ls[1], readyPages(g))
 	defer stopPages()
 	stopMetrics := servePages(ls[2], metricsPages())
--- a/engines/book.go
+++ b/engines/book.go
@@ -134,6 +134,25 @@
 	return n
 }
 
+// KnownLoad is what an engine said of its load.
+type KnownLoad struct {
+	ID       string
+	Requests int
+	Age      clock.Millis
+}
+
+// Loads returns the n freshest loads that are at most limit old.
+func (b *Book) Loads(limit clock.Millis, n int, now clock.Millis) []KnownLoad {
+	var out []KnownLoad
+	for id, e := range b.byID {
+		if age := now - e.othersAt; e.told && age <= limit {
+			out = append(out, KnownLoad{ID: id, Requests: e.all, Age: age})
+		}
+	}
+	slices.SortFunc(out, func(a, b KnownLoad) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID)) })
+	return out[:min(n, len(out))]
+}
+
 // Query is a request that needs an engine.
 type Query struct {
 	Service string
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -38,7 +38,9 @@
 	target route.Target
 	// inflight counts our requests at the engine; it is never negative.
 	inflight int
-	// others is how many requests of other entries the engine had at heardAt,
+	// all is how many requests the engine had at othersAt.
+	all int
+	// others is how many requests of other entries the engine had at othersAt,
 	// never negative.
 	others   float64
 	othersAt clock.Millis
@@ -98,11 +100,15 @@
 	e.waitingSince = now
 }
 
-// Told records the load that an answer carries, which counts our own
-// requests too.
-func (e *Engine) Told(l Load, now clock.Millis) {
-	e.others = max(0, float64(l.Running+l.Waiting-e.inflight))
-	e.othersAt = now
+// Told records the load that an engine had at the given time, which counts
+// our own requests too. An older word than the latest is passed over.
+func (e *Engine) Told(l Load, at clock.Millis) {
+	if e.told && at <= e.othersAt {
+		return
+	}
+	e.all = l.Running + l.Waiting
+	e.others = max(0, float64(e.all-e.inflight))
+	e.othersAt = at
 	e.told = true
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -102,6 +102,10 @@
 	// published is the age of the table, listed that of the list of engines.
 	published fresh.Belief
 	listed    fresh.Belief
+	// entries is how many entries are known, this one included; at least 1.
+	entries int
+	// newest is the newest version that a peer told of.
+	newest int64
 	// wasReady is what the log was last told.
 	wasReady bool
 }
@@ -114,7 +118,7 @@
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
-		durations: newDurations(),
+		durations: newDurations(), entries: 1,
 	}
 	g.limits.Store(&cfg.Bounds)
 	return g
--- a/link/codec.go
+++ b/link/codec.go
@@ -53,8 +53,9 @@
 	failed error
 }
 
-// writeBuffer is the size of the buffer for messages on their way out.
-const writeBuffer = 32 << 10
+// writeBuffer is the size of the buffer for messages on their way out, in
+// bytes. Control messages are small and their connections many.
+var writeBuffer = map[Class]int{Data: 32 << 10, Control: 2 << 10}
 
 // gather is how long a frame that is not an answer's first may wait for
 // others of the same connection, so that they go in one write.
@@ -63,7 +64,7 @@
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
 func newStream(conn io.ReadWriteCloser, class Class, frame func(wire.Frame)) *stream {
-	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriterSize(conn, writeBuffer), class: class, frame: frame}
+	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriterSize(conn, writeBuffer[class]), class: class, frame: frame}
 	s.enc = msgpack.NewEncoder(&s.buf)
 	s.enc.UseArrayEncodedStructs(true)
 	return s
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,233 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/wire"
+)
+
+const (
+	// askPeriod is how often a peer is asked. What one process learns reaches
+	// twice as many each round.
+	askPeriod clock.Millis = 300
+	// askLimit is how long an answer is waited for.
+	askLimit clock.Millis = 800
+	// seedEvery is how many rounds lie between two calls of a seed, so that
+	// groups which grew apart meet again.
+	seedEvery = 20
+	// loadsMost bounds the loads in one message: about 30 bytes each.
+	loadsMost = 24
+	// methodAsk is the name of the call.
+	methodAsk = "ask"
+)
+
+// Load is the load of an engine, as the engine told it.
+type Load struct {
+	Engine   string `json:"e"`
+	Requests int    `json:"n"`
+	// Age is how old the figure is, in milliseconds.
+	Age clock.Millis `json:"g,omitempty"`
+}
+
+// Known is what a process knows that may be of use to others.
+type Known struct {
+	// Table is the version in force, zero if there is none.
+	Table int64 `json:"t,omitempty"`
+	// TableAge is how long ago it was last known to be the newest.
+	TableAge clock.Millis `json:"ta,omitempty"`
+	Loads    []Load       `json:"l,omitempty"`
+}
+
+// message is both question and answer.
+type message struct {
+	Members []Member `json:"m"`
+	Known   Known    `json:"k"`
+}
+
+// Facts is the process that the peers help.
+type Facts interface {
+	// Tell returns what the process knows, with at most n loads.
+	Tell(n int) Known
+	// Hear takes what a peer knew at the given time or later. It may be a lie;
+	// only ages and loads are in it.
+	Hear(k Known, at clock.Millis)
+	// SetEntries takes the number of entries that are known, this one included.
+	SetEntries(n int)
+	// HearLoads takes the loads of a peer that asked.
+	HearLoads(loads []Load, at clock.Millis)
+}
+
+// Config sets up Peers.
+type Config struct {
+	ID string
+	// Addr is where this process listens for peers.
+	Addr string
+	// Seeds are members to ask while none is known; they may be down.
+	Seeds []string
+	Facts Facts
+	Clock *clock.Clock
+	Log   *slog.Logger
+}
+
+// Peers asks and answers other entries.
+type Peers struct {
+	cfg    Config
+	clk    *clock.Clock
+	log    *slog.Logger
+	links  *link.Pool
+	asks   *metrics.Counter
+	failed *metrics.Counter
+
+	mu      sync.Mutex
+	members *Members
+	// alone is what the log was last told.
+	alone bool
+}
+
+var _ link.Handler = (*Peers)(nil)
+
+// New returns peers that are not yet running.
+func New(cfg Config) *Peers {
+	p := &Peers{
+		cfg: cfg, clk: cfg.Clock, log: cfg.Log, members: NewMembers(Member{ID: cfg.ID, Addr: cfg.Addr}), alone: true,
+		asks:   metrics.GetOrCreateCounter("weldfall_peer_asks_total"),
+		failed: metrics.GetOrCreateCounter("weldfall_peer_asks_failed_total"),
+	}
+	p.links = link.NewPool(cfg.Clock, p)
+	return p
+}
+
+// Count returns the number of entries that are known, this one included.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Count()
+}
+
+// Run asks peers, and answers those that come in on ln, until ctx is done.
+func (p *Peers) Run(ctx context.Context, ln net.Listener) {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := link.Serve(ctx, ln, p.clk, p); err != nil {
+			p.log.Error("peers_not_served", "error", err)
+		}
+	})
+	for n := 0; ctx.Err() == nil; n++ {
+		p.ask(ctx, n)
+		// A third of the period is random, so that processes do not keep step.
+		clock.Sleep(ctx, askPeriod-askPeriod/6+clock.Millis(rand.Int64N(int64(askPeriod/3))))
+	}
+	p.links.Close()
+	wg.Wait()
+}
+
+// target returns whom to ask in round n.
+func (p *Peers) target(n int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members.Sweep(p.clk.Now())
+	addr := p.members.Next()
+	if (addr == "" || n%seedEvery == 0) && len(p.cfg.Seeds) > 0 {
+		if seed := p.cfg.Seeds[rand.IntN(len(p.cfg.Seeds))]; seed != p.cfg.Addr {
+			addr = seed
+		}
+	}
+	return addr
+}
+
+func (p *Peers) ask(ctx context.Context, n int) {
+	addr := p.target(n)
+	if addr == "" {
+		return
+	}
+	p.asks.Inc()
+	question := p.message()
+	ctx, cancel := context.WithTimeout(ctx, askLimit.Duration())
+	defer cancel()
+	at := p.clk.Now()
+	answer, err := p.call(ctx, addr, question)
+	if err != nil {
+		p.failed.Inc()
+		p.log.Debug("ask_failed", "peer", addr, "error", err)
+	} else {
+		p.learn(answer, at)
+		p.cfg.Facts.Hear(answer.Known, at)
+	}
+	p.tellAlone()
+}
+
+func (p *Peers) call(ctx context.Context, addr string, question message) (message, error) {
+	c, err := p.links.Get(addr, link.Control)
+	if err != nil {
+		return message{}, err
+	}
+	var answer message
+	if err := c.Call(ctx, methodAsk, question, &answer); err != nil {
+		// The other end may have gone dark: the next call dials anew.
+		c.Close()
+		return message{}, err
+	}
+	return answer, nil
+}
+
+func (p *Peers) message() message {
+	k := p.cfg.Facts.Tell(loadsMost)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return message{Members: p.members.Sample(p.clk.Now()), Known: k}
+}
+
+func (p *Peers) learn(m message, at clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range m.Members {
+		p.members.Learn(o, at)
+	}
+}
+
+// tellAlone logs when the last peer is lost and the first regained.
+func (p *Peers) tellAlone() {
+	p.mu.Lock()
+	n := p.members.Count()
+	p.cfg.Facts.SetEntries(n)
+	changed := p.alone != (n == 1)
+	p.alone = n == 1
+	p.mu.Unlock()
+	switch {
+	case changed && n == 1:
+		p.log.Warn("peers_lost")
+	case changed:
+		p.log.Info("peers_regained", "entries", n)
+	}
+}
+
+// Call implements link.Handler.
+func (p *Peers) Call(_ context.Context, _ *link.Conn, method string, params json.RawMessage) (any, error) {
+	if method != methodAsk {
+		return nil, fmt.Errorf("unknown method %q", method)
+	}
+	question, err := wire.Decode[message](method, params)
+	if err != nil {
+		return nil, err
+	}
+	now := p.clk.Now()
+	p.learn(question, now)
+	p.cfg.Facts.HearLoads(question.Known.Loads, now)
+	return p.message(), nil
+}
+
+// Notify implements link.Handler. There are no notifications.
+func (p *Peers) Notify(*link.Conn, string, json.RawMessage) {}
+
+// Frame implements link.Handler. Peers send no answers of engines.
+func (p *Peers) Frame(wire.Frame) {}
