--- a/commands/commands.go
+++ b/commands/commands.go
@@ -25,16 +25,17 @@
 const Version = "0.1.0"
 
 type args struct {
-	Entry   *entryCmd   `arg:"subcommand:entry" help:"run the process on the callers' side"`
-	Daemon  *daemonCmd  `arg:"subcommand:daemon" help:"run the process beside a target"`
-	Gate    *gateCmd    `arg:"subcommand:gate" help:"run the entry of the users' platform, which reaches engines directly"`
-	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a whole fleet on loopback in one process"`
-	Standin *standinCmd `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a plain service"`
-	Check   *checkCmd   `arg:"subcommand:check" help:"check branches of the settings before they are published"`
-	Explain *explainCmd `arg:"subcommand:explain" help:"show effective settings and the branch that set each"`
-	Load    *loadCmd    `arg:"subcommand:load" help:"send a bounded load and report latency, cache reuse and skew"`
-	Burn    *burnCmd    `arg:"subcommand:burn" help:"report the burn of service levels, merged from entries"`
-	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
+	Entry   *entryCmd        `arg:"subcommand:entry" help:"run the process on the callers' side"`
+	Daemon  *daemonCmd       `arg:"subcommand:daemon" help:"run the process beside a target"`
+	Gate    *gateCmd         `arg:"subcommand:gate" help:"run the entry of the users' platform, which reaches engines directly"`
+	Demo    *demoCmd         `arg:"subcommand:demo" help:"run a whole fleet on loopback in one process"`
+	Standin *standinCmd      `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a plain service"`
+	Check   *checkCmd        `arg:"subcommand:check" help:"check branches of the settings before they are published"`
+	Explain *explainCmd      `arg:"subcommand:explain" help:"show effective settings and the branch that set each"`
+	Load    *loadCmd         `arg:"subcommand:load" help:"send a bounded load and report latency, cache reuse and skew"`
+	Burn    *burnCmd         `arg:"subcommand:burn" help:"report the burn of service levels, merged from entries"`
+	Trace   *traceRequestCmd `arg:"subcommand:trace-request" help:"print the way of one request from the logs of all processes"`
+	Version *versionCmd      `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description implements arg.Described.
--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -13,17 +13,24 @@
 
 // names finds what an operator meets: metrics and messages of the log.
 var names = []*regexp.Regexp{
-	regexp.MustCompile(`(weldfall_[a-z_]+_total)`),
+	regexp.MustCompile(`(weldfall_[a-z_]+_(?:total|seconds))`),
 	regexp.MustCompile(`\b(?:log|Log)\.(?:Debug|Info|Warn|Error)\("([a-z_]+)"`),
 }
 
-func TestEveryMetricAndMessageIsInTheOperatorsPage(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATORS.md")
-	if err != nil {
-		t.Fatal(err)
+// operatorPages tell the names: of entries and daemons, and of the gate.
+var operatorPages = []string{"../docs/OPERATORS.md", "../docs/OPERATIONS.md"}
+
+func TestEveryMetricAndMessageIsInTheOperatorsPages(t *testing.T) {
+	var page []byte
+	for _, name := range operatorPages {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		page = append(page, text...)
 	}
 	found := 0
-	err = filepath.WalkDir("..", func(path string, d os.DirEntry, err error) error {
+	err := filepath.WalkDir("..", func(path string, d os.DirEntry, err error) error {
 		if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "fleettest") {
 			return err
 		}
@@ -35,7 +42,7 @@
 			for _, m := range re.FindAllSubmatch(text, -1) {
 				found++
 				if !strings.Contains(string(page), "`"+string(m[1])) {
-					t.Errorf("%s: %s is not in docs/OPERATORS.md", path, m[1])
+					t.Errorf("%s: %s is not in docs/OPERATORS.md or docs/OPERATIONS.md", path, m[1])
 				}
 			}
 		}
@@ -117,3 +124,24 @@
 		}
 	}
 }
+
+func TestTraceRequestPrintsTheLinesOfOneRequestInOrder(t *testing.T) {
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	for path, text := range map[string]string{
+		a: "time=2026-01-01T00:00:02Z msg=answered instance=a request=r1 status=200\ntime=2026-01-01T00:00:01Z msg=answered instance=a request=r11\n",
+		b: "time=2026-01-01T00:00:01Z msg=attempt_ended instance=b request=r1 outcome=broken\n",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, out, _ := runMain("trace-request", "r1", a, b)
+	want := "time=2026-01-01T00:00:01Z msg=attempt_ended instance=b request=r1 outcome=broken\ntime=2026-01-01T00:00:02Z msg=answered instance=a request=r1 status=200\n"
+	if code != 0 || out != want {
+		t.Errorf("got %d %q, want %q", code, out, want)
+	}
+	if code, _, errOut := runMain("trace-request", "r2", a, b); code != 1 || !strings.Contains(errOut, "none of the 2 files") {
+		t.Errorf("got %d %q for an unknown request, want an error that says so", code, errOut)
+	}
+}
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -94,6 +95,9 @@
 	return c
 }
 
+// tenths rounds for the log.
+func tenths(v float64) float64 { return math.Round(v*10) / 10 }
+
 func inSeconds(d clock.Millis) float64 { return float64(d) / millisPerSecond }
 
 // account counts the end of a call and logs it in one line.
@@ -117,7 +121,7 @@
 	}
 	attrs := []any{
 		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "fetched", c.fetched,
-		"load", int(c.load * 10), "mean", int(c.mean * 10), "status", c.status,
+		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
 		"first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
 	if c.route != nil {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -47,7 +47,6 @@
 	UnknownHistory Reason = "unknown_history"
 	NotReady       Reason = "not_ready"
 	NoRoute        Reason = "no_route"
-	Budget         Reason = "retry_budget"
 )
 
 // Error is a failure with its verdict. It wraps its cause.
