--- a/budget/budget.go
+++ b/budget/budget.go
@@ -7,8 +7,12 @@
 
 import "github.com/weldfall/weldfall/common/clock"
 
-// slices is how many parts the window is counted in.
-const slices = 20
+const (
+	// parts is how many parts the window is counted in.
+	parts = 20
+	// slices is one more, so that what is counted is never less than a window.
+	slices = parts + 1
+)
 
 // Config sets up a Budget.
 type Config struct {
@@ -23,7 +27,7 @@
 // Budget counts the requests and the repeats of one service.
 type Budget struct {
 	cfg Config
-	// counts has one slice of the window each; at is the number of the latest.
+	// counts has one part of the window each; at is the number of the latest.
 	counts [slices]count
 	at     int64
 }
@@ -34,7 +38,7 @@
 func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
 
 func (b *Budget) advance(now clock.Millis) *count {
-	n := int64(now) / max(1, int64(b.cfg.Window)/slices)
+	n := int64(now) / max(1, int64(b.cfg.Window)/parts)
 	if n-b.at >= slices {
 		b.counts = [slices]count{}
 	} else {
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,49 @@
+package budget_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldfall/weldfall/budget"
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+// In every window the repeats stay within the ratio of the requests of that
+// window or the one before, and the extra.
+func TestRepeatsStayWithinEveryWindow(t *testing.T) {
+	const window = 10_000
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		extra := rapid.Float64Range(0, 5).Draw(t, "extra")
+		b := budget.New(budget.Config{Ratio: ratio, Extra: extra, Window: window})
+		var requests, repeats []clock.Millis
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 1500).Draw(t, "pass"))
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Spend(now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, start := range append(requests, repeats...) {
+			got := count(repeats, start, start+window)
+			want := ratio*float64(count(requests, start-window, start+window)) + extra
+			if float64(got) > want {
+				t.Fatalf("got %d repeats from %d on, want at most %.1f", got, start, want)
+			}
+		}
+	})
+}
+
+func count(times []clock.Millis, from, to clock.Millis) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/engines/book_test.go
@@ -0,0 +1,197 @@
+package engines_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+)
+
+const service = "llm"
+
+// newBook returns a book of n engines of 8 slots.
+func newBook(n int) *engines.Book {
+	b := engines.NewBook()
+	for i := range n {
+		b.Put(info(i), 0)
+	}
+	return b
+}
+
+func info(i int) engines.Info {
+	return engines.Info{ID: fmt.Sprintf("e%02d", i), Service: service, Addr: fmt.Sprintf("10.0.0.%d:80", i), Hall: "a", Slots: 8}
+}
+
+func query(keys ...uint64) engines.Query {
+	return engines.Query{Service: service, Keys: keys, Tokens: 5000, Hall: "a", Bound: 1.75, Slack: 3}
+}
+
+// choose fails the test if there is no engine.
+func choose(t *testing.T, b *engines.Book, q engines.Query, now clock.Millis) engines.Choice {
+	t.Helper()
+	c, ok := b.Choose(q, now)
+	if !ok {
+		t.Fatalf("got no engine")
+	}
+	return c
+}
+
+func TestAChatStaysWhenEnginesJoin(t *testing.T) {
+	b := newBook(4)
+	homes := map[uint64]string{}
+	for key := uint64(1); key <= 100; key++ {
+		homes[key] = choose(t, b, query(key), 0).Engine.Info().ID
+	}
+	for i := 4; i < 8; i++ {
+		b.Put(info(i), 1000)
+	}
+	for key, home := range homes {
+		if got := choose(t, b, query(key), 2000); got.Engine.Info().ID != home || got.How != engines.ByMemory {
+			t.Errorf("got engine %s by %s for chat %d, want %s by memory", got.Engine.Info().ID, got.How, key, home)
+		}
+	}
+}
+
+func TestAnEngineOverTheBoundIsPassedOver(t *testing.T) {
+	b := newBook(4)
+	home := choose(t, b, query(7), 0).Engine
+	for _, id := range b.IDs() {
+		b.Get(id).Told(engines.Load{Running: 2}, 10)
+	}
+	home.Told(engines.Load{Running: 10, Waiting: 5}, 20)
+	got := choose(t, b, query(7), 21)
+	if got.Engine == home || got.How != engines.ByRank {
+		t.Errorf("got the loaded engine by %s, want the next of the ranking", got.How)
+	}
+	if got.Source != nil {
+		t.Errorf("got a source that gave no sign, want none")
+	}
+	home.Heard(30)
+	b.Get(got.Engine.Info().ID).Told(engines.Load{Running: 20}, 31)
+	if again := choose(t, b, query(7), 32); again.Source == nil {
+		t.Errorf("got no source for a third engine, want one that keeps the prompt")
+	}
+}
+
+func TestASuspectEngineIsPassedOverUnlessMostAre(t *testing.T) {
+	now := clock.Millis(10_000)
+	b := newBook(4)
+	home := choose(t, b, query(7), now).Engine
+	home.Start(now)
+	home.Finish(engines.Unreachable, now)
+	if got := choose(t, b, query(7), now); got.Engine == home {
+		t.Error("got the engine that could not be reached, want another")
+	}
+	if got := choose(t, b, query(7), now+1500); got.Engine != home {
+		t.Errorf("got %s after the hold, want the home again", got.Engine.Info().ID)
+	}
+	for _, id := range b.IDs() {
+		b.Get(id).Start(now)
+		b.Get(id).Finish(engines.Unreachable, now)
+	}
+	choose(t, b, query(7), now)
+}
+
+func TestASilentEngineIsPassedOver(t *testing.T) {
+	b := newBook(4)
+	home := choose(t, b, query(7), 0).Engine
+	home.Start(100)
+	if got := choose(t, b, query(7), 500); got.Engine != home {
+		t.Error("got another engine after 400 ms of silence, want the home")
+	}
+	if got := choose(t, b, query(7), 1000); got.Engine == home {
+		t.Error("got the engine that is silent for 900 ms, want another")
+	}
+	home.Heard(1100)
+	if got := choose(t, b, query(7), 1200); got.Engine != home {
+		t.Error("got another engine after a sign of life, want the home")
+	}
+}
+
+func TestAnEngineThatFailsMoreThanOthersIsPassedOver(t *testing.T) {
+	b := newBook(4)
+	bad := b.Get("e00")
+	for _, id := range b.IDs() {
+		for range 10 {
+			e := b.Get(id)
+			e.Start(100)
+			if e == bad {
+				e.Finish(engines.Failed, 100)
+			} else {
+				e.Finish(engines.Good, 100)
+			}
+		}
+	}
+	for key := uint64(1); key < 50; key++ {
+		if got := choose(t, b, query(key), 200); got.Engine == bad {
+			t.Fatalf("got the engine that fails for chat %d, want another", key)
+		}
+	}
+}
+
+// Whatever happens, a leaving or tried engine is never chosen, and a request
+// gets an engine as long as one is left.
+func TestChooseNeverTakesWhatIsNotThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "engines")
+		b := newBook(n)
+		now := clock.Millis(0)
+		var tried []string
+		gone := map[string]bool{}
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 900).Draw(t, "pass"))
+			i := rapid.IntRange(0, n-1).Draw(t, "engine")
+			id := info(i).ID
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				in := info(i)
+				in.Leaving = true
+				if !gone[id] {
+					b.Put(in, now)
+				}
+				gone[id] = true
+			case 1:
+				tried = append(tried, id)
+			case 2:
+				if e := b.Get(id); e != nil {
+					e.Start(now)
+				}
+			case 3:
+				if e := b.Get(id); e != nil {
+					outcomes := []engines.Outcome{engines.Good, engines.Failed, engines.Refused, engines.Unreachable, engines.Neutral}
+					e.Finish(rapid.SampledFrom(outcomes).Draw(t, "outcome"), now)
+				}
+			case 4:
+				b.Remove(id)
+				gone[id] = true
+			}
+			q := query(uint64(i + 1))
+			q.Tried = tried
+			left := 0
+			for j := range n {
+				if id := info(j).ID; !gone[id] && !contains(tried, id) {
+					left++
+				}
+			}
+			c, ok := b.Choose(q, now)
+			if ok != (left > 0) {
+				t.Fatalf("got an engine: %v, want %v with %d left", ok, left > 0, left)
+			}
+			if ok && (gone[c.Engine.Info().ID] || contains(tried, c.Engine.Info().ID)) {
+				t.Fatalf("got %s, which is gone or tried", c.Engine.Info().ID)
+			}
+		}
+	})
+}
+
+func contains(list []string, want string) bool {
+	for _, s := range list {
+		if s == want {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/events/events_test.go
@@ -0,0 +1,54 @@
+package events_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/weldfall/weldfall/events"
+)
+
+// However a stream is cut into pieces, whole events come out in order, and
+// what is left is the beginning of the next one.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), uint8(3))
+	f.Add([]byte("data: x\r\n\r\ndata: y\r\n\r\n"), uint8(1))
+	f.Add([]byte("\n\n\n\n"), uint8(2))
+	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
+		var s events.Splitter
+		var out []byte
+		for rest := stream; len(rest) > 0; {
+			n := min(len(rest), int(size)+1)
+			whole, ok := s.Add(rest[:n])
+			if !ok {
+				t.Fatal("got an event that is too long, want none in so short a stream")
+			}
+			out = append(out, whole...)
+			rest = rest[n:]
+		}
+		if got := append(out, s.Pending()...); !bytes.Equal(got, stream) {
+			t.Errorf("got %q, want %q", got, stream)
+		}
+		if n := len(out); n > 0 && out[n-1] != '\n' {
+			t.Errorf("got %q, want whole events", out)
+		}
+	})
+}
+
+func TestTheLastWholeEventIsKnown(t *testing.T) {
+	var s events.Splitter
+	whole, _ := s.Add([]byte("id: 7\ndata: a\n\nid:8\ndata: b\n\nid: 9\nda"))
+	if got, want := s.LastID(), "8"; got != want {
+		t.Errorf("got id %q, want %q", got, want)
+	}
+	if got, want := s.Count(), 2; got != want {
+		t.Errorf("got %d events, want %d", got, want)
+	}
+	if strings.Contains(string(whole), "9") {
+		t.Errorf("got %q, want whole events alone", whole)
+	}
+	s.Drop()
+	if whole, _ = s.Add([]byte("id: 9\ndata: c\n\n")); string(whole) != "id: 9\ndata: c\n\n" {
+		t.Errorf("got %q after the rest was dropped, want the event from its start", whole)
+	}
+}
