soak: Strike real processes with troubles drawn from a seed

Change: gates run as processes behind loopback links to the store and to engines that delay, reset, cut one way or silence; they are killed, paused, stopped and reloaded, the store and engines misbehave, engines leave and join, keys are revoked. Judged by callers and engines: whole and own answers, at most once, true 'not run', workspaces, revoked keys, leaving, budget, recovery. A schedule that breaks a promise is shrunk.

--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/weldfall/weldfall/platform/standin"
+)
+
+// asked is one request of a caller and what became of it.
+type asked struct {
+	id     string
+	path   string
+	key    string
+	sent   time.Time
+	status int
+	// whole is true when the answer came to its end.
+	whole     bool
+	body      string
+	signature string
+}
+
+// repeatable reports whether the request may run more than once.
+func (a asked) repeatable() bool {
+	return strings.HasPrefix(a.path, "/safe/") || strings.HasPrefix(a.path, "/resume/")
+}
+
+func (a asked) stream() bool {
+	return strings.HasPrefix(a.path, "/chat/") || strings.HasPrefix(a.path, "/resume/")
+}
+
+// want is the whole answer to a request.
+func (a asked) want() string {
+	if !a.stream() {
+		return "for " + a.id
+	}
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, a.id, n)
+	}
+	return b.String()
+}
+
+// record is what callers and engines saw.
+type record struct {
+	mu    sync.Mutex
+	asked []asked
+	// left has when engines were published as leaving, revoked when keys were
+	// taken away, disturbed when the last trouble was over.
+	left      map[string]time.Time
+	revoked   map[string]time.Time
+	disturbed time.Time
+	ended     time.Time
+	broken    []string
+}
+
+func (r *record) add(a asked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = append(r.asked, a)
+}
+
+func (r *record) breaks(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+// Slack of the judgement for what one machine adds.
+const (
+	// leaveSlack is how long after a leaving engine was published, and the
+	// last trouble over, requests may still reach it.
+	leaveSlack = 6 * time.Second
+	// recovered is the end of a run in which requests must be served again.
+	recovered = 2500 * time.Millisecond
+)
+
+// judge holds what was seen against the promises.
+func (r *record) judge(engines []*standin.Engine, gateLives int) {
+	ran := map[string][]*standin.Run{}
+	arrivals := 0
+	for _, e := range engines {
+		for _, run := range e.Runs() {
+			arrivals++
+			if run.Executed {
+				ran[run.ID] = append(ran[run.ID], run)
+			}
+		}
+	}
+	served, late := 0, 0
+	for _, a := range r.asked {
+		r.judgeOne(a, ran[a.id])
+		if a.sent.After(r.ended.Add(-recovered)) && a.key == keyKept {
+			late++
+			if a.status == http.StatusOK && a.whole {
+				served++
+			}
+		}
+	}
+	for id, runs := range ran {
+		for _, run := range runs {
+			if run.Header.Get("Weldfall-Tenant") != workspace {
+				r.breaks("%s ran for workspace %q, want %q", id, run.Header.Get("Weldfall-Tenant"), workspace)
+			}
+		}
+	}
+	if served*10 < late*9 {
+		r.breaks("recovery: %d of the last %d requests were served", served, late)
+	}
+	if most := len(r.asked) + int(retryRatio*float64(len(r.asked))) + gateLives*extraPerGate; arrivals > most {
+		r.breaks("budget: %d arrivals of %d requests, want at most %d", arrivals, len(r.asked), most)
+	}
+	for _, e := range engines {
+		r.judgeLeaving(e)
+	}
+}
+
+func (r *record) judgeOne(a asked, runs []*standin.Run) {
+	if a.status == http.StatusOK && a.whole {
+		if a.body != a.want() {
+			r.breaks("%s %s: got %q as a whole answer, want its own", a.path, a.id, a.body)
+		}
+		if !strings.HasSuffix(a.signature, "-"+a.id) {
+			r.breaks("%s %s: got signature %q of another answer", a.path, a.id, a.signature)
+		}
+	}
+	if !a.repeatable() && len(runs) > 1 {
+		r.breaks("%s %s ran %d times", a.path, a.id, len(runs))
+	}
+	if promised(a.status) && !a.repeatable() && len(runs) > 0 {
+		r.breaks("%s %s: got %d, which says not run, and it ran", a.path, a.id, a.status)
+	}
+	if at, ok := r.revoked[a.key]; ok && a.sent.After(at.Add(revocation)) && len(runs) > 0 {
+		r.breaks("%s %s ran with a key that was revoked %v before it was sent", a.path, a.id, a.sent.Sub(at))
+	}
+}
+
+func promised(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (r *record) judgeLeaving(e *standin.Engine) {
+	at, ok := r.left[e.ID()]
+	if !ok {
+		return
+	}
+	if r.disturbed.After(at) {
+		at = r.disturbed
+	}
+	for _, run := range e.Runs() {
+		if run.At.After(at.Add(leaveSlack)) {
+			r.breaks("%s reached %s %v after it was published as leaving", run.ID, e.ID(), run.At.Sub(at))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/schedule.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/weldfall/weldfall/platform/standin"
+)
+
+// Kind is a sort of trouble or of planned work.
+type Kind string
+
+const (
+	Kill    Kind = "kill"
+	Pause   Kind = "pause"
+	Stop    Kind = "stop"
+	Reload  Kind = "reload"
+	Store   Kind = "store"
+	Compact Kind = "compact"
+	// StoreLink and EngineLink are faults of the way to the store, and to an
+	// engine.
+	StoreLink  Kind = "store_link"
+	EngineLink Kind = "engine_link"
+	// Engine makes an engine misbehave.
+	Engine  Kind = "engine"
+	Leave   Kind = "leave"
+	Join    Kind = "join"
+	Publish Kind = "publish"
+	Revoke  Kind = "revoke"
+)
+
+var kinds = []Kind{Kill, Pause, Stop, Reload, Store, Compact, StoreLink, EngineLink, Engine, Leave, Join, Publish, Revoke}
+
+// Step is one trouble of a schedule.
+type Step struct {
+	At   time.Duration
+	For  time.Duration
+	Kind Kind
+	// Who is the number of the gate or engine that it strikes.
+	Who int
+	// How is the variant, "" where there is one only.
+	How string
+}
+
+// String returns the step as it stands in reports.
+func (s Step) String() string {
+	return fmt.Sprintf("%v for %v: %s %s on %d", s.At, s.For, s.Kind, s.How, s.Who)
+}
+
+var (
+	storeFaults = []standin.Fault{standin.Busy, standin.Limited, standin.Reset, standin.Silent, standin.Nonsense, standin.Deaf, standin.Mute}
+	linkFaults  = []LinkFault{Delayed, Cut, DeafTo, DeafFrom, Resets}
+	engineWays  = []string{"refuse", "reset", "cut", "extra", "older", "unframed", "garbage", "slow", "error"}
+)
+
+// newSchedule draws the troubles of a run. They overlap, and end quiet before
+// the run does, so that recovery can be judged.
+func newSchedule(seed uint64, length time.Duration, gates int) []Step {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	n := int(length/time.Second)*stepsPerSecond/10 + 1
+	var steps []Step
+	for range n {
+		at := time.Duration(rng.Int64N(int64(length - quiet)))
+		s := Step{At: at, Kind: kinds[rng.IntN(len(kinds))]}
+		s.For = min(time.Duration(rng.Int64N(int64(longestStep)))+shortestStep, length-quiet-at)
+		s.Who = rng.IntN(max(gates, firstEngines))
+		switch s.Kind {
+		case Store:
+			s.How = string(storeFaults[rng.IntN(len(storeFaults))])
+		case StoreLink, EngineLink:
+			s.How = string(linkFaults[rng.IntN(len(linkFaults))])
+		case Engine:
+			s.How = engineWays[rng.IntN(len(engineWays))]
+		}
+		steps = append(steps, s)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	return steps
+}
+
+const (
+	// stepsPerSecond is in tenths: eight troubles begin in ten seconds.
+	stepsPerSecond = 8
+	// quiet is the end of a run in which no trouble is begun.
+	quiet        = 7 * time.Second
+	shortestStep = 300 * time.Millisecond
+	longestStep  = 4 * time.Second
+	// firstEngines is how many engines each service has at the start.
+	firstEngines = 4
+)
--- /dev/null
+++ b/soak/weldsoak/main.go
@@ -0,0 +1,92 @@
+// Weldsoak runs soaks with fresh or given seeds and prints a line for each. A
+// broken promise ends it with the seed, the smallest schedule that was found
+// and the place of the logs.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/weldfall/weldfall/commands"
+	"github.com/weldfall/weldfall/soak"
+)
+
+// mainEnv makes this program run as weldfall.
+const mainEnv = "WELDSOAK_MAIN"
+
+// shrinkRuns bounds the runs that look for a smaller schedule.
+const shrinkRuns = 16
+
+type args struct {
+	Seed      uint64  `arg:"--seed" help:"seed of the first run; 0 draws one"`
+	Minutes   float64 `arg:"--minutes" default:"1" help:"how long seeds are tried"`
+	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 10 at least"`
+	Processes int     `arg:"--processes" default:"4" help:"gates, 1 to 200"`
+	Dir       string  `arg:"--dir" help:"where settings files and logs are kept; a temporary one if empty"`
+}
+
+func main() {
+	if os.Getenv(mainEnv) != "" {
+		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	var a args
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "weldsoak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a args) error {
+	if a.Seconds < 10 || a.Processes < 1 || a.Processes > 200 {
+		return fmt.Errorf("--seconds must be 10 or more and --processes 1 to 200")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "weldsoak"); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	seed := a.Seed
+	if seed == 0 {
+		seed = rand.Uint64N(1 << 40)
+	}
+	end := time.Now().Add(time.Duration(a.Minutes * float64(time.Minute)))
+	for ; time.Now().Before(end) && ctx.Err() == nil; seed++ {
+		r, err := soak.Run(ctx, soak.Config{
+			Seed: seed, Length: time.Duration(a.Seconds) * time.Second, Gates: a.Processes, Binary: self, Env: []string{mainEnv + "=1"}, Dir: a.Dir,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Println(r)
+		if len(r.Broken) > 0 {
+			return tell(ctx, r)
+		}
+	}
+	return nil
+}
+
+// tell prints what broke and the smallest schedule on which it does.
+func tell(ctx context.Context, r soak.Report) error {
+	for _, b := range r.Broken {
+		fmt.Println("  broken:", b)
+	}
+	small := soak.Shrink(ctx, r, shrinkRuns)
+	for _, s := range small.Config.Steps {
+		fmt.Println("  step:", s)
+	}
+	return fmt.Errorf("seed %d: %d promises broken; logs in %s", r.Config.Seed, len(r.Broken), r.Config.Dir)
+}
