--- a/commands/gate.go
+++ b/commands/gate.go
@@ -71,9 +71,9 @@
 func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
 	clk := clock.System()
 	g := gate.New(gate.Config{
-		ID: boot.ID, Hall: boot.Hall, Dialect: platform.Dialect(), Bounds: gate.Bounds(boot.Bounds), Clock: clk, Log: log,
+		ID: boot.ID, Hall: boot.Hall, Dialect: platform.Dialect(), Bounds: boot.Bounds, Clock: clk, Log: log,
 	})
-	reader := platform.NewReader(platform.NewStore(boot.Store), g, clk, log)
+	reader := platform.NewReader(platform.NewStore(boot.Store), g, platform.DefaultWaits(), clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -105,7 +105,7 @@
 			log.Error("reload_refused", "error", err)
 			continue
 		}
-		g.SetBounds(gate.Bounds(boot.Bounds))
+		g.SetBounds(boot.Bounds)
 		log.Info("reloaded")
 	}
 }
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -112,11 +112,15 @@
 	e.told = true
 }
 
-// Finish counts the end of a request.
-func (e *Engine) Finish(o Outcome, now clock.Millis) {
+// Hold returns for how long a suspected engine is left alone.
+func (e *Engine) Hold() clock.Millis { return e.health.hold }
+
+// Finish counts the end of a request and returns what it changes in the trust
+// in the engine.
+func (e *Engine) Finish(o Outcome, now clock.Millis) Trust {
 	e.inflight = max(0, e.inflight-1)
 	if e.inflight == 0 {
 		e.waitingSince = 0
 	}
-	e.health.note(o, now)
+	return e.health.note(o, now)
 }
--- a/engines/health.go
+++ b/engines/health.go
@@ -62,12 +62,27 @@
 	h.at = now
 }
 
-func (h *health) note(o Outcome, now clock.Millis) {
+// Trust is a change in what is believed of an engine.
+type Trust string
+
+const (
+	// Unchanged is no change.
+	Unchanged Trust = ""
+	// Suspected engines are left alone for a while.
+	Suspected Trust = "suspected"
+	// Trusted engines answered again after they were suspected.
+	Trusted Trust = "trusted"
+)
+
+func (h *health) note(o Outcome, now clock.Millis) Trust {
 	h.fade(now)
 	switch o {
 	case Good:
 		h.good++
-		h.hold = 0
+		if h.hold > 0 {
+			h.hold = 0
+			return Trusted
+		}
 	case Failed:
 		h.bad++
 	case Refused:
@@ -76,10 +91,13 @@
 		h.bad++
 		if h.heldUntil <= now {
 			h.hold = min(holdMost, max(holdFirst, 2*h.hold))
+			h.heldUntil = now + h.hold
+			return Suspected
 		}
 		h.heldUntil = max(h.heldUntil, now+h.hold)
 	case Neutral:
 	}
+	return Unchanged
 }
 
 // rate returns the share of failures, or zero if too little is known.
--- a/gate/send.go
+++ b/gate/send.go
@@ -289,9 +289,15 @@
 func (g *Gate) finish(id string, o engines.Outcome) {
 	now := g.clk.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if e := g.book.Get(id); e != nil {
-		e.Finish(o, now)
+	e := g.book.Get(id)
+	if e == nil {
+		g.mu.Unlock()
+		return
+	}
+	trust, hold := e.Finish(o, now), e.Hold()
+	g.mu.Unlock()
+	if trust != engines.Unchanged {
+		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o, "hold_ms", hold)
 	}
 }
 
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -26,13 +26,13 @@
 	"github.com/weldfall/weldfall/standin/engine"
 )
 
-// mainEnv makes a test binary act as the weldfall binary.
-const mainEnv = "WELDFALL_TEST_MAIN"
+// MainEnv makes a test binary act as the weldfall binary.
+const MainEnv = "WELDFALL_TEST_MAIN"
 
 // Main is called by TestMain: it runs the command line in a process that
 // Start has started, and the tests otherwise.
 func Main(m *testing.M) {
-	if os.Getenv(mainEnv) != "" {
+	if os.Getenv(MainEnv) != "" {
 		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
@@ -162,7 +162,7 @@
 		f.t.Fatal(err)
 	}
 	p := &Process{Name: name, t: f.t, cmd: exec.Command(self, args...), log: &lockedBuffer{}, done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), mainEnv+"=1", "GOMAXPROCS=2")
+	p.cmd.Env = append(os.Environ(), MainEnv+"=1", "GOMAXPROCS=2")
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,19 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/weldfall/weldfall/commands"
+	"github.com/weldfall/weldfall/internal/fleettest"
 	"github.com/weldfall/weldfall/soak"
 )
 
-// mainEnv makes the test binary run as weldfall.
-const mainEnv = "WELDFALL_TEST_MAIN"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(mainEnv) != "" {
-		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fleettest.Main(m) }
 
 func config(t *testing.T, seed uint64) soak.Config {
 	t.Helper()
@@ -25,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return soak.Config{Seed: seed, Length: 15 * time.Second, Gates: 3, Binary: self, Env: []string{mainEnv + "=1"}, Dir: t.TempDir()}
+	return soak.Config{Seed: seed, Length: 15 * time.Second, Gates: 3, Binary: self, Env: []string{fleettest.MainEnv + "=1"}, Dir: t.TempDir()}
 }
 
 // Seeds that once failed stay here, each with its cause.
