gate, platform, soak: Split by job; soak: more troubles, a revocation behind a cut

Change: files of one job each. The soak draws 25 troubles in 10 s, all engines misbehave alike at times, a key is revoked while one gate is cut.

--- /dev/null
+++ b/gate/account.go
@@ -0,0 +1,103 @@
+package gate
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+)
+
+// counts are the gate's counters and histograms.
+type counts struct {
+	answers   map[string]*metrics.Counter
+	firstByte *metrics.Histogram
+	total     *metrics.Histogram
+	pause     *metrics.Histogram
+	repeats   *metrics.Counter
+	bytesOut  *metrics.Counter
+}
+
+func newCounts() counts {
+	c := counts{
+		answers:   map[string]*metrics.Counter{},
+		firstByte: metrics.GetOrCreateHistogram("weldfall_first_byte_seconds"),
+		total:     metrics.GetOrCreateHistogram("weldfall_answer_seconds"),
+		pause:     metrics.GetOrCreateHistogram("weldfall_longest_pause_seconds"),
+		repeats:   metrics.GetOrCreateCounter("weldfall_repeats_total"),
+		bytesOut:  metrics.GetOrCreateCounter("weldfall_answer_bytes_total"),
+	}
+	for _, class := range []string{"1xx", "2xx", "3xx", "4xx", "5xx"} {
+		c.answers[class] = metrics.GetOrCreateCounter(`weldfall_answers_total{class="` + class + `"}`)
+	}
+	return c
+}
+
+// tenths rounds for the log.
+func tenths(v float64) float64 { return math.Round(v*10) / 10 }
+
+func inSeconds(d clock.Millis) float64 { return float64(d) / millisPerSecond }
+
+// account counts the end of a call and logs it in one line.
+func (g *Gate) account(c *call) {
+	now := g.clk.Now()
+	if c.status >= 100 && c.status < 600 {
+		g.counts.answers[strconv.Itoa(c.status/100)+"xx"].Inc()
+	}
+	g.counts.total.Update(inSeconds(now - c.start))
+	if c.firstAt > 0 {
+		g.counts.firstByte.Update(inSeconds(c.firstAt - c.start))
+		g.counts.pause.Update(inSeconds(c.pause))
+	}
+	g.counts.bytesOut.Add(int(c.bytesOut))
+	engine := ""
+	if len(c.tried) > 0 {
+		engine = c.tried[len(c.tried)-1]
+	}
+	if c.err == nil && c.route != nil && c.status == http.StatusOK {
+		g.durations.note(c.route.Name, now-c.start)
+	}
+	attrs := []any{
+		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "fetched", c.fetched,
+		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
+		"first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
+	}
+	if c.route != nil {
+		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
+	}
+	if c.err == nil && !c.cut {
+		if c.note != "" {
+			attrs = append(attrs, "note", c.note)
+		}
+		g.log.Info("answered", attrs...)
+		return
+	}
+	attrs = append(attrs, "cut", c.cut, "left_ms", c.until-now)
+	if c.err != nil {
+		attrs = append(attrs, "filter", c.filter, "verdict", c.err.Verdict(), "reason", c.err.Reason(), "error", c.err.Message())
+	}
+	g.log.Warn("failed", attrs...)
+}
+
+// logAgain logs why a request goes to another engine, or why not.
+func (g *Gate) logAgain(c *call, o outcome, e engines.Info, allowed bool, left clock.Millis) {
+	if allowed {
+		g.counts.repeats.Inc()
+	}
+	cause := ""
+	switch o := o.(type) {
+	case unsent:
+		cause = o.err.Error()
+	case refused:
+		cause = "status " + strconv.Itoa(o.status)
+	case broken:
+		cause = o.err.Error()
+	case failed:
+		cause = "status " + strconv.Itoa(o.answer.status)
+	}
+	g.log.Info("attempt_ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
+		"again", allowed, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -60,7 +60,6 @@
 	pause    clock.Millis
 	bytesOut int64
 	status   int
-	resumed  int
 	// cut is true when the answer must be broken off.
 	cut    bool
 	filter string
--- /dev/null
+++ b/gate/place.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+// choose takes the engine for the next attempt and counts the request there.
+func (g *Gate) choose(c *call) (pick, *verdict.Error) {
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ch, ok := g.book.Choose(engines.Query{
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
+		Tried: c.tried, Random: random(),
+	}, now)
+	if !ok {
+		return pick{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
+	}
+	in := ch.Engine.Info()
+	ch.Engine.Start(now)
+	c.tried = append(c.tried, in.ID)
+	c.how, c.load, c.mean = ch.How, ch.Load, ch.Mean
+	p := pick{Info: in}
+	if ch.Source != nil {
+		p.source = ch.Source.Info().Addr
+	}
+	c.fetched = p.source != ""
+	return p, nil
+}
+
+// pick is the engine of an attempt.
+type pick struct {
+	engines.Info
+	// source is the address of an engine that may keep more of the prompt, ""
+	// if none is known.
+	source string
+}
+
+const (
+	// boundPart is how much of the way from the mean to the operators' bound
+	// a request may fill; the rest is for what other entries send at the same
+	// time.
+	boundPart = 0.75
+	// boundSlack is the number of requests over the bound that are always
+	// allowed, so that a small mean does not scatter chats.
+	boundSlack = 3.0
+)
+
+// keyBound is the multiple of the mean load up to which a chat stays at the
+// engine that remembers it.
+func keyBound(bound float64) float64 {
+	if bound <= 1 {
+		return 1 + boundPart
+	}
+	return 1 + (bound-1)*boundPart
+}
+
+// heard records a sign of life, with the load that it told, if any.
+func (g *Gate) heard(id, load string) {
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.book.Get(id)
+	if e == nil {
+		return
+	}
+	e.Heard(now)
+	if l, ok := parseLoad(load); ok {
+		e.Told(l, now)
+	}
+}
+
+// finish counts the end of a request at an engine.
+func (g *Gate) finish(id string, o engines.Outcome) {
+	now := g.clk.Now()
+	g.mu.Lock()
+	e := g.book.Get(id)
+	if e == nil {
+		g.mu.Unlock()
+		return
+	}
+	trust, hold := e.Finish(o, now), e.Hold()
+	g.mu.Unlock()
+	if trust != engines.Unchanged {
+		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o, "hold_ms", hold)
+	}
+}
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(v string) (engines.Load, bool) {
+	running, rest, ok := strings.Cut(v, ",")
+	if !ok {
+		return engines.Load{}, false
+	}
+	waiting, _, _ := strings.Cut(rest, ",")
+	r, err1 := strconv.Atoi(strings.TrimSpace(running))
+	q, err2 := strconv.Atoi(strings.TrimSpace(waiting))
+	if err1 != nil || err2 != nil || r < 0 || q < 0 {
+		return engines.Load{}, false
+	}
+	return engines.Load{Running: r, Waiting: q}, true
+}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/upstream"
 )
 
@@ -46,7 +47,7 @@
 // relay passes the answer on to the caller.
 func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) outcome {
 	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
-	if a.StatusCode == http.StatusOK && kindIsStream(c.route) && strings.TrimSpace(mediaType) == "text/event-stream" {
+	if a.StatusCode == http.StatusOK && c.route.Kind == table.Stream && strings.TrimSpace(mediaType) == "text/event-stream" {
 		return g.relayStream(ctx, c, e, a)
 	}
 	if c.began {
--- /dev/null
+++ b/gate/request.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/upstream"
+)
+
+// hopByHop are headers that concern one connection only, or that this process
+// writes itself.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
+}
+
+// request returns what the engine is sent.
+func (g *Gate) request(c *call, e pick, now clock.Millis) *upstream.Request {
+	h := make(http.Header, len(c.r.Header)+headersAdded)
+	dropped := connectionNames(c.r.Header)
+	for k, v := range c.r.Header {
+		if !hopByHop[k] && !g.reserved[k] && !dropped[k] {
+			h[k] = v
+		}
+	}
+	if c.table.Keyed() && !c.route.Public {
+		delete(h, "Authorization")
+	}
+	h.Set(g.wire.Deadline, strconv.FormatInt(int64(max(1, c.left(now))), 10))
+	h.Set(g.wire.ExpectEngine, e.ID)
+	h.Set(g.wire.Priority, strconv.Itoa(priority(c)))
+	if c.workspace != nil {
+		h.Set(g.wire.Tenant, c.workspace.Name)
+	}
+	if e.source != "" {
+		h.Set(g.wire.FetchFrom, e.source)
+	}
+	if id := c.split.LastID(); id != "" {
+		h.Set(g.wire.LastEventID, id)
+	}
+	return &upstream.Request{
+		ID: c.id, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h,
+		Body: c.body, HasBody: c.r.ContentLength > 0 || len(c.r.TransferEncoding) > 0,
+	}
+}
+
+// headersAdded is how many headers this process adds.
+const headersAdded = 7
+
+// leastUrgent is the largest rank that engines know.
+const leastUrgent = 9
+
+func priority(c *call) int {
+	p := c.route.Priority
+	if c.workspace != nil && c.workspace.Priority != nil {
+		p = *c.workspace.Priority
+	}
+	return min(leastUrgent, max(0, p))
+}
+
+// connectionNames are the headers that Connection names.
+func connectionNames(h http.Header) map[string]bool {
+	var names map[string]bool
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			if names == nil {
+				names = map[string]bool{}
+			}
+			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
--- a/gate/send.go
+++ b/gate/send.go
@@ -4,12 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
-	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/upstream"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -86,57 +83,6 @@
 	g.budget(c.service).Request(g.clk.Now())
 }
 
-// choose takes the engine for the next attempt and counts the request there.
-func (g *Gate) choose(c *call) (pick, *verdict.Error) {
-	now := g.clk.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Tokens: c.tokens, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
-		Tried: c.tried, Random: random(),
-	}, now)
-	if !ok {
-		return pick{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
-	}
-	in := ch.Engine.Info()
-	ch.Engine.Start(now)
-	c.tried = append(c.tried, in.ID)
-	c.how, c.load, c.mean = ch.How, ch.Load, ch.Mean
-	p := pick{Info: in}
-	if ch.Source != nil {
-		p.source = ch.Source.Info().Addr
-	}
-	c.fetched = p.source != ""
-	return p, nil
-}
-
-// pick is the engine of an attempt.
-type pick struct {
-	engines.Info
-	// source is the address of an engine that may keep more of the prompt, ""
-	// if none is known.
-	source string
-}
-
-const (
-	// boundPart is how much of the way from the mean to the operators' bound
-	// a request may fill; the rest is for what other entries send at the same
-	// time.
-	boundPart = 0.75
-	// boundSlack is the number of requests over the bound that are always
-	// allowed, so that a small mean does not scatter chats.
-	boundSlack = 3.0
-)
-
-// keyBound is the multiple of the mean load up to which a chat stays at the
-// engine that remembers it.
-func keyBound(bound float64) float64 {
-	if bound <= 1 {
-		return 1 + boundPart
-	}
-	return 1 + (bound-1)*boundPart
-}
-
 // attempt sends the request to an engine and relays the answer.
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) outcome {
 	now := g.clk.Now()
@@ -173,10 +119,6 @@
 		c.ran++
 		g.finish(e.ID, engines.Neutral)
 		return callerGone{}
-	case errors.Is(err, upstream.ErrSilent):
-		c.ran++
-		g.finish(e.ID, engines.Failed)
-		return broken{err}
 	default:
 		c.ran++
 		g.finish(e.ID, engines.Failed)
@@ -270,117 +212,6 @@
 	return g.budget(c.service).Spend(now)
 }
 
-// heard records a sign of life, with the load that it told, if any.
-func (g *Gate) heard(id, load string) {
-	now := g.clk.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e := g.book.Get(id)
-	if e == nil {
-		return
-	}
-	e.Heard(now)
-	if l, ok := parseLoad(load); ok {
-		e.Told(l, now)
-	}
-}
-
-// finish counts the end of a request at an engine.
-func (g *Gate) finish(id string, o engines.Outcome) {
-	now := g.clk.Now()
-	g.mu.Lock()
-	e := g.book.Get(id)
-	if e == nil {
-		g.mu.Unlock()
-		return
-	}
-	trust, hold := e.Finish(o, now), e.Hold()
-	g.mu.Unlock()
-	if trust != engines.Unchanged {
-		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o, "hold_ms", hold)
-	}
-}
-
-// parseLoad reads "running,waiting,slots".
-func parseLoad(v string) (engines.Load, bool) {
-	running, rest, ok := strings.Cut(v, ",")
-	if !ok {
-		return engines.Load{}, false
-	}
-	waiting, _, _ := strings.Cut(rest, ",")
-	r, err1 := strconv.Atoi(strings.TrimSpace(running))
-	q, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if err1 != nil || err2 != nil || r < 0 || q < 0 {
-		return engines.Load{}, false
-	}
-	return engines.Load{Running: r, Waiting: q}, true
-}
-
-// hopByHop are headers that concern one connection only, or that this process
-// writes itself.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
-}
-
-// request returns what the engine is sent.
-func (g *Gate) request(c *call, e pick, now clock.Millis) *upstream.Request {
-	h := make(http.Header, len(c.r.Header)+headersAdded)
-	dropped := connectionNames(c.r.Header)
-	for k, v := range c.r.Header {
-		if !hopByHop[k] && !g.reserved[k] && !dropped[k] {
-			h[k] = v
-		}
-	}
-	if c.table.Keyed() && !c.route.Public {
-		delete(h, "Authorization")
-	}
-	h.Set(g.wire.Deadline, strconv.FormatInt(int64(max(1, c.left(now))), 10))
-	h.Set(g.wire.ExpectEngine, e.ID)
-	h.Set(g.wire.Priority, strconv.Itoa(priority(c)))
-	if c.workspace != nil {
-		h.Set(g.wire.Tenant, c.workspace.Name)
-	}
-	if e.source != "" {
-		h.Set(g.wire.FetchFrom, e.source)
-	}
-	if id := c.split.LastID(); id != "" {
-		h.Set(g.wire.LastEventID, id)
-	}
-	return &upstream.Request{
-		ID: c.id, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h,
-		Body: c.body, HasBody: c.r.ContentLength > 0 || len(c.r.TransferEncoding) > 0,
-	}
-}
-
-// headersAdded is how many headers this process adds.
-const headersAdded = 7
-
-// leastUrgent is the largest rank that engines know.
-const leastUrgent = 9
-
-func priority(c *call) int {
-	p := c.route.Priority
-	if c.workspace != nil && c.workspace.Priority != nil {
-		p = *c.workspace.Priority
-	}
-	return min(leastUrgent, max(0, p))
-}
-
-// connectionNames are the headers that Connection names.
-func connectionNames(h http.Header) map[string]bool {
-	var names map[string]bool
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			if names == nil {
-				names = map[string]bool{}
-			}
-			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return names
-}
-
 // kindOf names an outcome for logs and counters.
 func kindOf(o outcome) string {
 	switch o.(type) {
@@ -399,6 +230,3 @@
 	}
 	return "unknown"
 }
-
-// kindIsStream reports whether the route's answers are events.
-func kindIsStream(r *table.Route) bool { return r.Kind == table.Stream }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -63,6 +63,12 @@
 	r.asked = append(r.asked, a)
 }
 
+func (r *record) setDisturbed(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbed = at
+}
+
 func (r *record) breaks(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/weldfall/weldfall/platform"
+)
+
+// gate is one process.
+type gate struct {
+	cfg     Config
+	boot    string
+	callers string
+	peers   string
+	store   *link
+	logs    *os.File
+
+	// restarting makes overlapping restarts one after the other.
+	restarting sync.Mutex
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the present process has ended.
+	done  chan struct{}
+	lives int
+	over  bool
+}
+
+const bootText = `node = "gate-%d"
+zone = "hall-a"
+ip = "127.0.0.1"
+seeds = [%s]
+[listen]
+http = %q
+readiness = %q
+control = %q
+[bounds]
+graceS = 5
+strictRevoke = true
+revokeMs = %d
+retryRatio = %g
+retryExtra = %d
+retryWindowS = 10
+capFactor = 2
+[platform]
+address = %q
+`
+
+func newGate(cfg Config, i int, store string, seeds []string) (*gate, error) {
+	l, err := newLink(store)
+	if err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for range 3 {
+		a, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, a)
+	}
+	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l}
+	quoted := make([]string, len(seeds))
+	for j, s := range seeds {
+		quoted[j] = fmt.Sprintf("%q", s)
+	}
+	text := fmt.Sprintf(bootText, i, strings.Join(quoted, ","), addrs[0], addrs[1], addrs[2], revocation.Milliseconds(), retryRatio, retryExtra, l.addr())
+	if err := os.WriteFile(g.boot, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	g.logs, err = os.Create(strings.TrimSuffix(g.boot, ".toml") + ".log")
+	return g, err
+}
+
+// freeAddr returns an address that nobody listens on.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+// begin starts the process and waits until it listens.
+func (g *gate) begin() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.over {
+		return nil
+	}
+	cmd := exec.Command(g.cfg.Binary, "gate", "--metrics-port", "0")
+	cmd.Env = append(os.Environ(), append(g.cfg.Env, platform.BootFile+"="+g.boot)...)
+	cmd.Stdout, cmd.Stderr = g.logs, g.logs
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start gate: %w", err)
+	}
+	done := make(chan struct{})
+	g.cmd, g.done = cmd, done
+	g.lives++
+	go func() {
+		defer close(done)
+		// How it ended is in its log.
+		_ = cmd.Wait()
+	}()
+	return nil
+}
+
+// signal sends a signal to the present process.
+func (g *gate) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		// A process that has ended needs no signal.
+		_ = g.cmd.Process.Signal(s)
+	}
+}
+
+// restart ends the process by a signal and starts it again.
+func (g *gate) restart(s syscall.Signal) {
+	g.restarting.Lock()
+	defer g.restarting.Unlock()
+	g.mu.Lock()
+	done := g.done
+	g.mu.Unlock()
+	g.signal(s)
+	select {
+	case <-done:
+	case <-time.After(restartLimit):
+		g.signal(syscall.SIGKILL)
+		<-done
+	}
+	// The next trouble or the judgement shows a gate that did not start.
+	_ = g.begin()
+}
+
+// restartLimit is the grace of a planned stop and a little more.
+const restartLimit = 6 * time.Second
+
+func (g *gate) end() {
+	g.mu.Lock()
+	g.over = true
+	done := g.done
+	g.mu.Unlock()
+	g.signal(syscall.SIGCONT)
+	g.signal(syscall.SIGKILL)
+	if done != nil {
+		<-done
+	}
+	g.store.close()
+	// The log has been written by the process.
+	_ = g.logs.Close()
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -24,14 +24,20 @@
 	StoreLink  Kind = "store_link"
 	EngineLink Kind = "engine_link"
 	// Engine makes an engine misbehave.
-	Engine  Kind = "engine"
+	Engine Kind = "engine"
+	// Engines makes all engines misbehave alike.
+	Engines Kind = "engines"
 	Leave   Kind = "leave"
 	Join    Kind = "join"
 	Publish Kind = "publish"
-	Revoke  Kind = "revoke"
+	// Revoke takes a key away while one gate is cut from the store.
+	Revoke Kind = "revoke"
 )
 
-var kinds = []Kind{Kill, Pause, Stop, Reload, Store, Compact, StoreLink, EngineLink, Engine, Leave, Join, Publish, Revoke}
+// kinds is drawn from evenly; what stands twice comes twice as often.
+var kinds = []Kind{
+	Kill, Pause, Stop, Reload, Store, Compact, StoreLink, StoreLink, EngineLink, Engine, Engine, Engine, Engine, Engines, Leave, Leave, Join, Publish, Revoke,
+}
 
 // Step is one trouble of a schedule.
 type Step struct {
@@ -44,6 +50,15 @@
 	How string
 }
 
+// disturbs reports whether a gate may know less of engines while it lasts.
+func (s Step) disturbs() bool {
+	switch s.Kind {
+	case Pause, Store, Compact, StoreLink, Revoke:
+		return true
+	}
+	return false
+}
+
 // String returns the step as it stands in reports.
 func (s Step) String() string {
 	return fmt.Sprintf("%v for %v: %s %s on %d", s.At, s.For, s.Kind, s.How, s.Who)
@@ -52,20 +67,25 @@
 var (
 	storeFaults = []standin.Fault{standin.Busy, standin.Limited, standin.Reset, standin.Silent, standin.Nonsense, standin.Deaf, standin.Mute}
 	linkFaults  = []LinkFault{Delayed, Cut, DeafTo, DeafFrom, Resets}
+	commonWays  = []string{"refuse", "reset", "error"}
 	engineWays  = []string{"refuse", "reset", "cut", "extra", "older", "unframed", "garbage", "slow", "error"}
 )
 
 // newSchedule draws the troubles of a run. They overlap, and end quiet before
 // the run does, so that recovery can be judged.
-func newSchedule(seed uint64, length time.Duration, gates int) []Step {
+func newSchedule(seed uint64, length time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	n := int(length/time.Second)*stepsPerSecond/10 + 1
 	var steps []Step
 	for range n {
 		at := time.Duration(rng.Int64N(int64(length - quiet)))
 		s := Step{At: at, Kind: kinds[rng.IntN(len(kinds))]}
-		s.For = min(time.Duration(rng.Int64N(int64(longestStep)))+shortestStep, length-quiet-at)
-		s.Who = rng.IntN(max(gates, firstEngines))
+		longest := longestStep
+		if s.Kind == StoreLink || s.Kind == Revoke {
+			longest = longestCut
+		}
+		s.For = min(time.Duration(rng.Int64N(int64(longest)))+shortestStep, length-quiet-at)
+		s.Who = rng.IntN(whoMost)
 		switch s.Kind {
 		case Store:
 			s.How = string(storeFaults[rng.IntN(len(storeFaults))])
@@ -73,6 +93,8 @@
 			s.How = string(linkFaults[rng.IntN(len(linkFaults))])
 		case Engine:
 			s.How = engineWays[rng.IntN(len(engineWays))]
+		case Engines:
+			s.How = commonWays[rng.IntN(len(commonWays))]
 		}
 		steps = append(steps, s)
 	}
@@ -81,10 +103,15 @@
 }
 
 const (
-	// stepsPerSecond is in tenths: eight troubles begin in ten seconds.
-	stepsPerSecond = 8
+	// stepsPerSecond is in tenths: 25 troubles begin in ten seconds.
+	stepsPerSecond = 25
+	// whoMost bounds the numbers of gates and engines that are struck; they
+	// are taken modulo what there is.
+	whoMost = 64
+	// longestCut is longer than the bound for revoked keys.
+	longestCut = 9 * time.Second
 	// quiet is the end of a run in which no trouble is begun.
-	quiet        = 7 * time.Second
+	quiet        = 9 * time.Second
 	shortestStep = 300 * time.Millisecond
 	longestStep  = 4 * time.Second
 	// firstEngines is how many engines each service has at the start.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,19 +6,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -87,7 +80,7 @@
 // Run plays one schedule and judges it.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	if cfg.Steps == nil {
-		cfg.Steps = newSchedule(cfg.Seed, cfg.Length, cfg.Gates)
+		cfg.Steps = newSchedule(cfg.Seed, cfg.Length)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -227,7 +220,7 @@
 		if strings.HasPrefix(run.URI, "/chat/") || strings.HasPrefix(run.URI, "/resume/") {
 			p = standin.Reply{Events: streamEvents, Pause: eventPause, Load: "1,0,8"}
 		}
-		if way == "" || run.ID[len(run.ID)-1]%2 == 0 {
+		if way == "" || run.ID == "" || run.ID[len(run.ID)-1]%2 == 0 {
 			return p
 		}
 		switch way {
@@ -253,275 +246,3 @@
 		return p
 	}
 }
-
-// play carries out the schedule.
-func (w *world) play() {
-	begin := time.Now()
-	for _, s := range w.cfg.Steps {
-		time.Sleep(time.Until(begin.Add(s.At)))
-		w.wg.Go(func() {
-			w.strike(s)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.rec.disturbed = time.Now()
-		})
-	}
-	time.Sleep(time.Until(begin.Add(w.cfg.Length)))
-}
-
-// strike begins a trouble, and ends it.
-func (w *world) strike(s Step) {
-	g := w.gates[s.Who%len(w.gates)]
-	w.mu.Lock()
-	i := s.Who % len(w.engines)
-	e, l := w.engines[i], w.links[i]
-	w.mu.Unlock()
-	switch s.Kind {
-	case Kill:
-		g.restart(syscall.SIGKILL)
-	case Stop:
-		g.restart(syscall.SIGTERM)
-	case Pause:
-		g.signal(syscall.SIGSTOP)
-		time.Sleep(s.For)
-		g.signal(syscall.SIGCONT)
-	case Reload:
-		g.signal(syscall.SIGHUP)
-	case Store:
-		w.store.SetFault(standin.Fault(s.How))
-		time.Sleep(s.For)
-		w.store.SetFault(standin.None)
-	case Compact:
-		w.store.Compact()
-	case StoreLink:
-		g.store.set(LinkFault(s.How))
-		time.Sleep(s.For)
-		g.store.set(Sound)
-	case EngineLink:
-		l.set(LinkFault(s.How))
-		time.Sleep(s.For)
-		l.set(Sound)
-	case Engine:
-		e.SetReply(behave(s.How))
-		time.Sleep(s.For)
-		e.SetReply(behave(""))
-	case Leave:
-		w.leave(i)
-	case Join:
-		// Without an engine more the run goes on.
-		_ = w.join([]string{"llm", "api"}[s.Who%2])
-	case Publish:
-		w.publish()
-	case Revoke:
-		w.mu.Lock()
-		w.revoked = true
-		w.mu.Unlock()
-		w.publish()
-		w.rec.mu.Lock()
-		defer w.rec.mu.Unlock()
-		if _, again := w.rec.revoked[keyRevoked]; !again {
-			w.rec.revoked[keyRevoked] = time.Now()
-		}
-	}
-}
-
-// leave publishes that an engine leaves, unless it is one of the first, which
-// keep the services alive.
-func (w *world) leave(i int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if i < firstEngines {
-		return
-	}
-	w.list(i, "draining")
-	w.rec.mu.Lock()
-	defer w.rec.mu.Unlock()
-	if _, again := w.rec.left[w.engines[i].ID()]; !again {
-		w.rec.left[w.engines[i].ID()] = time.Now()
-	}
-}
-
-// call sends requests to a gate over kept connections until the run is over.
-func (w *world) call(g, c int) {
-	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(g*callers+c)))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 8 * time.Second}
-	defer client.CloseIdleConnections()
-	paths := []string{"/safe/x", "/unsafe/x", "/chat/x", "/resume/x"}
-	for n := 0; w.ctx.Err() == nil; n++ {
-		a := asked{id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: paths[rng.IntN(len(paths))], key: keyKept, sent: time.Now()}
-		if rng.IntN(4) == 0 {
-			a.key = keyRevoked
-		}
-		w.rec.add(w.ask(client, w.gates[g].callers, a))
-		time.Sleep(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
-	}
-}
-
-func (w *world) ask(client *http.Client, addr string, a asked) asked {
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+a.path, strings.NewReader("body of "+a.id))
-	if err != nil {
-		return a
-	}
-	// The client must not send a request twice on its own.
-	req.GetBody = nil
-	req.Host = host
-	for k, v := range map[string]string{
-		"Weldfall-Request-Id": a.id, "Weldfall-Deadline-Ms": "3000", "Authorization": "Bearer " + a.key,
-		"Weldfall-Prefix-Hash": fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id),
-	} {
-		req.Header.Set(k, v)
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return a
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
-	a.status, a.body, a.whole, a.signature = res.StatusCode, string(body), err == nil, res.Header.Get("Weldfall-Engine-Signature")
-	return a
-}
-
-// gate is one process.
-type gate struct {
-	cfg     Config
-	boot    string
-	callers string
-	peers   string
-	store   *link
-	logs    *os.File
-
-	// restarting makes overlapping restarts one after the other.
-	restarting sync.Mutex
-
-	mu  sync.Mutex
-	cmd *exec.Cmd
-	// done is closed when the present process has ended.
-	done  chan struct{}
-	lives int
-	over  bool
-}
-
-const bootText = `node = "gate-%d"
-zone = "hall-a"
-ip = "127.0.0.1"
-seeds = [%s]
-[listen]
-http = %q
-readiness = %q
-control = %q
-[bounds]
-graceS = 5
-strictRevoke = true
-revokeMs = %d
-retryRatio = %g
-retryExtra = %d
-retryWindowS = 10
-capFactor = 2
-[platform]
-address = %q
-`
-
-func newGate(cfg Config, i int, store string, seeds []string) (*gate, error) {
-	l, err := newLink(store)
-	if err != nil {
-		return nil, err
-	}
-	var addrs []string
-	for range 3 {
-		a, err := freeAddr()
-		if err != nil {
-			return nil, err
-		}
-		addrs = append(addrs, a)
-	}
-	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l}
-	quoted := make([]string, len(seeds))
-	for j, s := range seeds {
-		quoted[j] = fmt.Sprintf("%q", s)
-	}
-	text := fmt.Sprintf(bootText, i, strings.Join(quoted, ","), addrs[0], addrs[1], addrs[2], revocation.Milliseconds(), retryRatio, retryExtra, l.addr())
-	if err := os.WriteFile(g.boot, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	g.logs, err = os.Create(strings.TrimSuffix(g.boot, ".toml") + ".log")
-	return g, err
-}
-
-// freeAddr returns an address that nobody listens on.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
-
-// begin starts the process and waits until it listens.
-func (g *gate) begin() error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.over {
-		return nil
-	}
-	cmd := exec.Command(g.cfg.Binary, "gate", "--metrics-port", "0")
-	cmd.Env = append(os.Environ(), append(g.cfg.Env, platform.BootFile+"="+g.boot)...)
-	cmd.Stdout, cmd.Stderr = g.logs, g.logs
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start gate: %w", err)
-	}
-	done := make(chan struct{})
-	g.cmd, g.done = cmd, done
-	g.lives++
-	go func() {
-		defer close(done)
-		// How it ended is in its log.
-		_ = cmd.Wait()
-	}()
-	return nil
-}
-
-// signal sends a signal to the present process.
-func (g *gate) signal(s syscall.Signal) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.cmd != nil {
-		// A process that has ended needs no signal.
-		_ = g.cmd.Process.Signal(s)
-	}
-}
-
-// restart ends the process by a signal and starts it again.
-func (g *gate) restart(s syscall.Signal) {
-	g.restarting.Lock()
-	defer g.restarting.Unlock()
-	g.mu.Lock()
-	done := g.done
-	g.mu.Unlock()
-	g.signal(s)
-	select {
-	case <-done:
-	case <-time.After(restartLimit):
-		g.signal(syscall.SIGKILL)
-		<-done
-	}
-	// The next trouble or the judgement shows a gate that did not start.
-	_ = g.begin()
-}
-
-// restartLimit is the grace of a planned stop and a little more.
-const restartLimit = 6 * time.Second
-
-func (g *gate) end() {
-	g.mu.Lock()
-	g.over = true
-	done := g.done
-	g.mu.Unlock()
-	g.signal(syscall.SIGCONT)
-	g.signal(syscall.SIGKILL)
-	if done != nil {
-		<-done
-	}
-	g.store.close()
-	// The log has been written by the process.
-	_ = g.logs.Close()
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return soak.Config{Seed: seed, Length: 15 * time.Second, Gates: 3, Binary: self, Env: []string{fleettest.MainEnv + "=1"}, Dir: t.TempDir()}
+	return soak.Config{Seed: seed, Length: 18 * time.Second, Gates: 3, Binary: self, Env: []string{fleettest.MainEnv + "=1"}, Dir: t.TempDir()}
 }
 
 // Seeds that once failed stay here, each with its cause.
--- a/soak/weldsoak/main.go
+++ b/soak/weldsoak/main.go
@@ -27,7 +27,7 @@
 type args struct {
 	Seed      uint64  `arg:"--seed" help:"seed of the first run; 0 draws one"`
 	Minutes   float64 `arg:"--minutes" default:"1" help:"how long seeds are tried"`
-	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 10 at least"`
+	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 15 at least"`
 	Processes int     `arg:"--processes" default:"4" help:"gates, 1 to 200"`
 	Dir       string  `arg:"--dir" help:"where settings files and logs are kept; a temporary one if empty"`
 }
@@ -45,8 +45,8 @@
 }
 
 func run(a args) error {
-	if a.Seconds < 10 || a.Processes < 1 || a.Processes > 200 {
-		return fmt.Errorf("--seconds must be 10 or more and --processes 1 to 200")
+	if a.Seconds < 15 || a.Processes < 1 || a.Processes > 200 {
+		return fmt.Errorf("--seconds must be 15 or more and --processes 1 to 200")
 	}
 	self, err := os.Executable()
 	if err != nil {
