--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -56,6 +56,9 @@
 	if c.table == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry does not know the routes yet").WithRetryAfter(retryStale)
 	}
+	if limit, n := c.table.Limits().HeaderBytes, headerBytes(c.r); limit > 0 && n > limit {
+		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "the header has %d bytes, at most %d are taken", n, limit)
+	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.table.Route(c.r.Host, path)
 	if !ok {
@@ -82,6 +85,20 @@
 	return nil
 }
 
+// headerBytes returns the size of a request's header.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerLine
+		}
+	}
+	return n
+}
+
+// headerLine is what a header line has beside name and value, in bytes.
+const headerLine = 4
+
 // stayMargin is added to the longest answer that a stopping process has seen
 // of a route: the load may be higher now.
 const stayMargin clock.Millis = 300
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -27,6 +27,8 @@
 		return http.StatusUnauthorized
 	case verdict.NoRoute:
 		return http.StatusNotFound
+	case verdict.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case verdict.TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case verdict.Deadline:
--- a/table/table.go
+++ b/table/table.go
@@ -91,10 +91,8 @@
 
 // Limits bound what a caller may send. Zero means no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout clock.Millis
-	IdleTimeout   clock.Millis
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Config is what a Table is made of.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -31,6 +31,7 @@
 	Unauthorized   Reason = "unauthorized"
 	UnknownModel   Reason = "unknown_model"
 	TooLarge       Reason = "too_large"
+	HeaderTooLarge Reason = "header_too_large"
 	RateLimited    Reason = "rate_limited"
 	Overloaded     Reason = "overloaded"
 	Shed           Reason = "shed"
