--- a/peers/members.go
+++ b/peers/members.go
@@ -24,7 +24,7 @@
 	// fleet of thousands with a few steps between any two.
 	neighbours = 3
 	// sampleMembers bounds the members in one message.
-	sampleMembers = 8
+	sampleMembers = 4
 	// membersMost bounds the members that are remembered. A larger fleet is
 	// known in part, which is enough to spread news.
 	membersMost = 512
--- a/peers/members_test.go
+++ b/peers/members_test.go
@@ -36,7 +36,7 @@
 	for i := 1; i <= 3200; i++ {
 		m.Learn(member(i, 0), 1000)
 	}
-	if got, most := len(m.Sample(1000)), 8; got > most {
+	if got, most := len(m.Sample(1000)), 4; got > most {
 		t.Errorf("got %d members in a message, want at most %d", got, most)
 	}
 	asked := map[string]int{}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,14 +19,14 @@
 const (
 	// askPeriod is how often a peer is asked. What one process learns reaches
 	// twice as many each round.
-	askPeriod clock.Millis = 300
+	askPeriod clock.Millis = 400
 	// askLimit is how long an answer is waited for.
 	askLimit clock.Millis = 800
 	// seedEvery is how many rounds lie between two calls of a seed, so that
 	// groups which grew apart meet again.
-	seedEvery = 20
+	seedEvery = 15
 	// loadsMost bounds the loads in one message: about 30 bytes each.
-	loadsMost = 24
+	loadsMost = 10
 	// methodAsk is the name of the call.
 	methodAsk = "ask"
 )
