--- /dev/null
+++ b/engines/choose.go
@@ -0,0 +1,313 @@
+package engines
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/route"
+)
+
+// Bounds of the choice.
+const (
+	// silenceLimit is how long an engine may leave requests without a sign
+	// before new ones go elsewhere. A model engine sends an event each 20 to
+	// 50 ms to every stream; reading the longest prompts holds them up for
+	// about 400 ms.
+	silenceLimit clock.Millis = 700
+	// suspectRate is the share of failures over that of the whole service
+	// from which an engine is passed over.
+	suspectRate = 0.2
+	// mostSuspects is the part of a pool that may be passed over at once;
+	// when more look bad the fault is likely ours or everybody's.
+	mostSuspects = 0.5
+)
+
+// Query is a request that needs an engine.
+type Query struct {
+	Service string
+	// Keys are the beginnings of the prompt that an engine may remember, from
+	// the shortest on; none if there are none.
+	Keys []uint64
+	// Tokens is the length of the longest of them.
+	Tokens int
+	// Hall is where this entry is; among equals an engine there is taken.
+	Hall string
+	// Bound is the highest load of an engine as a multiple of the mean, above
+	// 1, and Slack is added to it.
+	Bound float64
+	Slack float64
+	// Tried are engines that have had the request.
+	Tried []string
+	// Random breaks ties, 0 to 1.
+	Random float64
+}
+
+// How says by what an engine was chosen.
+type How string
+
+const (
+	// ByMemory is the engine that had a prompt of the same beginning last.
+	ByMemory How = "memory"
+	// ByHome is the first engine of the ranking.
+	ByHome How = "home"
+	// ByRank is a later engine of the ranking: those before have no room.
+	ByRank How = "rank"
+	// ByLoad is the least loaded engine.
+	ByLoad How = "load"
+)
+
+// Choice is the engine for a request and the inputs that decided.
+type Choice struct {
+	Engine *Engine
+	// How says by what the engine was chosen.
+	How How
+	// Source is an engine that may keep more of the prompt; nil if none is
+	// known.
+	Source *Engine
+	// Load and Mean are the estimates at the time.
+	Load float64
+	Mean float64
+	// Usable is how many engines could have been chosen.
+	Usable int
+}
+
+// Choose returns the engine for a request, or false if there is none.
+func (b *Book) Choose(q Query, now clock.Millis) (Choice, bool) {
+	p := b.byService[q.Service]
+	if p == nil {
+		return Choice{}, false
+	}
+	usable := p.usable(q, now)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	others := meanOthers(usable, now)
+	mean := 0.0
+	for _, e := range usable {
+		mean += e.load(others, now)
+	}
+	mean /= float64(len(usable))
+	c := Choice{Mean: mean, Usable: len(usable)}
+	if len(q.Keys) > 0 {
+		c.byPrompt(q, b.memory, usable, others, now)
+	}
+	if c.Engine == nil {
+		c.byLoad(q, usable, others, now)
+	}
+	if len(q.Keys) > 0 {
+		c.Source = b.source(q, p, c.Engine, now)
+		b.memory.note(q.Keys, c.Engine.info.ID)
+	}
+	return c, true
+}
+
+// usable returns the engines that can be chosen: those that are not leaving,
+// not tried and not under suspicion, unless most of the pool is.
+func (p *pool) usable(q Query, now clock.Millis) []*Engine {
+	live := make([]*Engine, 0, len(p.engines))
+	for _, e := range p.engines {
+		if !e.info.Leaving {
+			live = append(live, e)
+		}
+	}
+	rate := meanRate(live, now)
+	good := make([]*Engine, 0, len(live))
+	for _, e := range live {
+		if !e.suspect(rate, now) {
+			good = append(good, e)
+		}
+	}
+	if float64(len(good)) < (1-mostSuspects)*float64(len(live)) {
+		good = live
+	}
+	untried := func(in []*Engine) []*Engine {
+		return slices.DeleteFunc(slices.Clone(in), func(e *Engine) bool { return slices.Contains(q.Tried, e.info.ID) })
+	}
+	if u := untried(good); len(u) > 0 {
+		return u
+	}
+	return untried(live)
+}
+
+// suspect reports whether new requests had better go elsewhere.
+func (e *Engine) suspect(rate float64, now clock.Millis) bool {
+	if e.health.held(now) || e.silence(now) > silenceLimit {
+		return true
+	}
+	return e.health.rate(now) > rate+suspectRate
+}
+
+// meanRate is the share of failures of all engines together.
+func meanRate(live []*Engine, now clock.Millis) float64 {
+	good, bad := 0.0, 0.0
+	for _, e := range live {
+		e.health.fade(now)
+		good += e.health.good
+		bad += e.health.bad
+	}
+	if good+bad == 0 {
+		return 0
+	}
+	return bad / (good + bad)
+}
+
+// meanOthers is the mean of what engines have of other entries' requests, by
+// those whose word is fresh.
+func meanOthers(in []*Engine, now clock.Millis) float64 {
+	sum, n := 0.0, 0
+	for _, e := range in {
+		if e.told && now-e.othersAt < 4*othersHalfLife {
+			sum += e.others
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// byPrompt takes the least loaded of the prompt's homes, or else the next in
+// its ranking that has room. The homes are the engines that had the prompt
+// last, and where these are too few the first of the ranking: an engine that
+// joins does not take over what others remember.
+func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
+	key := q.Keys[len(q.Keys)-1]
+	bound := q.Bound*c.Mean + q.Slack
+	order := ranked(key, usable)
+	n := min(homes(q.Tokens), len(order))
+	known := bringForward(order, m.holders(key))
+	slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
+	for i, e := range order {
+		l := e.load(others, now)
+		if l+1 > bound {
+			continue
+		}
+		c.Engine, c.Load = e, l
+		switch {
+		case i >= n:
+			c.How = ByRank
+		case known >= n:
+			c.How = ByMemory
+		default:
+			c.How = ByHome
+		}
+		return
+	}
+}
+
+// bringForward moves the engines with the given ids to the front, in the order
+// of the ids, and returns how many there were.
+func bringForward(order []*Engine, ids []string) int {
+	n := 0
+	for _, id := range ids {
+		i := slices.IndexFunc(order[n:], func(e *Engine) bool { return e.info.ID == id })
+		if i < 0 {
+			continue
+		}
+		e := order[n+i]
+		copy(order[n+1:n+i+1], order[n:n+i])
+		order[n] = e
+		n++
+	}
+	return n
+}
+
+const (
+	// oneHome and twoHomes are the lengths in tokens from which a prompt has
+	// one home, or two; a shorter one has three. Reading it at each of them is
+	// the price of balance: a thousand tokens hold an engine up for about 25
+	// ms.
+	oneHome  = 2500
+	twoHomes = 1000
+	mostHome = 3
+)
+
+// homes returns how many engines share the requests of a prompt.
+func homes(tokens int) int {
+	switch {
+	case tokens >= oneHome:
+		return 1
+	case tokens >= twoHomes:
+		return 2
+	}
+	return mostHome
+}
+
+// ranked returns the engines in the order of a key's ranking.
+func ranked(key uint64, in []*Engine) []*Engine {
+	targets := make([]route.Target, len(in))
+	for i, e := range in {
+		targets[i] = e.target
+	}
+	out := make([]*Engine, len(in))
+	for i, at := range route.Rank(key, targets, len(targets)) {
+		out[i] = in[at]
+	}
+	return out
+}
+
+// youth is for how long an engine that joined is taken to lack what its place
+// in the rankings would make it keep.
+const youth clock.Millis = 15_000
+
+// source returns an engine that may keep more of the prompt than the chosen
+// one. Leaving engines still give what they have.
+func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
+	for i := len(q.Keys) - 1; i >= 0; i-- {
+		if b.memory.holds(q.Keys[i], chosen.info.ID) {
+			return nil
+		}
+		for _, id := range b.memory.holders(q.Keys[i]) {
+			if e := b.byID[id]; e != nil && e.sound(now) {
+				return e
+			}
+		}
+	}
+	return p.formerHome(q.Keys[len(q.Keys)-1], chosen, now)
+}
+
+// formerHome returns the engine that was first in the ranking before engines
+// joined and left lately, unless it is the chosen one or not known.
+func (p *pool) formerHome(key uint64, chosen *Engine, now clock.Millis) *Engine {
+	old := slices.DeleteFunc(slices.Clone(p.engines), func(e *Engine) bool { return now-e.seenAt < youth })
+	if len(old) == 0 {
+		return nil
+	}
+	if home := ranked(key, old)[0]; home != chosen && home.sound(now) {
+		return home
+	}
+	return nil
+}
+
+// sound reports whether an engine answers, as far as is known.
+func (e *Engine) sound(now clock.Millis) bool {
+	return !e.health.held(now) && e.silence(now) <= silenceLimit && now-e.heardAt < soundFor && e.heardAt > 0
+}
+
+// soundFor is how long the last sign of an engine is good for.
+const soundFor clock.Millis = 3000
+
+// hallBonus is the load in requests a slot that an engine of another data
+// hall counts as more: less than one request at the smallest engines.
+const hallBonus = 0.1
+
+// byLoad takes the engine with the least load a slot.
+func (c *Choice) byLoad(q Query, usable []*Engine, others float64, now clock.Millis) {
+	best, bestScore := -1, 0.0
+	start := int(q.Random * float64(len(usable)))
+	for k := range usable {
+		i := (start + k) % len(usable)
+		e := usable[i]
+		s := e.load(others, now) / float64(e.info.Slots)
+		if e.info.Hall != q.Hall {
+			s += hallBonus
+		}
+		if best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	c.Engine, c.How = usable[best], ByLoad
+	c.Load = c.Engine.load(others, now)
+}
--- a/gate/send.go
+++ b/gate/send.go
@@ -51,8 +51,16 @@
 // send chooses engines until one answers or the request must be given up.
 func (g *Gate) send(ctx context.Context, c *call) *verdict.Error {
 	g.countRequest(c)
+	// own is the latest failure that an engine answered itself: it is the
+	// answer when no other engine gives a better one.
+	var own *held
 	for {
 		e, err := g.choose(c)
+		if err != nil && own != nil && !c.began {
+			c.note = err.Error()
+			g.pass(c, own)
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -63,9 +71,10 @@
 			c.cut = true
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case failed:
+			own = o.answer
 			if err := g.again(c, o, e.Info); err != nil {
 				c.note = err.Error()
-				g.pass(c, o.answer)
+				g.pass(c, own)
 				return nil
 			}
 		case unsent, refused, broken:
