--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,8 +5,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/weldfall/weldfall/platform/standin"
 )
 
 // call sends requests to a gate over kept connections until the run is over.
@@ -26,25 +27,17 @@
 }
 
 func (w *world) ask(client *http.Client, addr string, a asked) asked {
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+a.path, strings.NewReader("body of "+a.id))
+	prompt := fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id)
+	req, err := standin.NewRequest("http://"+addr+a.path, host, a.id, a.key, prompt)
 	if err != nil {
 		return a
 	}
-	// The client must not send a request twice on its own.
-	req.GetBody = nil
-	req.Host = host
-	for k, v := range map[string]string{
-		"Weldfall-Request-Id": a.id, "Weldfall-Deadline-Ms": "3000", "Authorization": "Bearer " + a.key,
-		"Weldfall-Prefix-Hash": fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id),
-	} {
-		req.Header.Set(k, v)
-	}
 	res, err := client.Do(req)
 	if err != nil {
 		return a
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	a.status, a.body, a.whole, a.signature = res.StatusCode, string(body), err == nil, res.Header.Get("Weldfall-Engine-Signature")
+	a.status, a.body, a.whole, a.signature = res.StatusCode, string(body), err == nil, standin.Signature(res.Header)
 	return a
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -108,8 +108,8 @@
 	}
 	for id, runs := range ran {
 		for _, run := range runs {
-			if run.Header.Get("Weldfall-Tenant") != workspace {
-				r.breaks("%s ran for workspace %q, want %q", id, run.Header.Get("Weldfall-Tenant"), workspace)
+			if run.Workspace() != workspace {
+				r.breaks("%s ran for workspace %q, want %q", id, run.Workspace(), workspace)
 			}
 		}
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/weldfall/weldfall/platform"
+	"github.com/weldfall/weldfall/platform/standin"
 )
 
 // gate is one process.
@@ -34,26 +35,6 @@
 	over  bool
 }
 
-const bootText = `node = "gate-%d"
-zone = "hall-a"
-ip = "127.0.0.1"
-seeds = [%s]
-[listen]
-http = %q
-readiness = %q
-control = %q
-[bounds]
-graceS = 5
-strictRevoke = true
-revokeMs = %d
-retryRatio = %g
-retryExtra = %d
-retryWindowS = 10
-capFactor = 2
-[platform]
-address = %q
-`
-
 func newGate(cfg Config, i int, store string, seeds []string) (*gate, error) {
 	l, err := newLink(store)
 	if err != nil {
@@ -68,11 +49,10 @@
 		addrs = append(addrs, a)
 	}
 	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l}
-	quoted := make([]string, len(seeds))
-	for j, s := range seeds {
-		quoted[j] = fmt.Sprintf("%q", s)
-	}
-	text := fmt.Sprintf(bootText, i, strings.Join(quoted, ","), addrs[0], addrs[1], addrs[2], revocation.Milliseconds(), retryRatio, retryExtra, l.addr())
+	text := standin.BootText(standin.Boot{
+		Number: i, Seeds: seeds, Callers: addrs[0], Readiness: addrs[1], Peers: addrs[2], Store: l.addr(),
+		Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra,
+	})
 	if err := os.WriteFile(g.boot, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -182,9 +182,7 @@
 
 // list publishes an engine's state. The caller holds mu.
 func (w *world) list(i int, state string) {
-	entry := w.engines[i].Entry(w.services[i], state)
-	entry["address"] = w.links[i].addr()
-	w.store.Put("servers/"+w.engines[i].ID(), entry)
+	w.store.PutEngine(w.engines[i], w.services[i], state, w.links[i].addr())
 }
 
 // publish writes the next version of the config.
@@ -196,21 +194,7 @@
 	if w.revoked {
 		keys = keys[:1]
 	}
-	routes := []map[string]any{
-		{"pathPrefix": "/safe/", "type": "safe", "service": "api", "attempts": 2},
-		{"pathPrefix": "/unsafe/", "type": "unsafe", "service": "api", "attempts": 1},
-		{"pathPrefix": "/chat/", "type": "stream", "service": "llm", "attempts": 1, "sticky": true},
-		{"pathPrefix": "/resume/", "type": "stream", "service": "llm", "attempts": 3, "sticky": true, "resumable": true},
-	}
-	for _, r := range routes {
-		r["name"], r["host"], r["timeoutMs"], r["goalMs"] = "r"+r["pathPrefix"].(string), host, 3000, 300
-	}
-	w.store.Put("op/config", map[string]any{
-		"version": w.version, "routes": routes,
-		"services": []map[string]any{{"name": "llm", "maxConns": 500}, {"name": "api", "maxConns": 500}},
-		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
-		"tenants":  []map[string]any{{"name": workspace, "apiKeys": keys}},
-	})
+	w.store.PutConfig(w.version, host, workspace, keys)
 }
 
 // behave returns how an engine answers: well, or in the given way now and then.
