engines, table, fresh, commands: Drop what nothing calls; one way to make a logger

Cause: read once more as a whole: commands.newLog stood beside logline.New with the same lines; Book.Size, Engine.Inflight, Choice.Usable, Table.Services and Belief.TrueAt were left from tries that were reverted; two tests had a contains of their own beside slices.Contains. Change: taken out; commands call logline.New. No behaviour changes and no test lost an assertion. Left: the settings file's heartbeat and memory of engines are decoded and not used yet; the choice works out an engine's load several times a request.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 	"strings"
 
@@ -104,15 +103,6 @@
 	return err
 }
 
-// newLog returns a logger that writes one key=value line an event.
-func newLog(w io.Writer, level, id string) (*slog.Logger, error) {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(level)); err != nil {
-		return nil, fmt.Errorf("%q: write debug, info, warn or error", level)
-	}
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})).With("instance", id), nil
-}
-
 func readFile(path string) (string, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/weldfall/weldfall/admin"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/entry"
 	"github.com/weldfall/weldfall/member"
@@ -91,7 +92,7 @@
 	if c.Entries < 1 || c.Entries > 8 || c.Engines < 1 || c.Engines > 64 {
 		return usagef("demo: --entries is 1 to 8 and --engines 1 to 64")
 	}
-	if _, err := newLog(errOut, c.LogLevel, "demo"); err != nil {
+	if _, err := logline.New(errOut, c.LogLevel, "demo"); err != nil {
 		return usagef("--log-level %w", err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -212,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(f.errOut, f.logLevel, id+"-daemon")
+	log, err := logline.New(f.errOut, f.logLevel, id+"-daemon")
 	if err != nil {
 		return err
 	}
@@ -234,7 +235,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(f.errOut, f.logLevel, id)
+	log, err := logline.New(f.errOut, f.logLevel, id)
 	if err != nil {
 		return err
 	}
--- a/commands/process.go
+++ b/commands/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/weldfall/weldfall/admin"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/common/strict"
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/entry"
@@ -80,7 +81,7 @@
 	if u, err := url.Parse(f.Platform); err != nil || u.Host == "" {
 		return fail("platform", fmt.Sprintf("%q: write http://IP:PORT", f.Platform))
 	}
-	if _, err := newLog(io.Discard, f.LogLevel, f.ID); err != nil {
+	if _, err := logline.New(io.Discard, f.LogLevel, f.ID); err != nil {
 		return fail("log_level", err.Error())
 	}
 	if !isDaemon {
@@ -113,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(errOut, f.LogLevel, f.ID)
+	log, err := logline.New(errOut, f.LogLevel, f.ID)
 	if err != nil {
 		return err
 	}
@@ -138,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(errOut, f.LogLevel, f.ID)
+	log, err := logline.New(errOut, f.LogLevel, f.ID)
 	if err != nil {
 		return err
 	}
--- a/engines/book.go
+++ b/engines/book.go
@@ -104,21 +104,6 @@
 	return ids
 }
 
-// Size returns the number of engines of a service that are not leaving.
-func (b *Book) Size(service string) int {
-	p := b.byService[service]
-	if p == nil {
-		return 0
-	}
-	n := 0
-	for _, e := range p.engines {
-		if !e.info.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // KnownLoad is what an engine said of its load.
 type KnownLoad struct {
 	ID       string
--- a/engines/book_test.go
+++ b/engines/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -188,7 +189,7 @@
 			q.Tried = tried
 			left := 0
 			for j := range n {
-				if id := info(j).ID; !gone[id] && !contains(tried, id) {
+				if id := info(j).ID; !gone[id] && !slices.Contains(tried, id) {
 					left++
 				}
 			}
@@ -196,18 +197,9 @@
 			if ok != (left > 0) {
 				t.Fatalf("got an engine: %v, want %v with %d left", ok, left > 0, left)
 			}
-			if ok && (gone[c.Engine.Info().ID] || contains(tried, c.Engine.Info().ID)) {
+			if ok && (gone[c.Engine.Info().ID] || slices.Contains(tried, c.Engine.Info().ID)) {
 				t.Fatalf("got %s, which is gone or tried", c.Engine.Info().ID)
 			}
 		}
 	})
 }
-
-func contains(list []string, want string) bool {
-	for _, s := range list {
-		if s == want {
-			return true
-		}
-	}
-	return false
-}
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -68,8 +68,6 @@
 	// Load and Mean are the estimates at the time.
 	Load float64
 	Mean float64
-	// Usable is how many engines could have been chosen.
-	Usable int
 }
 
 // Choose returns the engine for a request, or false if there is none.
@@ -88,7 +86,7 @@
 		mean += e.load(others, now)
 	}
 	mean /= float64(len(usable))
-	c := Choice{Mean: mean, Usable: len(usable)}
+	c := Choice{Mean: mean}
 	if len(q.Keys) > 0 {
 		c.byPrompt(q, b.memory, usable, others, now)
 	}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -60,9 +60,6 @@
 // Info returns the engine as listed.
 func (e *Engine) Info() Info { return e.info }
 
-// Inflight returns the number of our requests at the engine.
-func (e *Engine) Inflight() int { return e.inflight }
-
 // othersHalfLife is how fast the word of an engine about its load loses its
 // weight against the mean of all: requests last half a second on average, so
 // after a second most of them have been replaced.
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -25,9 +25,6 @@
 // Known reports whether anything was ever read.
 func (b *Belief) Known() bool { return b.known }
 
-// TrueAt returns the latest time at which the belief is known to be true.
-func (b *Belief) TrueAt() clock.Millis { return b.trueAt }
-
 // Age returns how long ago the belief was last known to be true.
 func (b *Belief) Age(now clock.Millis) clock.Millis { return now - b.trueAt }
 
--- a/table/table.go
+++ b/table/table.go
@@ -178,16 +178,6 @@
 	return s, ok
 }
 
-// Services returns the names of all services, sorted.
-func (t *Table) Services() []string {
-	names := make([]string, 0, len(t.services))
-	for n := range t.services {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Pick chooses one of the route's services by weight. Every process gives
 // equal keys the same service.
 func (r *Route) Pick(key string) string {
