engines: Guess by the ranking who keeps a prompt that others sent

Ruled out: evictions (memory for 14.9 million tokens, 2.4 million in use); engines that were gone (646k); choices over the bound (29k). Change: after what this entry sent itself the ranking tells who had the chat: engines before the chosen one that are left out, the other homes of a short prompt, the next one if the chosen one joined lately. Engines that the list has just lost still count, a load that a peer told is a sign of life, and engines of the first list are not taken for new ones. Test: TestTheKeeperOfAChatThatOthersSentIsGuessed and two more; the test of the bound now gives its home load by requests in flight, since a told load is a sign.

--- a/engines/book.go
+++ b/engines/book.go
@@ -15,8 +15,13 @@
 	memory    *memory
 }
 
-// pool is the engines of one service, sorted by id, leaving ones too.
-type pool struct{ engines []*Engine }
+// pool is the engines of one service.
+type pool struct {
+	// engines are the listed ones, sorted by id, leaving ones too.
+	engines []*Engine
+	// former are those that the list has lost and that may still serve.
+	former []*Engine
+}
 
 // NewBook returns a book without engines.
 func NewBook() *Book {
@@ -82,15 +87,26 @@
 
 // Remove records that an engine is no longer listed, and returns it as it
 // was, or false.
-func (b *Book) Remove(id string) (Info, bool) {
+func (b *Book) Remove(id string, now clock.Millis) (Info, bool) {
 	e, ok := b.byID[id]
 	if !ok {
 		return Info{}, false
 	}
 	b.drop(e)
+	p := b.byService[e.info.Service]
+	p.forget(now)
+	p.former = append(p.former, e)
 	return e.info, true
 }
 
+// Settle records that the list is known whole for the first time: the engines
+// that are on it were there before, and did not just join.
+func (b *Book) Settle(now clock.Millis) {
+	for _, e := range b.byID {
+		e.seenAt = now - youth
+	}
+}
+
 // Get returns an engine by id, or nil.
 func (b *Book) Get(id string) *Engine { return b.byID[id] }
 
--- a/engines/book_test.go
+++ b/engines/book_test.go
@@ -74,9 +74,13 @@
 	b := newBook(4)
 	home := choose(t, b, query(7), 0).Engine
 	for _, id := range b.IDs() {
-		b.Get(id).Told(engines.Load{Running: 2}, 10)
+		if e := b.Get(id); e != home {
+			e.Told(engines.Load{Running: 2}, 10)
+		}
+	}
+	for range 200 {
+		home.Start(20)
 	}
-	home.Told(engines.Load{Running: 90, Waiting: 10}, 20)
 	got := choose(t, b, query(7), 21)
 	if got.Engine == home || got.How != engines.ByRank {
 		t.Errorf("got the loaded engine by %s, want the next of the ranking", got.How)
@@ -85,7 +89,7 @@
 		t.Errorf("got a source that gave no sign, want none")
 	}
 	home.Heard(30)
-	b.Get(got.Engine.Info().ID).Told(engines.Load{Running: 100}, 31)
+	b.Get(got.Engine.Info().ID).Told(engines.Load{Running: 300}, 31)
 	if again := choose(t, b, query(7), 32); again.Source == nil {
 		t.Errorf("got no source for a third engine, want one that keeps the prompt")
 	}
@@ -182,7 +186,7 @@
 					e.Finish(rapid.SampledFrom(outcomes).Draw(t, "outcome"), now)
 				}
 			case 4:
-				b.Remove(id)
+				b.Remove(id, now)
 				gone[id] = true
 			}
 			q := query(uint64(i + 1))
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -246,47 +246,6 @@
 	return out
 }
 
-// youth is for how long an engine that joined is taken to lack what its place
-// in the rankings would make it keep.
-const youth clock.Millis = 15_000
-
-// source returns an engine that may keep more of the prompt than the chosen
-// one. Leaving engines still give what they have.
-func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
-	for i := len(q.Keys) - 1; i >= 0; i-- {
-		if b.memory.holds(q.Keys[i], chosen.info.ID) {
-			return nil
-		}
-		for _, id := range b.memory.holders(q.Keys[i]) {
-			if e := b.byID[id]; e != nil && e.sound(now) {
-				return e
-			}
-		}
-	}
-	return p.formerHome(q.Keys[len(q.Keys)-1], chosen, now)
-}
-
-// formerHome returns the engine that was first in the ranking before engines
-// joined and left lately, unless it is the chosen one or not known.
-func (p *pool) formerHome(key uint64, chosen *Engine, now clock.Millis) *Engine {
-	old := slices.DeleteFunc(slices.Clone(p.engines), func(e *Engine) bool { return now-e.seenAt < youth })
-	if len(old) == 0 {
-		return nil
-	}
-	if home := ranked(key, old)[0]; home != chosen && home.sound(now) {
-		return home
-	}
-	return nil
-}
-
-// sound reports whether an engine answers, as far as is known.
-func (e *Engine) sound(now clock.Millis) bool {
-	return !e.health.held(now) && e.silence(now) <= silenceLimit && now-e.heardAt < soundFor && e.heardAt > 0
-}
-
-// soundFor is how long the last sign of an engine is good for.
-const soundFor clock.Millis = 3000
-
 // hallBonus is the load in requests a slot that an engine of another data
 // hall counts as more: less than one request at the smallest engines.
 const hallBonus = 0.1
--- /dev/null
+++ b/engines/source.go
@@ -0,0 +1,90 @@
+package engines
+
+import (
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
+
+const (
+	// youth is for how long an engine that joined is taken to lack what its
+	// place in the rankings would make it keep: most chats that are going on
+	// return within this time.
+	youth clock.Millis = 15_000
+	// soundFor is how long the last sign of an engine is good for.
+	soundFor clock.Millis = 3000
+)
+
+// source returns the engine that most likely keeps more of the prompt than
+// the chosen one, nil if none is likely to. What this entry sent comes first;
+// for prompts that other entries sent, the ranking tells where these put them.
+// Leaving engines and those that the list has just lost still give what they
+// have. A wrong guess costs the engine one question.
+func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
+	last := len(q.Keys) - 1
+	for i := last; i >= 0; i-- {
+		if b.memory.holds(q.Keys[i], chosen.info.ID) {
+			return nil
+		}
+		for _, id := range b.memory.holders(q.Keys[i]) {
+			if e := p.get(id); e != nil && e.sound(now) {
+				return e
+			}
+		}
+		if i < last {
+			continue
+		}
+		if e := p.keeper(q.Keys[last], homes(q.Tokens), chosen, now); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// keeper returns the engine to which other entries most likely sent a prompt
+// before: one that ranks before the chosen one and is left out, or else the
+// next of its homes, which were also those before the chosen one joined.
+func (p *pool) keeper(key uint64, homes int, chosen *Engine, now clock.Millis) *Engine {
+	order := ranked(key, slices.Concat(p.engines, p.former))
+	at := slices.Index(order, chosen)
+	for _, e := range order[:at] {
+		if e.sound(now) {
+			return e
+		}
+	}
+	if homes == 1 && !chosen.young(now) {
+		return nil
+	}
+	for _, e := range order[at+1:] {
+		if !e.young(now) && e.sound(now) {
+			return e
+		}
+	}
+	return nil
+}
+
+// get returns an engine by id, also one that the list has just lost, or nil.
+func (p *pool) get(id string) *Engine {
+	for _, in := range [][]*Engine{p.engines, p.former} {
+		if i := slices.IndexFunc(in, func(e *Engine) bool { return e.info.ID == id }); i >= 0 {
+			return in[i]
+		}
+	}
+	return nil
+}
+
+// forget drops the engines that the list lost too long ago to be heard of.
+func (p *pool) forget(now clock.Millis) {
+	p.former = slices.DeleteFunc(p.former, func(e *Engine) bool { return !e.sound(now) })
+}
+
+func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth }
+
+// sound reports whether an engine answers, as far as is known.
+func (e *Engine) sound(now clock.Millis) bool {
+	heard := e.heardAt
+	if e.told {
+		heard = max(heard, e.othersAt)
+	}
+	return !e.health.held(now) && e.silence(now) <= silenceLimit && heard > 0 && now-heard < soundFor
+}
--- /dev/null
+++ b/engines/source_test.go
@@ -0,0 +1,113 @@
+package engines_test
+
+import (
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+)
+
+// settled returns a book of n engines that have been there for long and gave a
+// sign just now.
+func settled(n int, now clock.Millis) *engines.Book {
+	b := newBook(n)
+	b.Settle(now)
+	hear(b, now)
+	return b
+}
+
+func hear(b *engines.Book, now clock.Millis) {
+	for _, id := range b.IDs() {
+		b.Get(id).Heard(now)
+	}
+}
+
+// short is a query whose prompt has more than one home.
+func short(keys ...uint64) engines.Query {
+	q := query(keys...)
+	q.Tokens = 2000
+	return q
+}
+
+func sourceID(c engines.Choice) string {
+	if c.Source == nil {
+		return ""
+	}
+	return c.Source.Info().ID
+}
+
+// What other entries sent is not in this entry's memory: a fresh book stands
+// for an entry that sees a chat for the first time.
+func TestTheKeeperOfAChatThatOthersSentIsGuessed(t *testing.T) {
+	const now = 100_000
+	const chat = 42
+	home := choose(t, settled(5, now), query(chat), now).Engine.Info()
+	leaving := home
+	leaving.Leaving = true
+	manyJoin := func(b *engines.Book) {
+		for i := 5; i < 100; i++ {
+			b.Put(info(i), now)
+		}
+		hear(b, now)
+	}
+	for _, tc := range []struct {
+		name   string
+		change func(b *engines.Book)
+		query  engines.Query
+		want   string
+	}{
+		{"nothing changed", func(*engines.Book) {}, query(chat), ""},
+		{"the home is leaving", func(b *engines.Book) { b.Put(leaving, now) }, query(chat), home.ID},
+		{"the list lost the home a moment ago", func(b *engines.Book) { b.Remove(home.ID, now) }, query(chat), home.ID},
+		{"the home cannot be reached", func(b *engines.Book) {
+			b.Get(home.ID).Finish(engines.Unreachable, now)
+		}, query(chat), ""},
+		{"many engines joined", manyJoin, query(chat), home.ID},
+	} {
+		b := settled(5, now)
+		tc.change(b)
+		c := choose(t, b, tc.query, now)
+		if got := sourceID(c); got != tc.want {
+			t.Errorf("%s: got source %q for engine %s, want %q", tc.name, got, c.Engine.Info().ID, tc.want)
+		}
+	}
+}
+
+func TestAnotherHomeOfAShortPromptIsItsLikelyKeeper(t *testing.T) {
+	const now = 100_000
+	seen := map[string]bool{}
+	for chat := uint64(1); chat <= 20; chat++ {
+		b := settled(5, now)
+		first := choose(t, b, short(chat), now).Engine
+		for range 3 {
+			first.Start(now)
+		}
+		second := settled(5, now)
+		for range 3 {
+			second.Get(first.Info().ID).Start(now)
+		}
+		c := choose(t, second, short(chat), now)
+		if c.Engine.Info().ID == first.Info().ID {
+			t.Fatalf("got the loaded home of chat %d, want its other one", chat)
+		}
+		if got, want := sourceID(c), first.Info().ID; got != want {
+			t.Errorf("got source %q for chat %d, want the other home %q", got, chat, want)
+		}
+		seen[first.Info().ID] = true
+	}
+	if len(seen) < 3 {
+		t.Errorf("got homes %v for 20 chats, want them spread", seen)
+	}
+}
+
+func TestAnEngineThatTheListLostIsNoSourceForLong(t *testing.T) {
+	const now = 100_000
+	const chat = 42
+	b := settled(5, now)
+	home := choose(t, settled(5, now), query(chat), now).Engine.Info().ID
+	b.Remove(home, now)
+	hear(b, now+4000)
+	if got := sourceID(choose(t, b, query(chat), now+4000)); got != "" {
+		t.Errorf("got source %q that gave no sign for 4 s, want none", got)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -193,6 +193,9 @@
 func (g *Gate) ConfirmEngines(at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.listed.Known() {
+		g.book.Settle(at)
+	}
 	g.listed.Confirm(at)
 }
 
@@ -227,7 +230,7 @@
 // RemoveEngine records that an engine is no longer listed.
 func (g *Gate) RemoveEngine(id, cause string) {
 	g.mu.Lock()
-	in, ok := g.book.Remove(id)
+	in, ok := g.book.Remove(id, g.clk.Now())
 	g.mu.Unlock()
 	if !ok {
 		return
