peers, gate, platform: Let one entry confirm the table for all

Ruled out: more frequent questions (bytes of control), a push of ages (a message that waited on its way would make them older than they say). Change: all agree on an order of the entries, each asks three that come before it, and the first confirms the table after 0.6 s; the others do by chance after 1.2 s and surely after 1.6 s, which still leaves keys good for three fifths of their bound. Test: TestWordOfTheFirstReachesAll (fails without the order: no First).

--- a/gate/facts.go
+++ b/gate/facts.go
@@ -9,51 +9,57 @@
 var _ peers.Facts = (*Gate)(nil)
 
 const (
-	// dueShare is the part of the bound for revoked keys after which the table
-	// must be confirmed: early enough that keys are good for three fifths of
-	// the bound after the last source of news is gone.
-	dueShare = 0.26
-	// dueEarly is the part of that time after which one of the entries should
-	// confirm the table for all.
-	dueEarly = 0.6
+	// dueOfRevocation is the part of the bound for revoked keys after which the
+	// table must be confirmed: keys are then good for three fifths of the bound
+	// after the last source of news is gone, which is as long as requests with
+	// keys are expected to be served.
+	dueOfRevocation = 0.34
+	// dueOfChange is the part of the bound for changes after which it must be
+	// confirmed, so that a change of which no watch told is found in time.
+	dueOfChange = 0.8
+	// dueEarly is the part of that time after which one of the entries by chance
+	// confirms the table for all, and dueFirst the part after which the first of
+	// them does; the rest is for word to reach the others.
+	dueEarly = 0.75
+	dueFirst = 0.35
 	// dueLagging is the part of it that is left where a confirmation comes with
 	// a lag of its own.
 	dueLagging = 0.9
-	// dueMost bounds it where the bound for keys is long.
-	dueMost clock.Millis = 1300
 	// loadFresh is how old a load may be to be worth telling.
 	loadFresh clock.Millis = 2000
 )
 
 // TableDue reports whether the table in force should be confirmed: it has not
-// been for a while, or a peer has a newer one. Before it must be, each entry
-// does so by chance, so that of all that know each other about one does, and
-// the others hear of it. lag is how old a confirmation will be when it comes.
+// been for a while, or a peer has a newer one. The first of the entries does so
+// early and the others hear of it; where it cannot, one of them does by chance
+// before all must. lag is how old a confirmation will be when it comes.
 func (g *Gate) TableDue(lag clock.Millis) bool {
 	t := g.table.Load()
 	if t == nil {
 		return false
 	}
-	due := min(dueMost, clock.Millis(dueShare*float64(g.bounds().Revocation)))
+	b := g.bounds()
+	due := min(dueOfRevocation*float64(b.Revocation), dueOfChange*float64(b.Change))
 	if lag > 0 {
-		due = clock.Millis(dueLagging * float64(due))
+		due *= dueLagging
 	}
-	early := lag + clock.Millis(dueEarly*float64(due))
-	due += lag
-	now := g.clk.Now()
+	older := func(part float64) bool { return !g.published.Within(lag+clock.Millis(part*due), g.clk.Now()) }
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.newest > t.Version() || !g.published.Within(due, now) {
+	switch {
+	case g.newest > t.Version() || older(1):
 		return true
+	case g.first:
+		return older(dueFirst)
 	}
-	return !g.published.Within(early, now) && random() < 1/float64(g.entries)
+	return older(dueEarly) && random() < 1/float64(g.entries)
 }
 
 // SetEntries implements peers.Facts.
-func (g *Gate) SetEntries(n int) {
+func (g *Gate) SetEntries(n int, first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.entries = max(1, n)
+	g.entries, g.first = max(1, n), first
 }
 
 // Tell implements peers.Facts.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -53,6 +53,8 @@
 type Bounds struct {
 	// Revocation is how long after its removal a key may still be accepted.
 	Revocation clock.Millis
+	// Change is how long after its publication a change may not yet be in force.
+	Change clock.Millis
 	// Grace is how long a stopping process may go on.
 	Grace clock.Millis
 	// BalancerLag is how long new connections may come after the process has
@@ -104,6 +106,8 @@
 	listed    fresh.Belief
 	// entries is how many entries are known, this one included; at least 1.
 	entries int
+	// first is true if this entry confirms the table for the others.
+	first bool
 	// newest is the newest version that a peer told of.
 	newest int64
 	// wasReady is what the log was last told.
--- a/peers/members.go
+++ b/peers/members.go
@@ -43,6 +43,8 @@
 // concurrent use.
 type Members struct {
 	self Member
+	// rank is the place of this process in the order that all agree on.
+	rank uint64
 	// seen has when each other member last gave a sign, as far as known.
 	seen map[string]known
 	// next is the neighbour to be asked next.
@@ -52,12 +54,16 @@
 type known struct {
 	addr string
 	at   clock.Millis
+	// rank is the member's place in the order that all processes agree on.
+	rank uint64
 	// order is the member's place among the neighbours of this process.
 	order uint64
 }
 
 // NewMembers returns a list on which only this process is.
-func NewMembers(self Member) *Members { return &Members{self: self, seen: map[string]known{}} }
+func NewMembers(self Member) *Members {
+	return &Members{self: self, rank: xxh3.HashString(self.ID), seen: map[string]known{}}
+}
 
 // Learn takes a member from a message that is at least as old as it says.
 func (m *Members) Learn(o Member, now clock.Millis) {
@@ -72,7 +78,7 @@
 	if ok && k.at >= at {
 		return
 	}
-	m.seen[o.ID] = known{addr: o.Addr, at: at, order: xxh3.HashString(m.self.ID + "\x00" + o.ID)}
+	m.seen[o.ID] = known{addr: o.Addr, at: at, rank: xxh3.HashString(o.ID), order: xxh3.HashString(m.self.ID + "\x00" + o.ID)}
 }
 
 // Sweep forgets members that gave no sign for long.
@@ -99,9 +105,22 @@
 	return out
 }
 
+// First reports whether this process comes before all others that are known
+// in the order that all agree on.
+func (m *Members) First() bool {
+	for _, k := range m.seen {
+		if k.rank < m.rank {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns the address of the member to ask next, or "" if none is known.
-// A process asks few members, in turn, so that few connections are kept; now
-// and then it asks any, so that no group stays by itself.
+// A process asks few members, in turn, so that few connections are kept. These
+// come before it in the common order, so that what the first of all knows
+// reaches everybody in about as many steps as the logarithm of their number.
+// Now and then it asks any, so that no group stays by itself.
 func (m *Members) Next() string {
 	if len(m.seen) == 0 {
 		return ""
@@ -110,11 +129,14 @@
 	for id := range m.seen {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(m.seen[a].order, m.seen[b].order) })
 	m.next++
 	if m.next%strangerEvery == 0 {
 		return m.seen[ids[rand.IntN(len(ids))]].addr
 	}
+	if !m.First() {
+		ids = slices.DeleteFunc(ids, func(id string) bool { return m.seen[id].rank > m.rank })
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(m.seen[a].order, m.seen[b].order) })
 	return m.seen[ids[m.next%min(neighbours, len(ids))]].addr
 }
 
--- a/peers/members_test.go
+++ b/peers/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -53,3 +54,44 @@
 		t.Errorf("got %d members that are asked often, want %d", got, want)
 	}
 }
+
+// One process comes first, and what it knows reaches all others soon although
+// each asks three others only: there are no calls of the store to be made.
+func TestWordOfTheFirstReachesAll(t *testing.T) {
+	for _, n := range []int{2, 22, 300} {
+		all := make([]*peers.Members, n)
+		for i := range all {
+			all[i] = peers.NewMembers(member(i, 0))
+			for j := range n {
+				all[i].Learn(member(j, 0), 0)
+			}
+		}
+		heard := make([]bool, n)
+		firsts := 0
+		for i, m := range all {
+			if m.First() {
+				heard[i] = true
+				firsts++
+			}
+		}
+		if firsts != 1 {
+			t.Fatalf("got %d processes of %d that come first, want one", firsts, n)
+		}
+		byAddr := map[string]int{}
+		for i := range n {
+			byAddr[member(i, 0).Addr] = i
+		}
+		rounds := 0
+		for ; slices.Contains(heard, false) && rounds < 100; rounds++ {
+			before := slices.Clone(heard)
+			for i, m := range all {
+				if from := m.Next(); before[byAddr[from]] {
+					heard[i] = true
+				}
+			}
+		}
+		if most := 14; rounds > most {
+			t.Errorf("got %d rounds until all of %d had heard, want at most %d", rounds, n, most)
+		}
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -61,8 +61,9 @@
 	// Hear takes what a peer knew at the given time or later. It may be a lie;
 	// only ages and loads are in it.
 	Hear(k Known, at clock.Millis)
-	// SetEntries takes the number of entries that are known, this one included.
-	SetEntries(n int)
+	// SetEntries takes the number of entries that are known, this one included,
+	// and whether this one is the first of them, from which the others hear.
+	SetEntries(n int, first bool)
 	// HearLoads takes the loads of a peer that asked.
 	HearLoads(loads []Load, at clock.Millis)
 }
@@ -199,7 +200,7 @@
 func (p *Peers) tellAlone() {
 	p.mu.Lock()
 	n := p.members.Count()
-	p.cfg.Facts.SetEntries(n)
+	p.cfg.Facts.SetEntries(n, p.members.First())
 	changed := p.alone != (n == 1)
 	p.alone = n == 1
 	p.mu.Unlock()
