engines: Send short prompts to their first home while it is no busier than others

Change: the first home is taken while its load is at most 1.1 times the mean and a half; the other homes are for when it is busier.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -176,7 +176,9 @@
 	order := ranked(key, usable)
 	n := min(homes(q.Tokens), len(order))
 	known := bringForward(order, m.holders(key))
-	slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
+	if order[0].load(others, now) > calmBound*c.Mean+calmSlack {
+		slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
+	}
 	for i, e := range order {
 		l := e.load(others, now)
 		if l+1 > bound {
@@ -213,6 +215,9 @@
 }
 
 const (
+	// calmBound and calmSlack
+	calmBound = 1.1
+	calmSlack = 0.5
 	// oneHome and twoHomes are the lengths in tokens from which a prompt has
 	// one home, or two; a shorter one has three. Reading it at each of them is
 	// the price of balance: a thousand tokens hold an engine up for about 25
