engines, gate, platform: Use the warm-up and the goal for pauses, drop what is not used

An engine that is slow from its start counts half of its slots for plain requests. A resumable stream may pause for two and a half goals, at least 1 s, before it is taken up elsewhere: where pauses of 400 ms and more are on time a second is too short. Tests: TestAWarmingEngineGetsLess.

--- a/engines/book.go
+++ b/engines/book.go
@@ -44,7 +44,7 @@
 	in.Slots = max(1, in.Slots)
 	e, ok := b.byID[in.ID]
 	if !ok {
-		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}})
+		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, warmAt: now + in.Warmup, health: health{at: now}})
 		return Joined
 	}
 	in.Leaving = in.Leaving || e.info.Leaving
@@ -56,7 +56,7 @@
 	if moved {
 		b.drop(e)
 	}
-	e.info, e.target = in, route.NewTarget(in.ID, in.Slots)
+	e.info, e.target, e.warmAt = in, route.NewTarget(in.ID, in.Slots), now+in.Warmup
 	if moved {
 		b.add(e)
 	}
--- a/engines/book_test.go
+++ b/engines/book_test.go
@@ -207,3 +207,26 @@
 		}
 	})
 }
+
+// A plain request goes to the least loaded engine; one that is still slow from
+// its start counts for half.
+func TestAWarmingEngineGetsLess(t *testing.T) {
+	b := engines.NewBook()
+	warming := info(0)
+	warming.Warmup = 5000
+	b.Put(warming, 0)
+	b.Put(info(1), 0)
+	got := map[string]int{}
+	for range 12 {
+		c := choose(t, b, engines.Query{Service: service, Hall: "a"}, 1000)
+		c.Engine.Start(1000)
+		got[c.Engine.Info().ID]++
+	}
+	if got["e00"] < 3 || got["e00"] > 5 {
+		t.Errorf("got %d of 12 requests at the warming engine, want about 4", got["e00"])
+	}
+	c := choose(t, b, engines.Query{Service: service, Hall: "a"}, 6000)
+	if c.Engine.Info().ID != "e00" {
+		t.Errorf("got %s once the engine was warm, want it, since it has less", c.Engine.Info().ID)
+	}
+}
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -255,6 +255,10 @@
 // hall counts as more: less than one request at the smallest engines.
 const hallBonus = 0.1
 
+// warmingShare is the part of its slots that an engine is taken to have while
+// it is slow from its start.
+const warmingShare = 0.5
+
 // byLoad takes the engine with the least load a slot.
 func (c *Choice) byLoad(q Query, usable []*Engine, others float64, now clock.Millis) {
 	best, bestScore := -1, 0.0
@@ -262,7 +266,7 @@
 	for k := range usable {
 		i := (start + k) % len(usable)
 		e := usable[i]
-		s := e.load(others, now) / float64(e.info.Slots)
+		s := e.load(others, now) / e.slots(now)
 		if e.info.Hall != q.Hall {
 			s += hallBonus
 		}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -22,7 +22,7 @@
 	Slots int
 	// Leaving engines finish what they have and take nothing new.
 	Leaving bool
-	// Warmup is how much longer the engine stays slow after its start.
+	// Warmup is how much longer the engine stays slow from its start.
 	Warmup clock.Millis
 }
 
@@ -53,6 +53,8 @@
 	// is awaited.
 	waitingSince clock.Millis
 	health       health
+	// warmAt is when the engine reaches its full speed, as last listed.
+	warmAt clock.Millis
 	// seenAt is when the engine was first listed here.
 	seenAt clock.Millis
 }
@@ -75,6 +77,14 @@
 	return float64(e.inflight) + mean + (e.others-mean)*w
 }
 
+// slots returns how many requests the engine runs at full speed.
+func (e *Engine) slots(now clock.Millis) float64 {
+	if now < e.warmAt {
+		return warmingShare * float64(e.info.Slots)
+	}
+	return float64(e.info.Slots)
+}
+
 // silence returns how long the engine has left requests without any sign.
 func (e *Engine) silence(now clock.Millis) clock.Millis {
 	if e.waitingSince == 0 {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -25,10 +25,13 @@
 	relayBuffer = 8 << 10
 	// drainLimit bounds what is read of an answer that nobody wants, in bytes.
 	drainLimit = 64 << 10
-	// resumeSilence is how long a resumable stream may pause before it is
-	// taken up elsewhere: over twice the pauses that operators ask for, and
-	// under the two seconds after which callers abandon a stream.
+	// resumeSilence is how long a resumable stream may at least pause before it
+	// is taken up elsewhere: under the two seconds after which callers abandon
+	// a stream.
 	resumeSilence clock.Millis = 1000
+	// resumePauses is how many of the longest pauses that are on time it may
+	// pause; callers abandon it after eight.
+	resumePauses = 2.5
 )
 
 // held is a whole answer that is not yet passed on.
@@ -168,7 +171,7 @@
 func (g *Gate) streamLimit(c *call) clock.Millis {
 	left := c.left(g.clk.Now())
 	if c.route.Repeatable() && c.ran < c.route.Attempts {
-		return min(left, resumeSilence)
+		return min(left, max(resumeSilence, clock.Millis(resumePauses*float64(c.route.PauseGoal))))
 	}
 	return left
 }
--- a/table/table.go
+++ b/table/table.go
@@ -72,12 +72,6 @@
 	Name string
 	// MaxConns is how many connections one engine takes from all callers.
 	MaxConns int
-	// Slots is how many requests a model engine runs at once; 0 for a plain
-	// service, whose engines tell it themselves.
-	Slots int
-	// Memory is the prompt memory of a model engine in tokens; 0 for a plain
-	// service.
-	Memory int
 }
 
 // Workspace is a group of callers that share keys.
