gate, platform: Heed the published bounds for callers' connections and moves

Cause: the config's bounds for heads and idle connections were not read: a rested connection was kept for 60 s (15 are published, and a caller may use it for four fifths of a longer bound, after we would have closed it), a head might take 5 s (3 published). Engines were told who keeps a prompt although the config may say that they take nothing. Change: callerConns closes what has rested or stalled for too long by the table in force, in place of the library's fixed figures; a request that came with the one before marks its connection busy; Kv-Fetch only with the service's moves.

--- a/gate/conns.go
+++ b/gate/conns.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/weldfall/weldfall/common/clock"
 )
 
 // callerConns knows the connections of callers, so that a stopping process
@@ -11,12 +13,13 @@
 // so closes a connection whose next request has been read but not yet begun.
 type callerConns struct {
 	net.Listener
+	clk  *clock.Clock
 	mu   sync.Mutex
 	open map[*callerConn]bool
 }
 
-func newCallerConns(ln net.Listener) *callerConns {
-	return &callerConns{Listener: ln, open: map[*callerConn]bool{}}
+func newCallerConns(ln net.Listener, clk *clock.Clock) *callerConns {
+	return &callerConns{Listener: ln, clk: clk, open: map[*callerConn]bool{}}
 }
 
 // Accept implements net.Listener.
@@ -25,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: nc, list: l}
+	c := &callerConn{Conn: nc, list: l, since: l.clk.Now()}
 	l.mu.Lock()
 	l.open[c] = true
 	l.mu.Unlock()
@@ -34,24 +37,54 @@
 
 // state is the server's word on what a connection does.
 func (l *callerConns) state(nc net.Conn, s http.ConnState) {
-	if c, ok := nc.(*callerConn); ok && s == http.StateIdle {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		// A request that came with the one before needs no further read.
+		c.busy, c.headRead = true, true
+	case http.StateIdle:
+		c.busy, c.headRead, c.since = false, false, l.clk.Now()
+	}
+}
+
+// sweep closes the connections that have rested for longer than idle, and
+// those whose head has taken longer than head to arrive.
+func (l *callerConns) sweep(idle, head clock.Millis) {
+	now := l.clk.Now()
+	for _, c := range l.list() {
 		c.mu.Lock()
-		c.busy = false
+		age, busy, headRead := now-c.since, c.busy, c.headRead
 		c.mu.Unlock()
+		switch {
+		case !busy && age > idle:
+			c.closeIfIdle()
+		case busy && !headRead && age > head:
+			// The caller sent half a head and stalled: it gets no answer.
+			_ = c.Close()
+		}
 	}
 }
 
-// closeIdle closes the connections on which nothing is under way and returns
-// how many.
-func (l *callerConns) closeIdle() int {
+func (l *callerConns) list() []*callerConn {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	open := make([]*callerConn, 0, len(l.open))
 	for c := range l.open {
 		open = append(open, c)
 	}
-	l.mu.Unlock()
+	return open
+}
+
+// closeIdle closes the connections on which nothing is under way and returns
+// how many.
+func (l *callerConns) closeIdle() int {
 	n := 0
-	for _, c := range open {
+	for _, c := range l.list() {
 		if c.closeIfIdle() {
 			n++
 		}
@@ -67,6 +100,11 @@
 	mu sync.Mutex
 	// busy is true from the first byte of a request until its answer is out.
 	busy bool
+	// headRead is true once the head of the request has been read.
+	headRead bool
+	// since is when the connection came to rest or, while it is busy, when the
+	// request's first byte came.
+	since clock.Millis
 	// shut is true once the connection was closed for being idle; bytes that
 	// were read meanwhile are not handed on.
 	shut bool
@@ -83,7 +121,9 @@
 	if c.shut {
 		return 0, net.ErrClosed
 	}
-	c.busy = true
+	if !c.busy {
+		c.busy, c.since = true, c.list.clk.Now()
+	}
 	return n, err
 }
 
--- a/gate/place.go
+++ b/gate/place.go
@@ -25,7 +25,7 @@
 	c.tried = append(c.tried, in.ID)
 	c.how, c.load, c.mean = ch.How, ch.Load, ch.Mean
 	p := pick{Info: in}
-	if ch.Source != nil {
+	if s, ok := c.table.Service(c.service); ok && s.Moves && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
 	}
 	c.fetched = p.source != ""
--- a/gate/server.go
+++ b/gate/server.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,8 +17,7 @@
 	maxHeader = 64 << 10
 	// headerTimeout bounds the time in which a head must arrive.
 	headerTimeout clock.Millis = 5000
-	// idleTimeout is how long an idle connection is kept. It is longer than
-	// any bound seen, since callers may use a connection until then.
+	// idleTimeout is how long an idle connection is kept.
 	idleTimeout clock.Millis = 60_000
 )
 
@@ -39,14 +39,17 @@
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
-	conns := newCallerConns(ln)
+	conns := newCallerConns(ln, g.clk)
 	srv := &http.Server{
-		ConnState: conns.state, Handler: g, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ConnState: conns.state, Handler: g, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSweep()
-	go clock.Every(sweepCtx, sweepPeriod, g.pool.Sweep)
+	go clock.Every(sweepCtx, sweepPeriod, func() {
+		g.pool.Sweep()
+		conns.sweep(g.callerTimeouts())
+	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -60,7 +63,17 @@
 	return nil
 }
 
-// sweepPeriod is how often idle connections to engines are looked through.
+// callerTimeouts returns how long a caller's connection may rest, and how long
+// a head may take, by the table in force.
+func (g *Gate) callerTimeouts() (idle, head clock.Millis) {
+	idle, head = idleTimeout, headerTimeout
+	if t := g.table.Load(); t != nil {
+		idle, head = cmp.Or(t.Limits().Idle, idle), cmp.Or(t.Limits().Header, head)
+	}
+	return idle, head
+}
+
+// sweepPeriod is how often the connections are looked through.
 const sweepPeriod clock.Millis = 1000
 
 // Stopping.
--- a/table/table.go
+++ b/table/table.go
@@ -72,6 +72,8 @@
 	Name string
 	// MaxConns is how many connections one engine takes from all callers.
 	MaxConns int
+	// Moves is true if its engines take what others keep of a prompt.
+	Moves bool
 }
 
 // Workspace is a group of callers that share keys.
@@ -87,6 +89,10 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// Header is how long a head may take to arrive.
+	Header clock.Millis
+	// Idle is how long a connection may rest between requests.
+	Idle clock.Millis
 }
 
 // Config is what a Table is made of.
