--- /dev/null
+++ b/common/whole/whole.go
@@ -0,0 +1,28 @@
+// Package whole reads bodies to their end, within a bound.
+package whole
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrTooLarge means that a body of unknown length goes on beyond the bound.
+var ErrTooLarge = errors.New("too large")
+
+// Read reads a body of the given length, or of unknown length if it is
+// negative. A known length must be within the limit.
+func Read(r io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, ErrTooLarge
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = ErrTooLarge
+	}
+	return body, err
+}
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -22,6 +22,10 @@
 	// them does; the rest is for word to reach the others.
 	dueEarly = 0.75
 	dueFirst = 0.35
+	// dueNews is the part of the bound for changes for which a watch may take to
+	// bring the version of which a peer told: a large one is on its way for half
+	// a second, and asking for it as well would bring it twice.
+	dueNews = 0.3
 	// dueLagging is the part of it that is left where a confirmation comes with
 	// a lag of its own.
 	dueLagging = 0.9
@@ -47,7 +51,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.newest > t.Version() || older(1):
+	case g.newest > t.Version() && g.clk.Now()-g.newestAt > clock.Millis(dueNews*float64(b.Change)):
+		return true
+	case older(1):
 		return true
 	case g.first:
 		return older(dueFirst)
@@ -86,8 +92,8 @@
 		switch {
 		case k.Table == t.Version():
 			g.published.Confirm(at - k.TableAge)
-		case k.Table > t.Version():
-			g.newest = k.Table
+		case k.Table > max(g.newest, t.Version()):
+			g.newest, g.newestAt = k.Table, at
 		}
 		g.mu.Unlock()
 	}
--- /dev/null
+++ b/gate/facts_test.go
@@ -0,0 +1,72 @@
+package gate_test
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/gate"
+	"github.com/weldfall/weldfall/peers"
+	"github.com/weldfall/weldfall/table"
+)
+
+// newGate returns a gate with version 5 in force, known to be true now.
+func newGate(t *testing.T, first bool) (*gate.Gate, *clock.Clock) {
+	t.Helper()
+	clk := clock.System()
+	g := gate.New(gate.Config{Clock: clk, Log: slog.New(slog.DiscardHandler), Bounds: gate.Bounds{Revocation: 5000, Change: 2000}})
+	g.SetTable(table.New(table.Config{Version: 5}), clk.Now())
+	g.SetEntries(1_000_000, first)
+	return g, clk
+}
+
+// due returns the time until the table is due, in the test's own time.
+func due(t *testing.T, g *gate.Gate, clk *clock.Clock) clock.Millis {
+	t.Helper()
+	start := clk.Now()
+	for !g.TableDue(0) {
+		if clk.Now()-start > 10_000 {
+			t.Fatal("got a table that is never due")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return clk.Now() - start
+}
+
+func TestTheFirstEntryConfirmsTheTableBeforeTheOthers(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		first bool
+		want  clock.Millis
+	}{
+		{"the first", true, 600},
+		{"another", false, 1700},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, clk := newGate(t, tc.first)
+				if got := due(t, g, clk); got != tc.want {
+					t.Errorf("got the table due after %d ms, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// A peer that tells of a version that does not exist must not make an entry
+// ask the store without end.
+func TestAPeerThatLiesOfANewerVersionCostsOneProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, clk := newGate(t, false)
+		g.Hear(peers.Known{Table: 99}, clk.Now())
+		if got, want := due(t, g, clk), clock.Millis(700); got != want {
+			t.Errorf("got a proof after %d ms, want %d: time for the watch to bring the version", got, want)
+		}
+		g.ConfirmTable(clk.Now())
+		if got, want := due(t, g, clk), clock.Millis(1700); got != want {
+			t.Errorf("got another proof %d ms after the platform had shown the table to be the newest, want %d", got, want)
+		}
+	})
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -108,8 +108,11 @@
 	entries int
 	// first is true if this entry confirms the table for the others.
 	first bool
-	// newest is the newest version that a peer told of.
-	newest int64
+	// newest is the newest version that a peer told of, at newestAt; zero if
+	// none did, or the platform has since shown that there is no newer one than
+	// ours.
+	newest   int64
+	newestAt clock.Millis
 	// wasReady is what the log was last told.
 	wasReady bool
 }
@@ -190,6 +193,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.published.Confirm(at)
+	if at > g.newestAt {
+		g.newest = 0
+	}
 }
 
 // ConfirmEngines records that the list of engines was complete at the given
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/prompt"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -171,10 +171,10 @@
 	}
 	// A connection without deadlines is bounded by the request's context.
 	_ = c.rc.SetReadDeadline(clock.Deadline(c.left(g.clk.Now())))
-	body, err := readAll(c.r.Body, c.r.ContentLength, limit)
+	body, err := whole.Read(c.r.Body, c.r.ContentLength, limit)
 	_ = c.rc.SetReadDeadline(clock.Never())
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, whole.ErrTooLarge):
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body did not arrive whole: %w", err)
@@ -182,19 +182,3 @@
 	c.body = body
 	return nil
 }
-
-var errTooLarge = errors.New("too large")
-
-// readAll reads a body of the given length, or of unknown length if negative.
-func readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLarge
-	}
-	return body, err
-}
