--- a/soak/judge.go
+++ b/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -85,12 +86,10 @@
 )
 
 // judge holds what was seen against the promises.
-func (r *record) judge(engines []*standin.Engine, gateLives int) {
+func (r *record) judge(engines []*standin.Engine, services []string, gateLives int) {
 	ran := map[string][]*standin.Run{}
-	arrivals := 0
 	for _, e := range engines {
 		for _, run := range e.Runs() {
-			arrivals++
 			if run.Executed {
 				ran[run.ID] = append(ran[run.ID], run)
 			}
@@ -116,8 +115,8 @@
 	if served*10 < late*9 {
 		r.breaks("recovery: %d of the last %d requests were served", served, late)
 	}
-	if most := len(r.asked) + int(retryRatio*float64(len(r.asked))) + gateLives*extraPerGate; arrivals > most {
-		r.breaks("budget: %d arrivals of %d requests, want at most %d", arrivals, len(r.asked), most)
+	for _, service := range []string{"llm", "api"} {
+		r.judgeBudget(service, engines, services, gateLives)
 	}
 	for _, e := range engines {
 		r.judgeLeaving(e)
@@ -144,6 +143,57 @@
 	}
 }
 
+func (a asked) service() string {
+	if a.stream() {
+		return "llm"
+	}
+	return "api"
+}
+
+// judgeBudget looks at each window that ends with a repeat, which is an
+// arrival at a service beyond the first of a request. The requests of the
+// window, or of one that lies a half or a whole before it, bound the repeats.
+func (r *record) judgeBudget(service string, engines []*standin.Engine, services []string, gateLives int) {
+	var requests, repeats []time.Time
+	for _, a := range r.asked {
+		if a.service() == service {
+			requests = append(requests, a.sent)
+		}
+	}
+	byID := map[string][]time.Time{}
+	for i, e := range engines {
+		for _, run := range e.Runs() {
+			if services[i] == service {
+				byID[run.ID] = append(byID[run.ID], run.At)
+			}
+		}
+	}
+	for _, times := range byID {
+		slices.SortFunc(times, time.Time.Compare)
+		repeats = append(repeats, times[1:]...)
+	}
+	slices.SortFunc(requests, time.Time.Compare)
+	slices.SortFunc(repeats, time.Time.Compare)
+	for _, end := range repeats {
+		n := 0
+		for _, before := range []time.Duration{0, retryWindow / 2, retryWindow} {
+			n = max(n, within(requests, end.Add(-before)))
+		}
+		got := within(repeats, end)
+		if most := int(retryRatio*float64(n)) + gateLives*extraPerGate; got > most {
+			r.breaks("budget of %s: %d repeats in %v of %d requests, want at most %d", service, got, retryWindow, n, most)
+			return
+		}
+	}
+}
+
+// within counts the sorted times of the window that ends at end.
+func within(times []time.Time, end time.Time) int {
+	from, _ := slices.BinarySearchFunc(times, end.Add(-retryWindow), time.Time.Compare)
+	to, _ := slices.BinarySearchFunc(times, end.Add(1), time.Time.Compare)
+	return to - from
+}
+
 func promised(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/soak/process.go
+++ b/soak/process.go
@@ -51,7 +51,7 @@
 	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l}
 	text := standin.BootText(standin.Boot{
 		Number: i, Seeds: seeds, Callers: addrs[0], Readiness: addrs[1], Peers: addrs[2], Store: l.addr(),
-		Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra,
+		Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow,
 	})
 	if err := os.WriteFile(g.boot, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,7 +52,8 @@
 	keyRevoked   = "key-revoked"
 	revocation   = 4 * time.Second
 	retryRatio   = 0.2
-	retryExtra   = 320
+	retryExtra   = 96
+	retryWindow  = 3 * time.Second
 	extraPerGate = retryExtra / 32
 	streamEvents = 12
 	eventPause   = 15 * time.Millisecond
@@ -97,7 +98,7 @@
 	for _, g := range w.gates {
 		lives += g.lives
 	}
-	w.rec.judge(w.engines, lives)
+	w.rec.judge(w.engines, w.services, lives)
 	r := Report{Config: cfg, Requests: len(w.rec.asked), Broken: w.rec.broken}
 	for _, a := range w.rec.asked {
 		if a.status == http.StatusOK && a.whole {
