soak: Give gates ports that no connection can take

Gates' logs say why: 'the port is taken'. Ports were free ones of the range from which the system serves opened connections, so a connection or another gate's metrics page took some between the choice and the start. Change: ports below that range, each given out once; the message on recovery tells the statuses.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -96,12 +96,19 @@
 		}
 	}
 	served, late := 0, 0
+	// failed counts the last requests that were not served by status, 0 where
+	// there was no whole answer.
+	failed := map[int]int{}
 	for _, a := range r.asked {
 		r.judgeOne(a, ran[a.id])
 		if a.sent.After(r.ended.Add(-recovered)) && a.key == keyKept {
 			late++
 			if a.status == http.StatusOK && a.whole {
 				served++
+			} else if a.whole {
+				failed[a.status]++
+			} else {
+				failed[0]++
 			}
 		}
 	}
@@ -113,7 +120,7 @@
 		}
 	}
 	if served*10 < late*9 {
-		r.breaks("recovery: %d of the last %d requests were served", served, late)
+		r.breaks("recovery: %d of the last %d requests were served, the others by status %v", served, late, failed)
 	}
 	for _, service := range []string{"llm", "api"} {
 		r.judgeBudget(service, engines, services, gateLives)
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -60,13 +61,37 @@
 	return g, err
 }
 
-// freeAddr returns an address that nobody listens on.
+// Ports of gates lie below those that the system hands out to connections that
+// are opened: one of these could take a gate's port while it is restarted.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort is the port to be tried next; runs of other processes most likely
+// begin elsewhere.
+var nextPort = struct {
+	sync.Mutex
+	n int
+}{n: firstPort + rand.IntN(lastPort-firstPort)}
+
+// freeAddr returns an address that nobody listens on and that is given to no
+// other gate.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	nextPort.Lock()
+	defer nextPort.Unlock()
+	var err error
+	for range lastPort - firstPort {
+		if nextPort.n++; nextPort.n > lastPort {
+			nextPort.n = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.n)
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	return ln.Addr().String(), ln.Close()
+	return "", fmt.Errorf("no free port from %d to %d: %w", firstPort, lastPort, err)
 }
 
 // begin starts the process and waits until it listens.
