engines, gate: Read once more: name what bounds the first home, forget a former engine that is listed again

Cause: read as a newcomer: two constants had no words, a relisted engine stayed among the former ones until it had given no sign for 3 s, and the line on bounds lacked the one for changes. Change: these three.

--- a/engines/book.go
+++ b/engines/book.go
@@ -73,6 +73,7 @@
 		p = &pool{}
 		b.byService[e.info.Service] = p
 	}
+	p.former = slices.DeleteFunc(p.former, func(x *Engine) bool { return x.info.ID == e.info.ID })
 	at, _ := slices.BinarySearchFunc(p.engines, e, byID)
 	p.engines = slices.Insert(p.engines, at, e)
 }
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -166,8 +166,9 @@
 	return sum / float64(n)
 }
 
-// byPrompt takes the least loaded of the prompt's homes, or else the next in
-// its ranking that has room. The homes are the engines that had the prompt
+// byPrompt takes the first of the prompt's homes while it is no busier than
+// most, then the least loaded of them, or else the next in its ranking that has
+// room. The homes are the engines that had the prompt
 // last, and where these are too few the first of the ranking: an engine that
 // joins does not take over what others remember.
 func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
@@ -215,7 +216,9 @@
 }
 
 const (
-	// calmBound and calmSlack
+	// calmBound and calmSlack bound the load, as a multiple of the mean and
+	// added to it, up to which the first home takes all requests of a prompt:
+	// to spread them costs a move or another reading at each of the others.
 	calmBound = 1.1
 	calmSlack = 0.5
 	// oneHome and twoHomes are the lengths in tokens from which a prompt has
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -141,7 +141,7 @@
 	g.mu.Lock()
 	g.budgets = map[string]*budget.Budget{}
 	g.mu.Unlock()
-	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
+	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "change_ms", b.Change, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
 }
 
 func nameSet(names []string) map[string]bool {
