--- /dev/null
+++ b/fleet/handle.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/settings"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// Handle answers the control messages that every process takes. It reports
+// false for other methods.
+func (n *Node) Handle(method string, params json.RawMessage) (any, bool, error) {
+	switch method {
+	case wire.MethodExchange:
+		e, err := wire.Decode[wire.Exchange](method, params)
+		if err != nil {
+			return nil, true, err
+		}
+		return n.answer(e), true, nil
+	case wire.MethodFetch:
+		f, err := wire.Decode[wire.Fetch](method, params)
+		if err != nil {
+			return nil, true, err
+		}
+		return n.answerFetch(f), true, nil
+	}
+	return nil, false, nil
+}
+
+// HandleNotify takes the control notifications that every process takes.
+func (n *Node) HandleNotify(method string, params json.RawMessage) {
+	if method != wire.MethodPush {
+		return
+	}
+	var p wire.Push
+	if json.Unmarshal(params, &p) != nil {
+		return
+	}
+	n.mu.Lock()
+	news := n.learn(p.Items)
+	leaving := n.learnLeaving(p.Leaving)
+	n.mu.Unlock()
+	n.push(news, leaving)
+}
+
+// learn applies items; the caller holds mu.
+func (n *Node) learn(items []wire.Item) []wire.Item {
+	news := n.store.Add(items)
+	for i, it := range news {
+		if it.Topic == wire.TopicInstances {
+			n.applyInstance(it)
+			continue
+		}
+		n.applySetting(it)
+		if kept, ok := n.store.Get(it.Topic, it.Key); ok && kept.Rev == it.Rev {
+			news[i].Good, news[i].GoodRev = kept.Good, kept.GoodRev
+		}
+	}
+	return news
+}
+
+func (n *Node) learnLeaving(ids []string) []string {
+	var news []string
+	for _, id := range ids {
+		if n.view.SaidLeaving(id) {
+			news = append(news, id)
+		}
+	}
+	if len(news) > 0 {
+		n.viewChanged()
+	}
+	return news
+}
+
+func (n *Node) applyInstance(it wire.Item) {
+	now := n.clk.Now()
+	defer n.viewChanged()
+	if it.Gone {
+		n.view.Dropped(it.Key, now)
+		n.loads.Forget(n.listedEngines())
+		n.cfg.Log.Info("instance_gone", "instance", it.Key, "revision", it.Rev)
+		return
+	}
+	in, err := member.Decode(it.Key, it.Value)
+	if err != nil {
+		n.cfg.Log.Warn("instance_invalid", "instance", it.Key, "revision", it.Rev, "error", err)
+		return
+	}
+	n.view.Listed(in, now)
+	n.cfg.Log.Debug("instance_listed", "instance", in.ID, "state", in.State, "revision", it.Rev)
+}
+
+// listedEngines returns whether an engine is on the list; the caller holds mu.
+func (n *Node) listedEngines() func(string) bool {
+	listed := map[string]bool{}
+	for _, in := range n.view.Listing() {
+		for _, e := range in.Engines {
+			listed[e.ID] = true
+		}
+	}
+	return func(engine string) bool { return listed[engine] }
+}
+
+func (n *Node) applySetting(it wire.Item) {
+	if it.Gone {
+		n.tree.Remove(it.Key, it.Rev)
+		return
+	}
+	if it.Good != "" {
+		// A process that missed the last good value before a bad one, or
+		// started after it, still puts it in force.
+		if err := n.tree.ApplyGood(it.Key, it.Good, it.GoodRev); err != nil {
+			n.cfg.Log.Warn("settings_invalid", "path", it.Key, "revision", it.GoodRev, "error", err)
+		}
+	}
+	applied, err := n.tree.Apply(it.Key, it.Value, it.Rev)
+	switch applied {
+	case settings.Invalid:
+		metrics.GetOrCreateCounter("weldfall_settings_invalid_total").Inc()
+		n.cfg.Log.Warn("settings_invalid", "path", it.Key, "revision", it.Rev, "error", err)
+		text, rev, _ := n.tree.LastGood(it.Key)
+		n.store.MarkInvalid(it.Topic, it.Key, text, rev)
+	case settings.InForce:
+		metrics.GetOrCreateCounter("weldfall_settings_applied_total").Inc()
+		n.cfg.Log.Info("settings_in_force", "path", it.Key, "revision", it.Rev)
+	}
+}
