--- a/engines/choose.go
+++ b/engines/choose.go
@@ -168,9 +168,9 @@
 
 // byPrompt takes the first of the prompt's homes while it is no busier than
 // most, then the least loaded of them, or else the next in its ranking that has
-// room. The homes are the engines that had the prompt
-// last, and where these are too few the first of the ranking: an engine that
-// joins does not take over what others remember.
+// room. The homes are the engines that had the prompt last, and where these are
+// too few the first of the ranking: an engine that joins does not take over what
+// others remember.
 func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
 	key := q.Keys[len(q.Keys)-1]
 	bound := q.Bound*c.Mean + q.Slack
--- a/engines/source.go
+++ b/engines/source.go
@@ -31,11 +31,10 @@
 				return e
 			}
 		}
-		if i < last {
-			continue
-		}
-		if e := p.keeper(q.Keys[last], homes(q.Tokens), chosen, now); e != nil {
-			return e
+		if i == last {
+			if e := p.keeper(q.Keys[last], homes(q.Tokens), chosen, now); e != nil {
+				return e
+			}
 		}
 	}
 	return nil
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -47,11 +47,12 @@
 	if lag > 0 {
 		due *= dueLagging
 	}
-	older := func(part float64) bool { return !g.published.Within(lag+clock.Millis(part*due), g.clk.Now()) }
+	now := g.clk.Now()
+	older := func(part float64) bool { return !g.published.Within(lag+clock.Millis(part*due), now) }
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.newest > t.Version() && g.clk.Now()-g.newestAt > clock.Millis(dueNews*float64(b.Change)):
+	case g.newest > t.Version() && now-g.newestAt > clock.Millis(dueNews*float64(b.Change)):
 		return true
 	case older(1):
 		return true
