platform, engines: Put in force at once what the list says after an outage

An engine that said at 13.5 s that it leaves was served until 16.6 s. Ruled out: news in batches (0.8 s) and watches that died; the lines show one reading of the list, then 2.5 s without a watch.

--- a/engines/book.go
+++ b/engines/book.go
@@ -36,6 +36,9 @@
 	Joined  Change = "joined"
 	Left    Change = "leaving"
 	Changed Change = "changed"
+	// Missing engines were lost by the list and may come back; Back ones did.
+	Missing Change = "missing"
+	Back    Change = "back"
 	Gone    Change = "gone"
 )
 
@@ -48,6 +51,11 @@
 		return Joined
 	}
 	in.Leaving = in.Leaving || e.info.Leaving
+	was := e.doubtful
+	e.doubtful = false
+	if e.info == in && was {
+		return Back
+	}
 	if e.info == in {
 		return Same
 	}
@@ -86,6 +94,18 @@
 	p.engines = slices.DeleteFunc(p.engines, func(x *Engine) bool { return x == e })
 }
 
+// Doubt records that the list lacks an engine that may come back: it is chosen
+// only while most of its pool cannot be trusted. It reports whether that is
+// news.
+func (b *Book) Doubt(id string) bool {
+	e, ok := b.byID[id]
+	if !ok || e.doubtful {
+		return false
+	}
+	e.doubtful = true
+	return true
+}
+
 // Remove records that an engine is no longer listed, and returns it as it
 // was, or false.
 func (b *Book) Remove(id string, now clock.Millis) (Info, bool) {
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -130,7 +130,7 @@
 
 // suspect reports whether new requests had better go elsewhere.
 func (e *Engine) suspect(rate float64, now clock.Millis) bool {
-	if e.health.held(now) || e.silence(now) > silenceLimit {
+	if e.doubtful || e.health.held(now) || e.silence(now) > silenceLimit {
 		return true
 	}
 	return e.health.rate(now) > rate+suspectRate
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -53,6 +53,8 @@
 	// is awaited.
 	waitingSince clock.Millis
 	health       health
+	// doubtful is true while the list lacks the engine and it may come back.
+	doubtful bool
 	// warmAt is when the engine reaches its full speed, as last listed.
 	warmAt clock.Millis
 	// seenAt is when the engine was first listed here.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -249,6 +249,16 @@
 	g.log.Info("engine", "change", string(engines.Gone), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
 }
 
+// DoubtEngine records that the list lacks an engine that may come back.
+func (g *Gate) DoubtEngine(id string) {
+	g.mu.Lock()
+	news := g.book.Doubt(id)
+	g.mu.Unlock()
+	if news {
+		g.log.Info("engine", "change", string(engines.Missing), "engine", id, "cause", "missing from the list after the store was away")
+	}
+}
+
 // EngineIDs returns the ids of all engines, sorted.
 func (g *Gate) EngineIDs() []string {
 	g.mu.Lock()
