account, commands: Tell from logs which requests were lost, when and why

Change: weldfall account reads the logs of all gates and prints losses by route, cause and moment; final lines tell what was late by the route's goals, and an engine that fell silent is told from one that broke off.

--- /dev/null
+++ b/account/account_test.go
@@ -0,0 +1,101 @@
+package account_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/account"
+)
+
+// line returns a final line with the usual fields.
+func line(at, rest string) string {
+	return "time=2026-01-01T00:00:" + at + "Z level=INFO " + rest + "\n"
+}
+
+func report(t *testing.T, logs ...string) string {
+	t.Helper()
+	a := account.New()
+	for _, l := range logs {
+		if err := a.Read(strings.NewReader(l)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var b bytes.Buffer
+	if err := a.Write(&b, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func TestEachLossHasItsCause(t *testing.T) {
+	for name, tc := range map[string]struct{ logs, want string }{
+		"in time": {line("01.1", `msg=answered request=a route=r status=200 how=memory late=""`), ""},
+		"failed by the engine": {
+			line("01.0", "msg=attempt_ended request=a outcome=failed") + line("01.1", "msg=answered request=a route=r status=500 late=\"\""),
+			"failed engine's own failure r",
+		},
+		"broken off in mid-answer": {
+			line("01.0", "msg=attempt_ended request=a outcome=broken") + line("01.1", "msg=failed request=a route=r status=200 cut=true verdict=may_have_run reason=engine_failed"),
+			"cut engine broke off r",
+		},
+		"dark": {
+			line("01.0", "msg=attempt_ended request=a outcome=silent") + line("01.1", "msg=answered request=a route=r status=200 late=first how=rank"),
+			"late engine dark r",
+		},
+		"cold":          {line("01.1", "msg=answered request=a route=r status=200 late=first how=home fetched=false"), "late cold prompt r"},
+		"moved":         {line("01.1", "msg=answered request=a route=r status=200 late=first how=home fetched=true"), "late prompt moved r"},
+		"behind others": {line("01.1", "msg=answered request=a route=r status=200 late=first how=memory fetched=false"), "late behind other requests r"},
+		"paused":        {line("01.1", "msg=answered request=a route=r status=200 late=pause how=memory"), "late pause in the stream r"},
+		"refused":       {line("01.1", "msg=failed request=a route=r status=503 verdict=not_run reason=leaving"), "refused leaving r"},
+		"no time":       {line("01.1", "msg=failed request=a route=r status=504 verdict=may_have_run reason=deadline"), "failed no time r"},
+		"denied":        {line("01.1", "msg=failed request=a route=r status=401 verdict=not_run reason=unauthorized"), ""},
+		"caller left":   {line("01.1", "msg=failed request=a route=r status=0 cut=true verdict=may_have_run reason=caller_gone"), ""},
+		"of another kind": {
+			line("01.0", "msg=attempt_ended request=b outcome=failed") + line("01.1", "msg=answered request=a route=r status=200 late=first how=memory"),
+			"late behind other requests r",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := report(t, tc.logs)
+			got := ""
+			for l := range strings.Lines(out) {
+				if strings.Contains(l, "100.0%") {
+					got = strings.Join(strings.Fields(l)[2:], " ")
+				}
+			}
+			if got != tc.want {
+				t.Errorf("got cause %q, want %q in:\n%s", got, tc.want, out)
+			}
+		})
+	}
+}
+
+func TestMomentsWithoutLossAreLeftOut(t *testing.T) {
+	out := report(t,
+		line("01.1", "msg=answered request=a route=r status=200")+line("02.1", "msg=answered request=b route=r status=200 late=first how=memory"),
+		line("02.9", "msg=failed request=c route=r status=503 verdict=not_run reason=not_ready")+"half a li",
+	)
+	for _, want := range []string{"00:00:02.000  2", "3 requests, 0 other lines"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got no %q in:\n%s", want, out)
+		}
+	}
+	if strings.Contains(out, "00:00:01.000") {
+		t.Errorf("got a moment without loss in:\n%s", out)
+	}
+}
+
+func TestLogsWithoutRequestsAreAnError(t *testing.T) {
+	a := account.New()
+	if err := a.Read(strings.NewReader("=\n")); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Write(&bytes.Buffer{}, time.Second); err == nil || !strings.Contains(err.Error(), "1 lines were passed over") {
+		t.Errorf("got %v, want an error that says that no request was found", err)
+	}
+	if err := a.Read(strings.NewReader(strings.Repeat("x", 100<<10))); err == nil || !strings.Contains(err.Error(), "longer than") {
+		t.Errorf("got %v for an endless line, want an error that says so", err)
+	}
+}
--- /dev/null
+++ b/commands/account.go
@@ -0,0 +1,41 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/weldfall/weldfall/account"
+)
+
+type accountCmd struct {
+	Step  time.Duration `arg:"--step" default:"1s" help:"length of the moments by which losses are told"`
+	Files []string      `arg:"positional,required" help:"logs of the processes"`
+}
+
+func (c *accountCmd) run(out, _ io.Writer) error {
+	if c.Step <= 0 {
+		return usagef("--step %s: give a length of time above zero, such as 1s", c.Step)
+	}
+	a := account.New()
+	for _, path := range c.Files {
+		if err := readLog(a, path); err != nil {
+			return err
+		}
+	}
+	return a.Write(out, c.Step)
+}
+
+func readLog(a *account.Account, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return usageError{err}
+	}
+	// The file was only read.
+	defer func() { _ = f.Close() }()
+	if err := a.Read(f); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -34,6 +34,7 @@
 	Load    *loadCmd         `arg:"subcommand:load" help:"send a bounded load and report latency, cache reuse and skew"`
 	Burn    *burnCmd         `arg:"subcommand:burn" help:"report the burn of service levels, merged from entries"`
 	Trace   *traceRequestCmd `arg:"subcommand:trace-request" help:"print the way of one request from the logs of all processes"`
+	Account *accountCmd      `arg:"subcommand:account" help:"tell from the logs of all gates which requests were lost, when and why"`
 	Version *versionCmd      `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -113,12 +113,12 @@
 }
 
 func TestEverySubcommandHasHelpAndUsageErrorsExit2(t *testing.T) {
-	for _, cmd := range []string{"entry", "daemon", "demo", "check", "explain", "load", "burn", "version"} {
+	for _, cmd := range []string{"entry", "daemon", "demo", "check", "explain", "load", "burn", "account", "version"} {
 		if code, out, _ := runMain(cmd, "--help"); code != 0 || !strings.Contains(out, "Usage: weldfall "+cmd) {
 			t.Errorf("%s: got %d %q, want its help", cmd, code, out)
 		}
 	}
-	for _, argv := range [][]string{{}, {"nonsense"}, {"entry"}, {"explain", "--path", "p"}, {"load"}, {"demo", "--engines", "0"}, {"standin"}} {
+	for _, argv := range [][]string{{}, {"nonsense"}, {"entry"}, {"explain", "--path", "p"}, {"load"}, {"account"}, {"account", "--step", "0s", "x"}, {"account", "no-such-file"}, {"demo", "--engines", "0"}, {"standin"}} {
 		if code, _, _ := runMain(argv...); code != 2 {
 			t.Errorf("%v: got exit %d, want 2", argv, code)
 		}
--- a/gate/account.go
+++ b/gate/account.go
@@ -63,7 +63,7 @@
 	attrs := []any{
 		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "fetched", c.fetched,
 		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
-		"first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
+		"late", c.late(now), "first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
--- a/gate/call.go
+++ b/gate/call.go
@@ -95,6 +95,26 @@
 	c.bytesOut += int64(n)
 }
 
+// late tells what of a whole answer was late by the route's goals: "first" for
+// the first bytes of a stream or all of a plain answer, "pause" for a pause
+// between events, or "" for an answer that was on time.
+func (c *call) late(now clock.Millis) string {
+	if c.route == nil || c.bytesOut == 0 {
+		return ""
+	}
+	came := now
+	if c.route.Kind == table.Stream {
+		came = c.firstAt
+	}
+	switch {
+	case c.route.Goal > 0 && came-c.start > c.route.Goal:
+		return "first"
+	case c.route.PauseGoal > 0 && c.pause > c.route.PauseGoal:
+		return "pause"
+	}
+	return ""
+}
+
 // write sends bytes of the body to the caller.
 func (c *call) write(p []byte, now clock.Millis) error {
 	n, err := c.w.Write(p)
--- a/gate/send.go
+++ b/gate/send.go
@@ -223,7 +223,7 @@
 
 // kindOf names an outcome for logs and counters.
 func kindOf(o outcome) string {
-	switch o.(type) {
+	switch o := o.(type) {
 	case answered:
 		return "answered"
 	case unsent:
@@ -231,6 +231,9 @@
 	case refused:
 		return "refused"
 	case broken:
+		if errors.Is(o.err, upstream.ErrSilent) {
+			return "silent"
+		}
 		return "broken"
 	case failed:
 		return "failed"
