--- a/engines/book.go
+++ b/engines/book.go
@@ -4,17 +4,13 @@
 	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/route"
 )
 
 // Book holds the engines of all services.
 type Book struct {
-	byID map[string]*Engine
-	// byHash has the engines of byID by the hash of their id.
-	byHash    map[uint32]*Engine
+	byID      map[string]*Engine
 	byService map[string]*pool
 	memory    *memory
 }
@@ -29,7 +25,7 @@
 
 // NewBook returns a book without engines.
 func NewBook() *Book {
-	return &Book{byID: map[string]*Engine{}, byHash: map[uint32]*Engine{}, byService: map[string]*pool{}, memory: newMemory()}
+	return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}, memory: newMemory()}
 }
 
 // Change is what a new word about an engine came to.
@@ -51,7 +47,7 @@
 	in.Slots = max(1, in.Slots)
 	e, ok := b.byID[in.ID]
 	if !ok {
-		b.add(&Engine{info: in, hash: uint32(xxh3.HashString(in.ID)), target: route.NewTarget(in.ID, in.Slots), seenAt: now, warmAt: now + in.Warmup, health: health{at: now}})
+		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, warmAt: now + in.Warmup, health: health{at: now}})
 		return Joined
 	}
 	in.Leaving = in.Leaving || e.info.Leaving
@@ -79,7 +75,7 @@
 }
 
 func (b *Book) add(e *Engine) {
-	b.byID[e.info.ID], b.byHash[e.hash] = e, e
+	b.byID[e.info.ID] = e
 	p := b.byService[e.info.Service]
 	if p == nil {
 		p = &pool{}
@@ -94,7 +90,6 @@
 
 func (b *Book) drop(e *Engine) {
 	delete(b.byID, e.info.ID)
-	delete(b.byHash, e.hash)
 	p := b.byService[e.info.Service]
 	p.engines = slices.DeleteFunc(p.engines, func(x *Engine) bool { return x == e })
 }
@@ -164,18 +159,3 @@
 	slices.SortFunc(out, func(a, b KnownLoad) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID)) })
 	return out[:min(n, len(out))]
 }
-
-// Placed returns the n latest placements that this entry made or heard of.
-func (b *Book) Placed(n int, now clock.Millis) []Placement { return b.memory.latest(n, now) }
-
-// HearPlaced takes what a peer told of placements at the given time. Those at
-// engines that are not listed here are passed over. A wrong one costs an engine
-// one question.
-func (b *Book) HearPlaced(ps []Placement, at clock.Millis) {
-	// The latest come first, and the latest here is to be the last that is taken.
-	for _, p := range slices.Backward(ps) {
-		if e := b.byHash[p.Engine]; e != nil && p.Age >= 0 {
-			b.memory.place(p.Key, e, at-p.Age)
-		}
-	}
-}
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -95,7 +95,7 @@
 	}
 	if len(q.Keys) > 0 {
 		c.Source = b.source(q, p, c.Engine, now)
-		b.memory.note(q.Keys, c.Engine, now)
+		b.memory.note(q.Keys, c.Engine.info.ID)
 	}
 	return c, true
 }
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -36,8 +36,6 @@
 type Engine struct {
 	info   Info
 	target route.Target
-	// hash is that of the id.
-	hash uint32
 	// inflight counts our requests at the engine; it is never negative.
 	inflight int
 	// all is how many requests the engine had at othersAt.
--- a/engines/source.go
+++ b/engines/source.go
@@ -26,8 +26,10 @@
 		if b.memory.holds(q.Keys[i], chosen.info.ID) {
 			return nil
 		}
-		if e := p.nearest(b.memory.holders(q.Keys[i]), chosen.info.Hall, now); e != nil {
-			return e
+		for _, id := range b.memory.holders(q.Keys[i]) {
+			if e := p.get(id); e != nil && e.sound(now) {
+				return e
+			}
 		}
 		if i == last {
 			if e := p.keeper(q.Keys[last], homes(q.Tokens), chosen, now); e != nil {
@@ -60,26 +62,6 @@
 	return nil
 }
 
-// nearest returns the first of the engines with the given ids that answers,
-// those in the given data hall before others: a move between halls takes twice
-// as long. It returns nil if none does.
-func (p *pool) nearest(ids []string, hall string, now clock.Millis) *Engine {
-	var first *Engine
-	for _, id := range ids {
-		e := p.get(id)
-		if e == nil || !e.sound(now) {
-			continue
-		}
-		if e.info.Hall == hall {
-			return e
-		}
-		if first == nil {
-			first = e
-		}
-	}
-	return first
-}
-
 // get returns an engine by id, also one that the list has just lost, or nil.
 func (p *pool) get(id string) *Engine {
 	for _, in := range [][]*Engine{p.engines, p.former} {
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -70,7 +70,7 @@
 }
 
 // Tell implements peers.Facts.
-func (g *Gate) Tell(loads, placements int) peers.Known {
+func (g *Gate) Tell(n int) peers.Known {
 	now := g.clk.Now()
 	k := peers.Known{}
 	t := g.table.Load()
@@ -79,12 +79,9 @@
 	if t != nil && g.published.Known() {
 		k.Table, k.TableAge = t.Version(), g.published.Age(now)
 	}
-	for _, l := range g.book.Loads(loadFresh, loads, now) {
+	for _, l := range g.book.Loads(loadFresh, n, now) {
 		k.Loads = append(k.Loads, peers.Load{Engine: l.ID, Requests: l.Requests, Age: l.Age})
 	}
-	for _, p := range g.book.Placed(placements, now) {
-		k.Placed = append(k.Placed, peers.Placement{Prompt: p.Key, Engine: p.Engine, Age: p.Age})
-	}
 	return k
 }
 
@@ -101,21 +98,16 @@
 		}
 		g.mu.Unlock()
 	}
-	g.HearHints(k, at)
+	g.HearLoads(k.Loads, at)
 }
 
-// HearHints implements peers.Facts.
-func (g *Gate) HearHints(k peers.Known, at clock.Millis) {
-	placed := make([]engines.Placement, 0, len(k.Placed))
-	for _, p := range k.Placed {
-		placed = append(placed, engines.Placement{Key: p.Prompt, Engine: p.Engine, Age: p.Age})
-	}
+// HearLoads implements peers.Facts.
+func (g *Gate) HearLoads(loads []peers.Load, at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, l := range k.Loads {
+	for _, l := range loads {
 		if e := g.book.Get(l.Engine); e != nil && l.Age >= 0 && l.Requests >= 0 {
 			e.Told(engines.Load{Running: l.Requests}, at-l.Age)
 		}
 	}
-	g.book.HearPlaced(placed, at)
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -27,8 +27,6 @@
 	seedEvery = 15
 	// loadsMost bounds the loads in one message: about 30 bytes each.
 	loadsMost = 10
-	// placedMost bounds the placements in one message: 19 bytes each.
-	placedMost = 16
 	// methodAsk is the name of the call.
 	methodAsk = "ask"
 )
@@ -48,8 +46,6 @@
 	// TableAge is how long ago it was last known to be the newest.
 	TableAge clock.Millis `json:"ta,omitempty"`
 	Loads    []Load       `json:"l,omitempty"`
-	// Placed are the latest placements of prompts, the latest first.
-	Placed Placements `json:"p,omitempty"`
 }
 
 // message is both question and answer.
@@ -60,18 +56,16 @@
 
 // Facts is the process that the peers help.
 type Facts interface {
-	// Tell returns what the process knows, with at most so many loads and
-	// placements.
-	Tell(loads, placements int) Known
+	// Tell returns what the process knows, with at most n loads.
+	Tell(n int) Known
 	// Hear takes what a peer knew at the given time or later. It may be a lie;
-	// only ages, loads and placements are in it.
+	// only ages and loads are in it.
 	Hear(k Known, at clock.Millis)
 	// SetEntries takes the number of entries that are known, this one included,
 	// and whether this one is the first of them, from which the others hear.
 	SetEntries(n int, first bool)
-	// HearHints takes the loads and placements of a peer that asked. Its ages
-	// say nothing: the time at which it asked is not known.
-	HearHints(k Known, at clock.Millis)
+	// HearLoads takes the loads of a peer that asked.
+	HearLoads(loads []Load, at clock.Millis)
 }
 
 // Config sets up Peers.
@@ -188,7 +182,7 @@
 }
 
 func (p *Peers) message() message {
-	k := p.cfg.Facts.Tell(loadsMost, placedMost)
+	k := p.cfg.Facts.Tell(loadsMost)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return message{Members: p.members.Sample(p.clk.Now()), Known: k}
@@ -229,7 +223,7 @@
 	}
 	now := p.clk.Now()
 	p.learn(question, now)
-	p.cfg.Facts.HearHints(question.Known, now)
+	p.cfg.Facts.HearLoads(question.Known.Loads, now)
 	return p.message(), nil
 }
 
