gate, peers: Let entries that stop one after the other take turns

Each went on taking short requests until its grace was nearly over, and a request that it refused kept it alive as well, so all four were leaving at once from 19 to 24 s. Ruled out: better guesses of an answer's length (the tokens wanted are a cap, the same for a whole route; answers take 0.1 to 1 of it). Change: entries tell each other since when they stop. One that others replace takes only what ends before what it is doing anyway; of entries that all stop the first does so and the last serves on; without word of others, as before. What may take longest is told by the longest of 256 to 512 answers in place of 64 (mix cut a quote that was longer than 64 others), and what the end of the grace cuts is logged as leaving.

--- a/gate/durations.go
+++ b/gate/durations.go
@@ -7,8 +7,10 @@
 	"github.com/weldfall/weldfall/table"
 )
 
-// durationSamples is how many of the latest answers of a route are kept.
-const durationSamples = 64
+// durationSamples is how many answers of a route are looked at together. The
+// longest of the latest 256 to 512 is remembered: one answer in a hundred takes
+// a third longer than the longest of the 64 before it.
+const durationSamples = 256
 
 // durationRoutes bounds the routes that are remembered.
 const durationRoutes = 256
@@ -18,31 +20,36 @@
 // use.
 type durations struct {
 	mu      sync.Mutex
-	byRoute map[string]*ring
+	byRoute map[string]*longest
 }
 
-// ring holds the latest durations; n counts all that came.
-type ring struct {
-	last [durationSamples]clock.Millis
-	n    int
+// longest is the longest answer of a route.
+type longest struct {
+	// now is the longest of the latest n answers, n at most durationSamples, and
+	// before that of as many before these.
+	now, before clock.Millis
+	n           int
 }
 
-func newDurations() *durations { return &durations{byRoute: map[string]*ring{}} }
+func newDurations() *durations { return &durations{byRoute: map[string]*longest{}} }
 
 // note records an answer.
 func (d *durations) note(route string, took clock.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.byRoute[route]
-	if r == nil {
+	l := d.byRoute[route]
+	if l == nil {
 		if len(d.byRoute) >= durationRoutes {
 			return
 		}
-		r = &ring{}
-		d.byRoute[route] = r
+		l = &longest{}
+		d.byRoute[route] = l
 	}
-	r.last[r.n%durationSamples] = took
-	r.n++
+	if l.n == durationSamples {
+		l.before, l.now, l.n = l.now, 0, 0
+	}
+	l.now = max(l.now, took)
+	l.n++
 }
 
 // longest returns the longest of the latest answers of a route. A route that
@@ -50,13 +57,8 @@
 func (d *durations) longest(route *table.Route) clock.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.byRoute[route.Name]
-	if r == nil {
-		return route.Timeout
-	}
-	longest := clock.Millis(0)
-	for _, took := range r.last[:min(r.n, durationSamples)] {
-		longest = max(longest, took)
+	if l := d.byRoute[route.Name]; l != nil {
+		return max(l.now, l.before)
 	}
-	return longest
+	return route.Timeout
 }
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -56,17 +56,17 @@
 		return true
 	case older(1):
 		return true
-	case g.first:
+	case g.fleet.First:
 		return older(dueFirst)
 	}
-	return older(dueEarly) && random() < 1/float64(g.entries)
+	return older(dueEarly) && random() < 1/float64(max(1, g.fleet.Entries))
 }
 
-// SetEntries implements peers.Facts.
-func (g *Gate) SetEntries(n int, first bool) {
+// SetFleet implements peers.Facts.
+func (g *Gate) SetFleet(f peers.Fleet) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.entries, g.first = max(1, n), first
+	g.fleet = f
 }
 
 // Tell implements peers.Facts.
--- a/gate/facts_test.go
+++ b/gate/facts_test.go
@@ -18,7 +18,7 @@
 	clk := clock.System()
 	g := gate.New(gate.Config{Clock: clk, Log: slog.New(slog.DiscardHandler), Bounds: gate.Bounds{Revocation: 5000, Change: 2000}})
 	g.SetTable(table.New(table.Config{Version: 5}), clk.Now())
-	g.SetEntries(1_000_000, first)
+	g.SetFleet(peers.Fleet{Entries: 1_000_000, First: first})
 	return g, clk
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/fresh"
+	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/upstream"
 )
@@ -85,15 +86,13 @@
 	log  *slog.Logger
 	wire Dialect
 	// reserved and internal are sets of canonical header names.
-	reserved map[string]bool
-	internal map[string]bool
-	pool     *upstream.Pool
-	table    atomic.Pointer[table.Table]
-	limits   atomic.Pointer[Bounds]
-	// leaveBy is when a stopping process ends, 0 while it is not stopping.
-	leaveBy   atomic.Int64
+	reserved  map[string]bool
+	internal  map[string]bool
+	pool      *upstream.Pool
+	table     atomic.Pointer[table.Table]
+	limits    atomic.Pointer[Bounds]
+	leave     leave
 	active    atomic.Int64
-	lastSeen  atomic.Int64
 	counts    counts
 	durations *durations
 
@@ -104,10 +103,9 @@
 	// published is the age of the table, listed that of the list of engines.
 	published fresh.Belief
 	listed    fresh.Belief
-	// entries is how many entries are known, this one included; at least 1.
-	entries int
-	// first is true if this entry confirms the table for the others.
-	first bool
+	// fleet is what is known of the other entries. The first of them confirms
+	// the table for all.
+	fleet peers.Fleet
 	// newest is the newest version that a peer told of, at newestAt; zero if
 	// none did, or the platform has since shown that there is no newer one than
 	// ours.
@@ -125,7 +123,7 @@
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
-		durations: newDurations(), entries: 1,
+		durations: newDurations(),
 	}
 	g.limits.Store(&cfg.Bounds)
 	return g
@@ -272,13 +270,13 @@
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ready := t != nil && g.listed.Known() && !g.draining()
+	ready := t != nil && g.listed.Known() && !g.leave.begun()
 	if ready && t.Keyed() {
 		ready = g.published.Within(g.keyAge(), now)
 	}
 	if ready != g.wasReady {
 		g.wasReady = ready
-		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.draining())
+		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.leave.begun())
 	}
 	return ready
 }
@@ -305,8 +303,5 @@
 	extraShare = 32
 )
 
-// draining reports whether the process is stopping.
-func (g *Gate) draining() bool { return g.leaveBy.Load() != 0 }
-
 // random returns a number from 0 to 1 that breaks ties.
 func random() float64 { return rand.Float64() }
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -206,7 +206,7 @@
 // begin writes the head of the answer.
 func (g *Gate) begin(c *call, status int) {
 	c.began, c.status = true, status
-	if g.draining() {
+	if g.leave.begun() {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.bound(g.clk.Now())
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -99,28 +99,6 @@
 // headerLine is what a header line has beside name and value, in bytes.
 const headerLine = 4
 
-// stayMargin is added to the longest answer that a stopping process has seen
-// of a route: the load may be higher now.
-const stayMargin clock.Millis = 300
-
-// stay refuses what a stopping process would have to cut off. It has run
-// nowhere and can be sent elsewhere at once.
-func (g *Gate) stay(_ context.Context, c *call) *verdict.Error {
-	leaveBy := clock.Millis(g.leaveBy.Load())
-	if leaveBy == 0 {
-		return nil
-	}
-	need := min(g.durations.longest(c.route)+stayMargin, c.left(c.start))
-	if left := leaveBy - c.start; need > left {
-		return verdict.New(verdict.NotRun, verdict.Leaving, "this entry stops in %d ms, the request may take %d", left, need).WithRetryAfter(retryLeaving)
-	}
-	return nil
-}
-
-// retryLeaving is when a request that a stopping process refused may come
-// back: another process takes it.
-const retryLeaving clock.Millis = 10
-
 // denied is the refusal of something that the table does not know. A table
 // that may be out of date only says so.
 func (g *Gate) denied(reason verdict.Reason, format string, args ...any) *verdict.Error {
--- a/gate/send.go
+++ b/gate/send.go
@@ -69,6 +69,9 @@
 			return nil
 		case callerGone:
 			c.cut = true
+			if g.leave.over.Load() {
+				return verdict.New(c.verdict(), verdict.Leaving, "this entry's grace is over")
+			}
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case failed:
 			own = o.answer
--- a/peers/members.go
+++ b/peers/members.go
@@ -37,14 +37,41 @@
 	Addr string `json:"a"`
 	// Age is how long ago the member gave a sign, in milliseconds.
 	Age clock.Millis `json:"g,omitempty"`
+	// Leaving is for how long it had been stopping when it gave that sign, zero
+	// if it was not.
+	Leaving clock.Millis `json:"l,omitempty"`
 }
 
+// Fleet is what one entry knows of the others.
+type Fleet struct {
+	// Entries is how many are known, this one included; at least 1.
+	Entries int
+	// First is true if this one comes first in the order that all agree on.
+	First bool
+	// Serving is how many others were heard of lately and are not stopping.
+	Serving int
+	// Earlier and Later are how many others are stopping since before this one
+	// is, and since after.
+	Earlier, Later int
+}
+
+const (
+	// standsFor is how long word of another is good for in the question who
+	// serves: a few rounds, in which a process may have ended.
+	standsFor clock.Millis = 2000
+	// togetherFor is the difference in time below which two entries take it that
+	// they were stopped together: word of it takes about a round.
+	togetherFor clock.Millis = 500
+)
+
 // Members is what one process knows of the others. It is not safe for
 // concurrent use.
 type Members struct {
 	self Member
 	// rank is the place of this process in the order that all agree on.
 	rank uint64
+	// leavingSince is when this process began to stop, zero if it did not.
+	leavingSince clock.Millis
 	// seen has when each other member last gave a sign, as far as known.
 	seen map[string]known
 	// next is the neighbour to be asked next.
@@ -56,6 +83,8 @@
 	at   clock.Millis
 	// rank is the member's place in the order that all processes agree on.
 	rank uint64
+	// leavingSince is when it began to stop, zero if it did not.
+	leavingSince clock.Millis
 	// order is the member's place among the neighbours of this process.
 	order uint64
 }
@@ -78,7 +107,11 @@
 	if ok && k.at >= at {
 		return
 	}
-	m.seen[o.ID] = known{addr: o.Addr, at: at, rank: xxh3.HashString(o.ID), order: xxh3.HashString(m.self.ID + "\x00" + o.ID)}
+	leaving := clock.Millis(0)
+	if o.Leaving > 0 {
+		leaving = at - o.Leaving
+	}
+	m.seen[o.ID] = known{addr: o.Addr, at: at, leavingSince: leaving, rank: xxh3.HashString(o.ID), order: xxh3.HashString(m.self.ID + "\x00" + o.ID)}
 }
 
 // Sweep forgets members that gave no sign for long.
@@ -93,14 +126,52 @@
 // Count returns the number of entries that are known, this one included.
 func (m *Members) Count() int { return len(m.seen) + 1 }
 
+// Leave records since when this process is stopping; zero if it is not.
+func (m *Members) Leave(since clock.Millis) { m.leavingSince = since }
+
+// Fleet returns what is known of the others.
+func (m *Members) Fleet(now clock.Millis) Fleet {
+	f := Fleet{Entries: m.Count(), First: m.First()}
+	for _, k := range m.seen {
+		switch {
+		case now-k.at > standsFor:
+		case k.leavingSince == 0:
+			f.Serving++
+		case m.leavesBefore(k):
+			f.Earlier++
+		default:
+			f.Later++
+		}
+	}
+	return f
+}
+
+// leavesBefore reports whether another that is stopping goes before this one.
+// Those that were stopped together go in the order that all agree on.
+func (m *Members) leavesBefore(k known) bool {
+	d := k.leavingSince - m.leavingSince
+	if m.leavingSince == 0 || max(d, -d) < togetherFor {
+		return k.rank < m.rank
+	}
+	return d < 0
+}
+
 // Sample returns this process and some others, for a message.
 func (m *Members) Sample(now clock.Millis) []Member {
-	out := []Member{m.self}
+	self := m.self
+	if m.leavingSince != 0 {
+		self.Leaving = max(1, now-m.leavingSince)
+	}
+	out := []Member{self}
 	for id, k := range m.seen {
 		if len(out) >= sampleMembers {
 			break
 		}
-		out = append(out, Member{ID: id, Addr: k.addr, Age: now - k.at})
+		o := Member{ID: id, Addr: k.addr, Age: now - k.at}
+		if k.leavingSince != 0 {
+			o.Leaving = k.at - k.leavingSince
+		}
+		out = append(out, o)
 	}
 	return out
 }
--- a/peers/members_test.go
+++ b/peers/members_test.go
@@ -95,3 +95,52 @@
 		}
 	}
 }
+
+func TestEntriesAgreeOnWhoStopsFirst(t *testing.T) {
+	leaving := func(i int, age, since clock.Millis) peers.Member {
+		m := member(i, age)
+		m.Leaving = since
+		return m
+	}
+	for name, tc := range map[string]struct {
+		others []peers.Member
+		want   peers.Fleet
+	}{
+		"alone":             {nil, peers.Fleet{Entries: 1, First: true}},
+		"one serves":        {[]peers.Member{member(1, 0)}, peers.Fleet{Entries: 2, Serving: 1}},
+		"one is not heard":  {[]peers.Member{member(1, 3000)}, peers.Fleet{Entries: 2}},
+		"one before":        {[]peers.Member{leaving(1, 0, 2000)}, peers.Fleet{Entries: 2, Earlier: 1}},
+		"one after":         {[]peers.Member{leaving(1, 0, 300)}, peers.Fleet{Entries: 2, Later: 1}},
+		"heard a while ago": {[]peers.Member{leaving(1, 800, 1000)}, peers.Fleet{Entries: 2, Earlier: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := peers.NewMembers(member(0, 0))
+			m.Leave(9000)
+			for _, o := range tc.others {
+				m.Learn(o, 10_000)
+			}
+			got := m.Fleet(10_000)
+			got.First = tc.want.First
+			if got != tc.want {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Two entries that were stopped in the same moment do not both take themselves
+// to be first, and word of one that came back replaces that of its end.
+func TestOfEntriesThatAreStoppedTogetherOneIsFirst(t *testing.T) {
+	a, b := peers.NewMembers(member(0, 0)), peers.NewMembers(member(1, 0))
+	a.Leave(1000)
+	b.Leave(1100)
+	a.Learn(b.Sample(2000)[0], 2000)
+	b.Learn(a.Sample(2000)[0], 2000)
+	if got := a.Fleet(2000).Earlier + b.Fleet(2000).Earlier; got != 1 {
+		t.Errorf("got %d entries with another before them, want 1", got)
+	}
+	a.Learn(member(1, 0), 3000)
+	if got := a.Fleet(3000); got.Serving != 1 || got.Earlier+got.Later != 0 {
+		t.Errorf("got %+v after the other came back, want one that serves", got)
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -61,9 +61,10 @@
 	// Hear takes what a peer knew at the given time or later. It may be a lie;
 	// only ages and loads are in it.
 	Hear(k Known, at clock.Millis)
-	// SetEntries takes the number of entries that are known, this one included,
-	// and whether this one is the first of them, from which the others hear.
-	SetEntries(n int, first bool)
+	// LeavingSince returns when the process began to stop, zero if it did not.
+	LeavingSince() clock.Millis
+	// SetFleet takes what is known of the others.
+	SetFleet(f Fleet)
 	// HearLoads takes the loads of a peer that asked.
 	HearLoads(loads []Load, at clock.Millis)
 }
@@ -183,8 +184,10 @@
 
 func (p *Peers) message() message {
 	k := p.cfg.Facts.Tell(loadsMost)
+	leaving := p.cfg.Facts.LeavingSince()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.members.Leave(leaving)
 	return message{Members: p.members.Sample(p.clk.Now()), Known: k}
 }
 
@@ -199,8 +202,9 @@
 // tellAlone logs when the last peer is lost and the first regained.
 func (p *Peers) tellAlone() {
 	p.mu.Lock()
-	n := p.members.Count()
-	p.cfg.Facts.SetEntries(n, p.members.First())
+	f := p.members.Fleet(p.clk.Now())
+	n := f.Entries
+	p.cfg.Facts.SetFleet(f)
 	changed := p.alone != (n == 1)
 	p.alone = n == 1
 	p.mu.Unlock()
