engines: Let the ranking alone choose a prompt's engine

Hypothesis: an entry that stays with the engine to which it sent a prompt, while others follow the ranking, spreads the prompt and makes sources hard to guess. Change: what this entry sent no longer chooses; it only names who keeps the prompt. An engine that joins takes over its part at once, at all entries alike, and fetches it from the next in the ranking. Lines tell kept=true where the entry had sent the prompt there before.

--- a/account/account.go
+++ b/account/account.go
@@ -197,7 +197,7 @@
 		return Paused
 	case f["fetched"] == "true":
 		return Moved
-	case f["how"] == "home", f["how"] == "rank":
+	case f["kept"] == "false" && f["how"] != "load":
 		return Cold
 	}
 	return Behind
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -47,9 +47,7 @@
 type How string
 
 const (
-	// ByMemory is the engine that had a prompt of the same beginning last.
-	ByMemory How = "memory"
-	// ByHome is the first engine of the ranking.
+	// ByHome is one of the prompt's homes, the first engines of the ranking.
 	ByHome How = "home"
 	// ByRank is a later engine of the ranking: those before have no room.
 	ByRank How = "rank"
@@ -62,6 +60,9 @@
 	Engine *Engine
 	// How says by what the engine was chosen.
 	How How
+	// Kept is true if this entry sent the engine a prompt of the same beginning
+	// before.
+	Kept bool
 	// Source is an engine that may keep more of the prompt; nil if none is
 	// known.
 	Source *Engine
@@ -88,12 +89,13 @@
 	mean /= float64(len(usable))
 	c := Choice{Mean: mean}
 	if len(q.Keys) > 0 {
-		c.byPrompt(q, b.memory, usable, others, now)
+		c.byPrompt(q, usable, others, now)
 	}
 	if c.Engine == nil {
 		c.byLoad(q, usable, others, now)
 	}
 	if len(q.Keys) > 0 {
+		c.Kept = b.memory.holds(q.Keys[len(q.Keys)-1], c.Engine.info.ID)
 		c.Source = b.source(q, p, c.Engine, now)
 		b.memory.note(q.Keys, c.Engine.info.ID)
 	}
@@ -168,15 +170,13 @@
 
 // byPrompt takes the first of the prompt's homes while it is no busier than
 // most, then the least loaded of them, or else the next in its ranking that has
-// room. The homes are the engines that had the prompt last, and where these are
-// too few the first of the ranking: an engine that joins does not take over what
-// others remember.
-func (c *Choice) byPrompt(q Query, m *memory, usable []*Engine, others float64, now clock.Millis) {
-	key := q.Keys[len(q.Keys)-1]
+// room. The ranking alone decides, so that all entries agree without talk: an
+// engine that joins takes over its part of the prompts at once, and takes what
+// it lacks from the next in the ranking, which had them before.
+func (c *Choice) byPrompt(q Query, usable []*Engine, others float64, now clock.Millis) {
 	bound := q.Bound*c.Mean + q.Slack
-	order := ranked(key, usable)
+	order := ranked(q.Keys[len(q.Keys)-1], usable)
 	n := min(homes(q.Tokens), len(order))
-	known := bringForward(order, m.holders(key))
 	if order[0].load(others, now) > calmBound*c.Mean+calmSlack {
 		slices.SortStableFunc(order[:n], func(a, b *Engine) int { return cmp.Compare(a.load(others, now), b.load(others, now)) })
 	}
@@ -185,36 +185,14 @@
 		if l+1 > bound {
 			continue
 		}
-		c.Engine, c.Load = e, l
-		switch {
-		case i >= n:
+		c.Engine, c.Load, c.How = e, l, ByHome
+		if i >= n {
 			c.How = ByRank
-		case known >= n:
-			c.How = ByMemory
-		default:
-			c.How = ByHome
 		}
 		return
 	}
 }
 
-// bringForward moves the engines with the given ids to the front, in the order
-// of the ids, and returns how many there were.
-func bringForward(order []*Engine, ids []string) int {
-	n := 0
-	for _, id := range ids {
-		i := slices.IndexFunc(order[n:], func(e *Engine) bool { return e.info.ID == id })
-		if i < 0 {
-			continue
-		}
-		e := order[n+i]
-		copy(order[n+1:n+i+1], order[n:n+i])
-		order[n] = e
-		n++
-	}
-	return n
-}
-
 const (
 	// calmBound and calmSlack bound the load, as a multiple of the mean and
 	// added to it, up to which the first home takes all requests of a prompt:
--- a/engines/memory.go
+++ b/engines/memory.go
@@ -14,9 +14,8 @@
 	holdersMost = 4
 )
 
-// memory is where this entry sent the prompts that begin alike, so that a
-// chat stays with the engine that remembers it when others join, and so that
-// an engine can be told who keeps what it lacks. It is a guess: engines give
+// memory is where this entry sent the prompts that begin alike, so that an
+// engine can be told who keeps what it lacks. It is a guess: engines give
 // way to newer prompts, and other entries' requests are not in it.
 type memory struct {
 	byKey *simplelru.LRU[uint64, []string]
--- a/gate/account.go
+++ b/gate/account.go
@@ -61,7 +61,7 @@
 		g.durations.note(c.route.Name, now-c.start)
 	}
 	attrs := []any{
-		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "fetched", c.fetched,
+		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "kept", c.kept, "fetched", c.fetched,
 		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
 		"late", c.late(now), "first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -43,9 +43,11 @@
 	refused int
 	// unsent counts the engines that could not be reached.
 	unsent int
-	// how says by what the latest engine was chosen, fetched whether it was
-	// told who keeps more of the prompt.
+	// how says by what the latest engine was chosen, kept whether this entry had
+	// sent it the prompt before, fetched whether it was told who keeps more of
+	// it.
 	how     engines.How
+	kept    bool
 	fetched bool
 	load    float64
 	mean    float64
--- a/gate/place.go
+++ b/gate/place.go
@@ -23,7 +23,7 @@
 	in := ch.Engine.Info()
 	ch.Engine.Start(now)
 	c.tried = append(c.tried, in.ID)
-	c.how, c.load, c.mean = ch.How, ch.Load, ch.Mean
+	c.how, c.kept, c.load, c.mean = ch.How, ch.Kept, ch.Load, ch.Mean
 	p := pick{Info: in}
 	if s, ok := c.table.Service(c.service); ok && s.Moves && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
