engines, gate: Judge an engine's silence by the goal of the request

Cause: 700 ms of silence described the engines of two sites. Change: a request passes over an engine that has left others without a sign for twice the request's own goal; a route without one counts as 500 ms.

--- a/engines/book_test.go
+++ b/engines/book_test.go
@@ -27,7 +27,7 @@
 }
 
 func query(keys ...uint64) engines.Query {
-	return engines.Query{Service: service, Keys: keys, Tokens: 5000, Hall: "a", Bound: 1.75, Slack: 3}
+	return engines.Query{Service: service, Keys: keys, Tokens: 5000, Hall: "a", Bound: 1.75, Slack: 3, Silence: 700}
 }
 
 // sameHome returns two chats that an empty book of four engines sends to the
@@ -154,6 +154,24 @@
 	}
 }
 
+// Requests that may take ten times as long bear ten times the silence.
+func TestSilenceIsJudgedByTheRequestsGoal(t *testing.T) {
+	for _, scale := range []clock.Millis{1, 10, 100} {
+		b := newBook(4)
+		first, _ := sameHome(t)
+		q := query(first)
+		q.Silence *= scale
+		home := choose(t, b, q, 0).Engine
+		home.Start(100)
+		if got := choose(t, b, q, 100+400*scale); got.Engine != home {
+			t.Errorf("got another engine after %d ms of silence where %d are allowed, want the home", 400*scale, q.Silence)
+		}
+		if got := choose(t, b, q, 100+900*scale); got.Engine == home {
+			t.Errorf("got the engine that is silent for %d ms where %d are allowed, want another", 900*scale, q.Silence)
+		}
+	}
+}
+
 func TestAnEngineThatFailsMoreThanOthersIsPassedOver(t *testing.T) {
 	b := newBook(4)
 	bad := b.Get("e00")
@@ -240,14 +258,14 @@
 	b.Put(info(1), 0)
 	got := map[string]int{}
 	for range 12 {
-		c := choose(t, b, engines.Query{Service: service, Hall: "a"}, 1000)
+		c := choose(t, b, engines.Query{Service: service, Hall: "a", Silence: 700}, 1000)
 		c.Engine.Start(1000)
 		got[c.Engine.Info().ID]++
 	}
 	if got["e00"] < 3 || got["e00"] > 5 {
 		t.Errorf("got %d of 12 requests at the warming engine, want about 4", got["e00"])
 	}
-	c := choose(t, b, engines.Query{Service: service, Hall: "a"}, 6000)
+	c := choose(t, b, engines.Query{Service: service, Hall: "a", Silence: 700}, 6000)
 	if c.Engine.Info().ID != "e00" {
 		t.Errorf("got %s once the engine was warm, want it, since it has less", c.Engine.Info().ID)
 	}
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -10,11 +10,6 @@
 
 // Bounds of the choice.
 const (
-	// silenceLimit is how long an engine may leave requests without a sign
-	// before new ones go elsewhere. A model engine sends an event each 20 to
-	// 50 ms to every stream; reading the longest prompts holds them up for
-	// about 400 ms.
-	silenceLimit clock.Millis = 700
 	// suspectRate is the share of failures over that of the whole service
 	// from which an engine is passed over.
 	suspectRate = 0.2
@@ -37,6 +32,9 @@
 	// 1, and Slack is added to it.
 	Bound float64
 	Slack float64
+	// Silence is how long an engine may leave requests without a sign before it
+	// is passed over.
+	Silence clock.Millis
 	// Tried are engines that have had the request.
 	Tried []string
 	// Random breaks ties, 0 to 1.
@@ -114,7 +112,7 @@
 	rate := meanRate(live, now)
 	good := make([]*Engine, 0, len(live))
 	for _, e := range live {
-		if !e.suspect(rate, now) {
+		if !e.suspect(rate, q.Silence, now) {
 			good = append(good, e)
 		}
 	}
@@ -131,8 +129,8 @@
 }
 
 // suspect reports whether new requests had better go elsewhere.
-func (e *Engine) suspect(rate float64, now clock.Millis) bool {
-	if e.doubtful || e.health.held(now) || e.silence(now) > silenceLimit {
+func (e *Engine) suspect(rate float64, silence, now clock.Millis) bool {
+	if e.doubtful || e.health.held(now) || e.silence(now) > silence {
 		return true
 	}
 	return e.health.rate(now) > rate+suspectRate
--- a/engines/source.go
+++ b/engines/source.go
@@ -27,12 +27,12 @@
 			return nil
 		}
 		for _, id := range b.memory.holders(q.Keys[i]) {
-			if e := p.get(id); e != nil && e.sound(now) {
+			if e := p.get(id); e != nil && e.sound(q.Silence, now) {
 				return e
 			}
 		}
 		if i == last {
-			if e := p.keeper(q.Keys[last], homes(q.Tokens), chosen, now); e != nil {
+			if e := p.keeper(q, chosen, now); e != nil {
 				return e
 			}
 		}
@@ -43,19 +43,19 @@
 // keeper returns the engine to which other entries most likely sent a prompt
 // before: one that ranks before the chosen one and is left out, or else the
 // next of its homes, which were also those before the chosen one joined.
-func (p *pool) keeper(key uint64, homes int, chosen *Engine, now clock.Millis) *Engine {
-	order := ranked(key, slices.Concat(p.engines, p.former))
+func (p *pool) keeper(q Query, chosen *Engine, now clock.Millis) *Engine {
+	order := ranked(q.Keys[len(q.Keys)-1], slices.Concat(p.engines, p.former))
 	at := slices.Index(order, chosen)
 	for _, e := range order[:at] {
-		if e.sound(now) {
+		if e.sound(q.Silence, now) {
 			return e
 		}
 	}
-	if homes == 1 && !chosen.young(now) {
+	if homes(q.Tokens) == 1 && !chosen.young(now) {
 		return nil
 	}
 	for _, e := range order[at+1:] {
-		if !e.young(now) && e.sound(now) {
+		if !e.young(now) && e.sound(q.Silence, now) {
 			return e
 		}
 	}
@@ -74,16 +74,16 @@
 
 // forget drops the engines that the list lost too long ago to be heard of.
 func (p *pool) forget(now clock.Millis) {
-	p.former = slices.DeleteFunc(p.former, func(e *Engine) bool { return !e.sound(now) })
+	p.former = slices.DeleteFunc(p.former, func(e *Engine) bool { return !e.sound(soundFor, now) })
 }
 
 func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth }
 
 // sound reports whether an engine answers, as far as is known.
-func (e *Engine) sound(now clock.Millis) bool {
+func (e *Engine) sound(silence, now clock.Millis) bool {
 	heard := e.heardAt
 	if e.told {
 		heard = max(heard, e.othersAt)
 	}
-	return !e.health.held(now) && e.silence(now) <= silenceLimit && heard > 0 && now-heard < soundFor
+	return !e.health.held(now) && e.silence(now) <= silence && heard > 0 && now-heard < soundFor
 }
--- a/gate/place.go
+++ b/gate/place.go
@@ -1,9 +1,11 @@
 package gate
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -15,7 +17,7 @@
 	defer g.mu.Unlock()
 	ch, ok := g.book.Choose(engines.Query{
 		Service: c.service, Keys: c.keys, Tokens: c.tokens, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
-		Tried: c.tried, Random: random(),
+		Silence: silence(c.route.Goal), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
 		return pick{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
@@ -50,6 +52,18 @@
 	boundSlack = 3.0
 )
 
+const (
+	// silenceGoals is how many times its goal a request allows for the silence
+	// of the engine that it goes to.
+	silenceGoals = 2
+	// usualGoal stands for the goal of a route that publishes none.
+	usualGoal clock.Millis = 500
+)
+
+// silence is how long an engine may leave requests without a sign before a
+// request with the given goal goes elsewhere.
+func silence(goal clock.Millis) clock.Millis { return silenceGoals * cmp.Or(goal, usualGoal) }
+
 // keyBound is the multiple of the mean load up to which a chat stays at the
 // engine that remembers it.
 func keyBound(bound float64) float64 {
