--- a/engines/book.go
+++ b/engines/book.go
@@ -19,8 +19,6 @@
 type pool struct {
 	// engines are the listed ones, sorted by id, leaving ones too.
 	engines []*Engine
-	// former are those that the list has lost and that may still serve.
-	former []*Engine
 }
 
 // NewBook returns a book without engines.
@@ -47,7 +45,7 @@
 	in.Slots = max(1, in.Slots)
 	e, ok := b.byID[in.ID]
 	if !ok {
-		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, warmAt: now + in.Warmup, health: health{at: now}})
+		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}})
 		return Joined
 	}
 	in.Leaving = in.Leaving || e.info.Leaving
@@ -64,7 +62,7 @@
 	if moved {
 		b.drop(e)
 	}
-	e.info, e.target, e.warmAt = in, route.NewTarget(in.ID, in.Slots), now+in.Warmup
+	e.info, e.target = in, route.NewTarget(in.ID, in.Slots)
 	if moved {
 		b.add(e)
 	}
@@ -81,7 +79,6 @@
 		p = &pool{}
 		b.byService[e.info.Service] = p
 	}
-	p.former = slices.DeleteFunc(p.former, func(x *Engine) bool { return x.info.ID == e.info.ID })
 	at, _ := slices.BinarySearchFunc(p.engines, e, byID)
 	p.engines = slices.Insert(p.engines, at, e)
 }
@@ -108,15 +105,12 @@
 
 // Remove records that an engine is no longer listed, and returns it as it
 // was, or false.
-func (b *Book) Remove(id string, now clock.Millis) (Info, bool) {
+func (b *Book) Remove(id string) (Info, bool) {
 	e, ok := b.byID[id]
 	if !ok {
 		return Info{}, false
 	}
 	b.drop(e)
-	p := b.byService[e.info.Service]
-	p.forget(now)
-	p.former = append(p.former, e)
 	return e.info, true
 }
 
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -26,8 +26,6 @@
 	Keys []uint64
 	// Tokens is the length of the longest of them.
 	Tokens int
-	// Hall is where this entry is; among equals an engine there is taken.
-	Hall string
 	// Bound is the highest load of an engine as a multiple of the mean, above
 	// 1, and Slack is added to it.
 	Bound float64
@@ -230,14 +228,6 @@
 	return out
 }
 
-// hallBonus is the load in requests a slot that an engine of another data
-// hall counts as more: less than one request at the smallest engines.
-const hallBonus = 0.1
-
-// warmingShare is the part of its slots that an engine is taken to have while
-// it is slow from its start.
-const warmingShare = 0.5
-
 // byLoad takes the engine with the least load a slot.
 func (c *Choice) byLoad(q Query, usable []*Engine, others float64, now clock.Millis) {
 	best, bestScore := -1, 0.0
@@ -245,10 +235,7 @@
 	for k := range usable {
 		i := (start + k) % len(usable)
 		e := usable[i]
-		s := e.load(others, now) / e.slots(now)
-		if e.info.Hall != q.Hall {
-			s += hallBonus
-		}
+		s := e.load(others, now) / float64(e.info.Slots)
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
 		}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -22,8 +22,6 @@
 	Slots int
 	// Leaving engines finish what they have and take nothing new.
 	Leaving bool
-	// Warmup is how much longer the engine stays slow from its start.
-	Warmup clock.Millis
 }
 
 // Load is what an engine said of itself in an answer.
@@ -55,8 +53,6 @@
 	health       health
 	// doubtful is true while the list lacks the engine and it may come back.
 	doubtful bool
-	// warmAt is when the engine reaches its full speed, as last listed.
-	warmAt clock.Millis
 	// seenAt is when the engine was first listed here.
 	seenAt clock.Millis
 }
@@ -79,14 +75,6 @@
 	return float64(e.inflight) + mean + (e.others-mean)*w
 }
 
-// slots returns how many requests the engine runs at full speed.
-func (e *Engine) slots(now clock.Millis) float64 {
-	if now < e.warmAt {
-		return warmingShare * float64(e.info.Slots)
-	}
-	return float64(e.info.Slots)
-}
-
 // silence returns how long the engine has left requests without any sign.
 func (e *Engine) silence(now clock.Millis) clock.Millis {
 	if e.waitingSince == 0 {
@@ -121,9 +109,6 @@
 	e.told = true
 }
 
-// Hold returns for how long a suspected engine is left alone.
-func (e *Engine) Hold() clock.Millis { return e.health.hold }
-
 // Finish counts the end of a request and returns what it changes in the trust
 // in the engine.
 func (e *Engine) Finish(o Outcome, now clock.Millis) Trust {
--- a/engines/health.go
+++ b/engines/health.go
@@ -27,13 +27,9 @@
 
 // Bounds of suspicion.
 const (
-	// holdFirst is how long an engine is left alone after it could not be
-	// reached: about one heartbeat, after which the list knows more.
-	holdFirst clock.Millis = 1000
-	// holdMost bounds the doubling of the hold.
-	holdMost clock.Millis = 8000
-	// holdRefused is how long an engine that was full is left alone.
-	holdRefused clock.Millis = 150
+	// holdFor is how long an engine is left alone after it could not be reached:
+	// about one heartbeat, after which the list knows more.
+	holdFor clock.Millis = 1000
 	// rateHalfLife is how fast results are forgotten.
 	rateHalfLife clock.Millis = 3000
 	// rateLeast is the weight of results below which no rate is judged.
@@ -47,9 +43,8 @@
 	at        clock.Millis
 	// heldUntil is when the engine may be tried again.
 	heldUntil clock.Millis
-	// hold is the length of the latest hold; it doubles with each failure to
-	// reach the engine and ends with a good answer.
-	hold clock.Millis
+	// suspected is true from a failure to reach the engine until it answers.
+	suspected bool
 }
 
 func (h *health) fade(now clock.Millis) {
@@ -79,23 +74,20 @@
 	switch o {
 	case Good:
 		h.good++
-		if h.hold > 0 {
-			h.hold = 0
+		if h.suspected {
+			h.suspected = false
 			return Trusted
 		}
 	case Failed:
 		h.bad++
-	case Refused:
-		h.heldUntil = max(h.heldUntil, now+holdRefused)
 	case Unreachable, Departed:
 		h.bad++
-		if h.heldUntil <= now {
-			h.hold = min(holdMost, max(holdFirst, 2*h.hold))
-			h.heldUntil = now + h.hold
+		h.suspected = true
+		if !h.held(now) {
+			h.heldUntil = now + holdFor
 			return Suspected
 		}
-		h.heldUntil = max(h.heldUntil, now+h.hold)
-	case Neutral:
+	case Refused, Neutral:
 	}
 	return Unchanged
 }
--- a/engines/source.go
+++ b/engines/source.go
@@ -18,8 +18,7 @@
 // source returns the engine that most likely keeps more of the prompt than
 // the chosen one, nil if none is likely to. What this entry sent comes first;
 // for prompts that other entries sent, the ranking tells where these put them.
-// Leaving engines and those that the list has just lost still give what they
-// have. A wrong guess costs the engine one question.
+// Leaving engines still give what they have. A wrong guess costs the engine one question.
 func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
 	last := len(q.Keys) - 1
 	for i := last; i >= 0; i-- {
@@ -44,7 +43,7 @@
 // before: one that ranks before the chosen one and is left out, or else the
 // next of its homes, which were also those before the chosen one joined.
 func (p *pool) keeper(q Query, chosen *Engine, now clock.Millis) *Engine {
-	order := ranked(q.Keys[len(q.Keys)-1], slices.Concat(p.engines, p.former))
+	order := ranked(q.Keys[len(q.Keys)-1], p.engines)
 	at := slices.Index(order, chosen)
 	for _, e := range order[:at] {
 		if e.sound(q.Silence, now) {
@@ -62,21 +61,14 @@
 	return nil
 }
 
-// get returns an engine by id, also one that the list has just lost, or nil.
+// get returns an engine by id, or nil.
 func (p *pool) get(id string) *Engine {
-	for _, in := range [][]*Engine{p.engines, p.former} {
-		if i := slices.IndexFunc(in, func(e *Engine) bool { return e.info.ID == id }); i >= 0 {
-			return in[i]
-		}
+	if i := slices.IndexFunc(p.engines, func(e *Engine) bool { return e.info.ID == id }); i >= 0 {
+		return p.engines[i]
 	}
 	return nil
 }
 
-// forget drops the engines that the list lost too long ago to be heard of.
-func (p *pool) forget(now clock.Millis) {
-	p.former = slices.DeleteFunc(p.former, func(e *Engine) bool { return !e.sound(soundFor, now) })
-}
-
 func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth }
 
 // sound reports whether an engine answers, as far as is known.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -238,7 +238,7 @@
 // RemoveEngine records that an engine is no longer listed.
 func (g *Gate) RemoveEngine(id, cause string) {
 	g.mu.Lock()
-	in, ok := g.book.Remove(id, g.clk.Now())
+	in, ok := g.book.Remove(id)
 	g.mu.Unlock()
 	if !ok {
 		return
--- a/gate/place.go
+++ b/gate/place.go
@@ -16,7 +16,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Tokens: c.tokens, Hall: g.cfg.Hall, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
 		Silence: silence(c.route.Goal), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
@@ -97,10 +97,10 @@
 		g.mu.Unlock()
 		return
 	}
-	trust, hold := e.Finish(o, now), e.Hold()
+	trust := e.Finish(o, now)
 	g.mu.Unlock()
 	if trust != engines.Unchanged {
-		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o, "hold_ms", hold)
+		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o)
 	}
 }
 
