gate, engines, upstream: Seek an engine that could not be reached without a request

Change: an engine that took no connection gets nothing until one comes up; the entry tries that each 0.5 s and keeps the connection for the next request.

--- a/engines/engine.go
+++ b/engines/engine.go
@@ -118,3 +118,7 @@
 	}
 	return e.health.note(o, now)
 }
+
+// Reached records that the engine took a connection again, and returns what
+// that changes in the trust in it.
+func (e *Engine) Reached() Trust { return e.health.reached() }
--- a/engines/health.go
+++ b/engines/health.go
@@ -27,8 +27,8 @@
 
 // Bounds of suspicion.
 const (
-	// holdFor is how long an engine is left alone after it could not be reached:
-	// about one heartbeat, after which the list knows more.
+	// holdFor is how long an address is left alone at which another engine
+	// answered: about one heartbeat, after which the list knows more.
 	holdFor clock.Millis = 1000
 	// rateHalfLife is how fast results are forgotten.
 	rateHalfLife clock.Millis = 3000
@@ -41,10 +41,10 @@
 	// good and bad are sums of results, fading with rateHalfLife.
 	good, bad float64
 	at        clock.Millis
-	// heldUntil is when the engine may be tried again.
+	// heldUntil is when an engine may be tried again that was not at its address.
 	heldUntil clock.Millis
-	// suspected is true from a failure to reach the engine until it answers.
-	suspected bool
+	// unreached is true from a failure to reach the engine until it is reached.
+	unreached bool
 }
 
 func (h *health) fade(now clock.Millis) {
@@ -63,9 +63,10 @@
 const (
 	// Unchanged is no change.
 	Unchanged Trust = ""
-	// Suspected engines are left alone for a while.
+	// Suspected engines could not be reached. They are left alone until they
+	// are: the caller is to find out.
 	Suspected Trust = "suspected"
-	// Trusted engines answered again after they were suspected.
+	// Trusted engines were reached again.
 	Trusted Trust = "trusted"
 )
 
@@ -74,24 +75,32 @@
 	switch o {
 	case Good:
 		h.good++
-		if h.suspected {
-			h.suspected = false
-			return Trusted
-		}
+		return h.reached()
 	case Failed:
 		h.bad++
-	case Unreachable, Departed:
+	case Unreachable:
 		h.bad++
-		h.suspected = true
-		if !h.held(now) {
-			h.heldUntil = now + holdFor
+		if !h.unreached {
+			h.unreached = true
 			return Suspected
 		}
+	case Departed:
+		h.bad++
+		h.heldUntil = now + holdFor
 	case Refused, Neutral:
 	}
 	return Unchanged
 }
 
+// reached records that the engine took a connection.
+func (h *health) reached() Trust {
+	if !h.unreached {
+		return Unchanged
+	}
+	h.unreached = false
+	return Trusted
+}
+
 // rate returns the share of failures, or zero if too little is known.
 func (h *health) rate(now clock.Millis) float64 {
 	h.fade(now)
@@ -101,4 +110,4 @@
 	return h.bad / (h.good + h.bad)
 }
 
-func (h *health) held(now clock.Millis) bool { return now < h.heldUntil }
+func (h *health) held(now clock.Millis) bool { return h.unreached || now < h.heldUntil }
--- a/gate/place.go
+++ b/gate/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"strconv"
 	"strings"
 
@@ -99,8 +100,41 @@
 	}
 	trust := e.Finish(o, now)
 	g.mu.Unlock()
-	if trust != engines.Unchanged {
-		g.log.Info("engine_trust", "engine", id, "trust", trust, "outcome", o)
+	g.logTrust(id, trust, string(o))
+	if trust == engines.Suspected {
+		go g.seek(id)
+	}
+}
+
+func (g *Gate) logTrust(id string, t engines.Trust, cause string) {
+	if t != engines.Unchanged {
+		g.log.Info("engine_trust", "engine", id, "trust", t, "cause", cause)
+	}
+}
+
+// seekPeriod is how often an engine is sought that could not be reached.
+const seekPeriod clock.Millis = 500
+
+// seek opens connections to an engine that could not be reached until one comes
+// up or the list has lost it, so that no request is spent to find out: at a dark
+// engine each would wait for as long as a connection may take.
+func (g *Gate) seek(id string) {
+	for !g.leave.over.Load() {
+		clock.Sleep(context.Background(), seekPeriod)
+		g.mu.Lock()
+		e := g.book.Get(id)
+		g.mu.Unlock()
+		if e == nil {
+			return
+		}
+		if err := g.pool.Open(e.Info().Addr); err != nil {
+			continue
+		}
+		g.mu.Lock()
+		trust := e.Reached()
+		g.mu.Unlock()
+		g.logTrust(id, trust, "connected")
+		return
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -173,6 +173,11 @@
 		}
 		p.drop(c)
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection, within the share that this process may take.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.mu.Lock()
 	if most := p.most[addr]; most > 0 && p.open[addr] >= most {
 		p.mu.Unlock()
@@ -191,6 +196,16 @@
 	return c, nil
 }
 
+// Open opens a connection to addr and keeps it for a request to come.
+func (p *Pool) Open(addr string) error {
+	c, err := p.dial(context.Background(), addr)
+	if err != nil {
+		return err
+	}
+	p.release(c, true, nil)
+	return nil
+}
+
 // take removes the latest used idle connection.
 func (p *Pool) take(addr string) *conn {
 	p.mu.Lock()
