--- a/engines/source.go
+++ b/engines/source.go
@@ -18,7 +18,8 @@
 // source returns the engine that most likely keeps more of the prompt than
 // the chosen one, nil if none is likely to. What this entry sent comes first;
 // for prompts that other entries sent, the ranking tells where these put them.
-// Leaving engines still give what they have. A wrong guess costs the engine one question.
+// Leaving engines still give what they have. A wrong guess costs the engine one
+// question.
 func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
 	last := len(q.Keys) - 1
 	for i := last; i >= 0; i-- {
--- a/gate/durations.go
+++ b/gate/durations.go
@@ -8,8 +8,8 @@
 )
 
 // durationSamples is how many answers of a route are looked at together. The
-// longest of the latest 256 to 512 is remembered: one answer in a hundred takes
-// a third longer than the longest of the 64 before it.
+// longest of the latest 256 to 512 is remembered: by the longest of 64 a stop
+// took an answer that it then had to cut.
 const durationSamples = 256
 
 // durationRoutes bounds the routes that are remembered.
