gate: Send callers of an entry with old keys to another at once

Change: an entry that refuses for the age of its table says 10 ms in place of 700 if a peer told in the last 2 s of a newer table proved within 2.5 s. Otherwise the store is likely away for all, and 700 ms stay.

--- a/gate/facts.go
+++ b/gate/facts.go
@@ -29,6 +29,9 @@
 	// dueLagging is the part of it that is left where a confirmation comes with
 	// a lag of its own.
 	dueLagging = 0.9
+	// fitFor is how long word of an entry with a newer table is good for: a few
+	// rounds of asking.
+	fitFor clock.Millis = 2000
 	// loadFresh is how old a load may be to be worth telling.
 	loadFresh clock.Millis = 2000
 )
@@ -96,11 +99,25 @@
 		case k.Table > max(g.newest, t.Version()):
 			g.newest, g.newestAt = k.Table, at
 		}
+		if k.Table > t.Version() && k.TableAge <= denialAge {
+			g.fitAt = at
+		}
 		g.mu.Unlock()
 	}
 	g.HearLoads(k.Loads, at)
 }
 
+// retryElsewhere is when a request may come back that was refused for the age of
+// the table: at once if another entry lately knew a newer one, since callers come
+// back to another. Otherwise the store is likely away for all. The caller holds
+// mu.
+func (g *Gate) retryElsewhere(now clock.Millis) clock.Millis {
+	if g.fitAt > 0 && now-g.fitAt <= fitFor {
+		return retryLeaving
+	}
+	return retryStale
+}
+
 // HearLoads implements peers.Facts.
 func (g *Gate) HearLoads(loads []peers.Load, at clock.Millis) {
 	g.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -111,6 +111,9 @@
 	// ours.
 	newest   int64
 	newestAt clock.Millis
+	// fitAt is when a peer last told of a newer table than ours that it had
+	// proved; zero if none did.
+	fitAt clock.Millis
 	// wasReady is what the log was last told.
 	wasReady bool
 }
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -104,10 +104,10 @@
 func (g *Gate) denied(reason verdict.Reason, format string, args ...any) *verdict.Error {
 	now := g.clk.Now()
 	g.mu.Lock()
-	age, current := g.published.Age(now), g.published.Within(denialAge, now)
+	age, current, back := g.published.Age(now), g.published.Within(denialAge, now), g.retryElsewhere(now)
 	g.mu.Unlock()
 	if !current {
-		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's routes and keys are %d ms old", age).WithRetryAfter(retryStale)
+		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's routes and keys are %d ms old", age).WithRetryAfter(back)
 	}
 	return verdict.New(verdict.NotRun, reason, format, args...)
 }
@@ -120,10 +120,10 @@
 	}
 	now := g.clk.Now()
 	g.mu.Lock()
-	age, current := g.published.Age(now), g.published.Within(g.keyAge(), now)
+	age, current, back := g.published.Age(now), g.published.Within(g.keyAge(), now), g.retryElsewhere(now)
 	g.mu.Unlock()
 	if !current {
-		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's keys are %d ms old and may have been revoked", age).WithRetryAfter(retryStale)
+		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's keys are %d ms old and may have been revoked", age).WithRetryAfter(back)
 	}
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
