--- a/gate/facts.go
+++ b/gate/facts.go
@@ -113,7 +113,7 @@
 // mu.
 func (g *Gate) retryElsewhere(now clock.Millis) clock.Millis {
 	if g.fitAt > 0 && now-g.fitAt <= fitFor {
-		return retryLeaving
+		return retryAtOnce
 	}
 	return retryStale
 }
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -22,9 +22,6 @@
 	// stayMargin is added to the longest answer that a stopping process has seen
 	// of a route: the load may be higher now.
 	stayMargin clock.Millis = 300
-	// retryLeaving is when a request that a stopping process refused may come
-	// back: another process takes it.
-	retryLeaving clock.Millis = 10
 )
 
 // leave is how far a process is with stopping. It is safe for concurrent use.
@@ -70,7 +67,7 @@
 	need := min(g.durations.longest(c.route)+stayMargin, c.left(now))
 	if g.leave.begun() {
 		if end := g.servesUntil(); now+need > end {
-			return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, end-now), need).WithRetryAfter(retryLeaving)
+			return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, end-now), need).WithRetryAfter(retryAtOnce)
 		}
 	}
 	g.leave.take(now, now+need)
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -18,6 +18,9 @@
 	// retryStale is when a process that does not know the settings may know
 	// them again.
 	retryStale clock.Millis = 700
+	// retryAtOnce is when a request may come back that another entry can take:
+	// callers come back to another.
+	retryAtOnce clock.Millis = 10
 	// retrySoon is when an engine may be free or back.
 	retrySoon clock.Millis = 250
 )
