--- a/commands/gate.go
+++ b/commands/gate.go
@@ -73,7 +73,7 @@
 func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
 	clk := clock.System()
 	g := gate.New(gate.Config{
-		ID: boot.ID, Hall: boot.Hall, Dialect: platform.Dialect(), Bounds: boot.Bounds, Clock: clk, Log: log,
+		ID: boot.ID, Dialect: platform.Dialect(), Bounds: boot.Bounds, Clock: clk, Log: log,
 	})
 	reader := platform.NewReader(platform.NewStore(boot.Store), g, boot.Waits, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
--- a/engines/source.go
+++ b/engines/source.go
@@ -27,7 +27,7 @@
 			return nil
 		}
 		for _, id := range b.memory.holders(q.Keys[i]) {
-			if e := p.get(id); e != nil && e.sound(q.Silence, now) {
+			if e := b.byID[id]; e != nil && e.info.Service == q.Service && e.sound(q.Silence, now) {
 				return e
 			}
 		}
@@ -62,14 +62,6 @@
 	return nil
 }
 
-// get returns an engine by id, or nil.
-func (p *pool) get(id string) *Engine {
-	if i := slices.IndexFunc(p.engines, func(e *Engine) bool { return e.info.ID == id }); i >= 0 {
-		return p.engines[i]
-	}
-	return nil
-}
-
 func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth }
 
 // sound reports whether an engine answers, as far as is known.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -72,7 +72,6 @@
 // Config sets up a Gate.
 type Config struct {
 	ID      string
-	Hall    string
 	Dialect Dialect
 	Bounds  Bounds
 	Clock   *clock.Clock
