--- a/gate/account.go
+++ b/gate/account.go
@@ -19,6 +19,11 @@
 	pause     *metrics.Histogram
 	repeats   *metrics.Counter
 	bytesOut  *metrics.Counter
+	// stopping counts the requests that came while the process was stopping, by
+	// whether they were taken, cutAtStop those that the end of the grace broke
+	// off.
+	stopping  map[bool]*metrics.Counter
+	cutAtStop *metrics.Counter
 }
 
 func newCounts() counts {
@@ -29,6 +34,11 @@
 		pause:     metrics.GetOrCreateHistogram("weldfall_longest_pause_seconds"),
 		repeats:   metrics.GetOrCreateCounter("weldfall_repeats_total"),
 		bytesOut:  metrics.GetOrCreateCounter("weldfall_answer_bytes_total"),
+		stopping: map[bool]*metrics.Counter{
+			true:  metrics.GetOrCreateCounter(`weldfall_stopping_total{taken="true"}`),
+			false: metrics.GetOrCreateCounter(`weldfall_stopping_total{taken="false"}`),
+		},
+		cutAtStop: metrics.GetOrCreateCounter("weldfall_cut_at_stop_total"),
 	}
 	for _, class := range []string{"1xx", "2xx", "3xx", "4xx", "5xx"} {
 		c.answers[class] = metrics.GetOrCreateCounter(`weldfall_answers_total{class="` + class + `"}`)
--- a/gate/durations.go
+++ b/gate/durations.go
@@ -29,6 +29,8 @@
 	// before that of as many before these.
 	now, before clock.Millis
 	n           int
+	// all counts every answer of the route that was noted.
+	all int
 }
 
 func newDurations() *durations { return &durations{byRoute: map[string]*longest{}} }
@@ -50,15 +52,16 @@
 	}
 	l.now = max(l.now, took)
 	l.n++
+	l.all++
 }
 
-// longest returns the longest of the latest answers of a route. A route that
-// had none yet may take its whole timeout.
-func (d *durations) longest(route *table.Route) clock.Millis {
+// longest returns the longest of the latest answers of a route, and how many
+// were noted. A route that had none yet may take its whole timeout.
+func (d *durations) longest(route *table.Route) (took clock.Millis, answers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.byRoute[route.Name]; l != nil {
-		return max(l.now, l.before)
+		return max(l.now, l.before), l.all
 	}
-	return route.Timeout
+	return route.Timeout, 0
 }
--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -15,4 +15,7 @@
 func (d Durations) Note(route string, took clock.Millis) { d.d.note(route, took) }
 
 // Longest returns the longest of the latest answers.
-func (d Durations) Longest(route *table.Route) clock.Millis { return d.d.longest(route) }
+func (d Durations) Longest(route *table.Route) clock.Millis {
+	took, _ := d.d.longest(route)
+	return took
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,6 +94,8 @@
 	active    atomic.Int64
 	counts    counts
 	durations *durations
+	// began is when the process came up.
+	began clock.Millis
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -125,7 +127,7 @@
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
-		durations: newDurations(),
+		durations: newDurations(), began: cfg.Clock.Now(),
 	}
 	g.limits.Store(&cfg.Bounds)
 	return g
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -67,9 +67,13 @@
 // requests while each took what came until its grace was nearly over.
 func (g *Gate) stay(_ context.Context, c *call) *verdict.Error {
 	now := c.start
-	need := min(clock.Millis(stayShare*float64(g.durations.longest(c.route)))+stayMargin, c.left(now))
+	longest, answers := g.durations.longest(c.route)
+	need := min(clock.Millis(stayShare*float64(longest))+stayMargin, c.left(now))
 	if g.leave.begun() {
-		if end := g.servesUntil(); now+need > end {
+		end := g.servesUntil()
+		taken := now+need <= end
+		g.logStay(c, taken, need, end, answers)
+		if !taken {
 			return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, end-now), need).WithRetryAfter(retryAtOnce)
 		}
 	}
@@ -77,6 +81,16 @@
 	return nil
 }
 
+// logStay tells what a stopping process does with a request: how long it may
+// take, on how many answers that rests, how old the process is, which has seen
+// no answer that takes longer, by when it must be done, and when the process
+// ends at the latest.
+func (g *Gate) logStay(c *call, taken bool, need, end clock.Millis, answers int) {
+	g.counts.stopping[taken].Inc()
+	g.log.Info("stopping", "request", c.id, "route", c.route.Name, "taken", taken, "need_ms", need, "answers", answers,
+		"process_age_ms", c.start-g.began, "room_ms", max(0, end-c.start), "ends_in_ms", clock.Millis(g.leave.by.Load())-c.start)
+}
+
 // servesUntil returns by when a request must be done that a stopping process
 // takes: by its own end, or, if others serve in its place, by the end of what
 // it is doing anyway.
@@ -129,5 +143,6 @@
 	g.leave.over.Store(true)
 	// What is still open is closed with the process.
 	_ = srv.Close()
+	g.counts.cutAtStop.Add(int(left))
 	g.log.Info("left", "cut_off", left, "took_ms", g.clk.Now()-start)
 }
