--- a/gate/conns.go
+++ b/gate/conns.go
@@ -92,6 +92,21 @@
 	return n
 }
 
+// answering returns on how many connections a request has been read whose
+// answer is not out. The library writes the end of an answer after the handler
+// has returned, so that no handler runs does not say so.
+func (l *callerConns) answering() int {
+	n := 0
+	for _, c := range l.list() {
+		c.mu.Lock()
+		if c.headRead {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
