--- a/gate/leave.go
+++ b/gate/leave.go
@@ -47,12 +47,17 @@
 // begun reports whether the process is stopping.
 func (l *leave) begun() bool { return l.by.Load() != 0 }
 
-// take records a call that was taken.
-func (l *leave) take(c *call) {
-	l.tookAt.Store(int64(c.start))
+// take records a call that was taken. It reports false once the process cuts
+// off what runs: a call that came to it then would not be among that.
+func (l *leave) take(c *call) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.over.Load() {
+		return false
+	}
+	l.tookAt.Store(int64(c.start))
 	l.running[c] = struct{}{}
+	return true
 }
 
 // done records the end of a call.
@@ -81,9 +86,9 @@
 
 // cutOff ends the exchanges of all that runs.
 func (l *leave) cutOff() {
-	l.over.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.over.Store(true)
 	for c := range l.running {
 		c.cancel()
 	}
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -30,10 +30,19 @@
 // 2 to 8 answers in 30 s in which all of 26 were stopped three times.
 func (g *Gate) stay(_ context.Context, c *call) *verdict.Error {
 	c.takes = g.estimate(c)
-	if !g.leave.begun() {
-		g.leave.take(c)
-		return nil
+	if g.leave.begun() {
+		if err := g.fits(c); err != nil {
+			return err
+		}
 	}
+	if !g.leave.take(c) {
+		return verdict.New(verdict.NotRun, verdict.Leaving, "this entry's grace is over").WithRetryAfter(g.retryAfterStop(c.start))
+	}
+	return nil
+}
+
+// fits refuses what a stopping process does not take.
+func (g *Gate) fits(c *call) *verdict.Error {
 	now, need := c.start, c.takes.Most
 	room := g.room()
 	if room.usual {
@@ -44,7 +53,6 @@
 	if !taken {
 		return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, room.until-now), need).WithRetryAfter(g.retryAfterStop(now))
 	}
-	g.leave.take(c)
 	return nil
 }
 
