--- a/gate/send.go
+++ b/gate/send.go
@@ -55,6 +55,9 @@
 	// answer when no other engine gives a better one.
 	var own *held
 	for {
+		if err := g.stillFits(c); err != nil {
+			return err
+		}
 		e, err := g.choose(c)
 		if err != nil && own != nil && !c.began {
 			c.note = err.Error()
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -41,6 +41,29 @@
 	return nil
 }
 
+// stillFits refuses, before it goes to an engine, a request that has run nowhere
+// and begins too late to end in time: its body arrived slowly, or engines before
+// refused it or could not be reached. What it may take counts from now on, but
+// no longer than it is waited for.
+func (g *Gate) stillFits(c *call) *verdict.Error {
+	if !g.leave.begun() || c.mayHaveRun() {
+		return nil
+	}
+	now, need := g.clk.Now(), c.takes.Most
+	room := g.room()
+	if room.usual {
+		need = c.takes.Usual
+	}
+	need = min(need, c.left(now))
+	// What was taken once is done, also where another serves in its place by now.
+	room.until = clock.Millis(g.leave.by.Load())
+	if now+need <= room.until {
+		return nil
+	}
+	g.logStay(c, false, need, room)
+	return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, room.until-now), need).WithRetryAfter(g.retryAfterStop(now))
+}
+
 // fits refuses what a stopping process does not take.
 func (g *Gate) fits(c *call) *verdict.Error {
 	now, need := c.start, c.takes.Most
