--- a/duration/duration.go
+++ b/duration/duration.go
@@ -44,6 +44,9 @@
 	// the longest seen.
 	plainShare               = 1.25
 	plainMargin clock.Millis = 300
+	// Longest is for how long any request is held whose route publishes no
+	// timeout.
+	Longest clock.Millis = 600_000
 	// routesMost and servicesMost bound what is remembered: 2 KB each.
 	routesMost   = 256
 	servicesMost = 64
@@ -156,16 +159,24 @@
 	}
 	runs := a.services[req.Service]
 	if req.Events == 0 || runs == nil || runs.n < leastRuns {
-		return Estimate{Most: req.Route.Timeout, Usual: req.Route.Timeout, Basis: Timeout}
+		return unknown(req.Route)
 	}
 	return stream(req, seen, runs)
 }
 
+// held is for how long a request of a route is held.
+func held(r *table.Route) clock.Millis { return cmp.Or(r.Timeout, Longest) }
+
+// unknown is the estimate where nothing better than that is known.
+func unknown(r *table.Route) Estimate {
+	return Estimate{Most: held(r), Usual: held(r), Basis: Timeout}
+}
+
 func plain(r *table.Route, seen *route) Estimate {
 	if seen.wholes.n == 0 {
-		return Estimate{Most: r.Timeout, Usual: r.Timeout, Basis: Timeout}
+		return unknown(r)
 	}
-	most := min(r.Timeout, clock.Millis(plainShare*float64(seen.wholes.longest()))+plainMargin)
+	most := min(held(r), clock.Millis(plainShare*float64(seen.wholes.longest()))+plainMargin)
 	return Estimate{Most: most, Usual: most, Basis: Seen, Samples: seen.wholes.n}
 }
 
@@ -175,12 +186,11 @@
 	if seen.firsts.n > 0 {
 		first = max(goal, clock.Millis(firstShare*float64(seen.firsts.longest())))
 	}
-	usual := min(req.Route.Timeout, goal+events(req.Events, runs.quantile(0.5)))
+	usual := min(held(req.Route), goal+events(req.Events, runs.quantile(0.5)))
 	if runs.n < boundRuns {
-		return Estimate{Most: req.Route.Timeout, Usual: usual, Basis: Timeout, Samples: runs.n}
+		return Estimate{Most: held(req.Route), Usual: usual, Basis: Timeout, Samples: runs.n}
 	}
-	most := max(first+events(req.Events, runs.quantile(slowRuns))+req.Route.PauseGoal, seen.wholes.longest())
-	most = min(req.Route.Timeout, most)
+	most := min(held(req.Route), max(first+events(req.Events, runs.quantile(slowRuns))+req.Route.PauseGoal, seen.wholes.longest()))
 	return Estimate{Most: most, Usual: min(usual, most), Basis: Events, Samples: runs.n}
 }
 
--- a/duration/duration_test.go
+++ b/duration/duration_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("got at most %d after 300 short answers more, want 325", got.Most)
 	}
 }
+
+// A request of a route that publishes no timeout is held for as long as its
+// caller waits: it is not taken to need no time at all.
+func TestARouteWithoutATimeoutIsHeldForLong(t *testing.T) {
+	for name, kind := range map[string]table.Kind{"stream": table.Stream, "plain": table.Safe} {
+		t.Run(name, func(t *testing.T) {
+			r := &table.Route{Name: "open", Kind: kind, Goal: 400}
+			req := duration.Request{Route: r, Service: "llm", Events: 100}
+			a := duration.New()
+			if got := a.Estimate(req); got.Most != duration.Longest || got.Usual != duration.Longest {
+				t.Errorf("got %+v with nothing seen, want %d", got, duration.Longest)
+			}
+			a.Whole(r.Name, 4000)
+			if got := a.Estimate(req); got.Most < 4000 {
+				t.Errorf("got %+v after an answer of 4000 ms, want that at least", got)
+			}
+		})
+	}
+}
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -9,6 +9,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/whole"
+	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/prompt"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -51,7 +52,7 @@
 }
 
 // longestHold bounds the time of any request.
-const longestHold clock.Millis = 600_000
+const longestHold = duration.Longest
 
 // resolve finds the route and what it says of the request.
 func (g *Gate) resolve(_ context.Context, c *call) *verdict.Error {
