--- a/duration/duration.go
+++ b/duration/duration.go
@@ -88,7 +88,16 @@
 type Answers struct {
 	mu       sync.Mutex
 	routes   map[string]*route
-	services map[string]*latest
+	services map[string]*service
+}
+
+// service is what was seen of one service.
+type service struct {
+	runs latest
+	// rest is how many events, in restTook, came at the ends of streams, after
+	// their last runs. They make a run once there are enough.
+	rest     int
+	restTook clock.Millis
 }
 
 // route is what was seen of one route.
@@ -99,7 +108,7 @@
 }
 
 // New returns Answers that have seen nothing.
-func New() *Answers { return &Answers{routes: map[string]*route{}, services: map[string]*latest{}} }
+func New() *Answers { return &Answers{routes: map[string]*route{}, services: map[string]*service{}} }
 
 // First records the time until the first event of a stream.
 func (a *Answers) First(name string, took clock.Millis) {
@@ -121,18 +130,41 @@
 
 // Pace records the time of a run of events. It is told while a stream goes on,
 // so that long ones count as much as those that have ended.
-func (a *Answers) Pace(service string, took clock.Millis) {
+func (a *Answers) Pace(name string, took clock.Millis) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s := a.service(name); s != nil {
+		s.runs.add(took)
+	}
+}
+
+// Rest records the time of the events that came after the last run of a stream.
+// Without them nothing would be known of a service whose streams are shorter
+// than a run.
+func (a *Answers) Rest(name string, events int, took clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.services[service]
-	if l == nil {
-		if len(a.services) >= servicesMost {
-			return
-		}
-		l = &latest{}
-		a.services[service] = l
+	s := a.service(name)
+	if s == nil {
+		return
+	}
+	s.rest += events
+	s.restTook += took
+	if s.rest >= Run {
+		s.runs.add(Run * s.restTook / clock.Millis(s.rest))
+		s.rest, s.restTook = 0, 0
+	}
+}
+
+// service returns what is known of a service, nil if no more can be remembered.
+// The caller holds mu.
+func (a *Answers) service(name string) *service {
+	s := a.services[name]
+	if s == nil && len(a.services) < servicesMost {
+		s = &service{}
+		a.services[name] = s
 	}
-	l.add(took)
+	return s
 }
 
 // route returns what is known of a route, nil if no more can be remembered.
@@ -157,11 +189,11 @@
 	if req.Route.Kind != table.Stream {
 		return plain(req.Route, seen)
 	}
-	runs := a.services[req.Service]
-	if req.Events == 0 || runs == nil || runs.n < leastRuns {
+	s := a.services[req.Service]
+	if req.Events == 0 || s == nil || s.runs.n < leastRuns {
 		return unknown(req.Route)
 	}
-	return stream(req, seen, runs)
+	return stream(req, seen, &s.runs)
 }
 
 // held is for how long a request of a route is held.
--- a/duration/duration_test.go
+++ b/duration/duration_test.go
@@ -138,3 +138,23 @@
 		})
 	}
 }
+
+// Streams that are shorter than a run tell the pace together.
+func TestShortStreamsTellThePace(t *testing.T) {
+	a := duration.New()
+	req := duration.Request{Route: streamed, Service: "llm", Events: 16}
+	for range 5 {
+		a.First(streamed.Name, 100)
+		a.Rest("llm", 6, 120)
+	}
+	if got := a.Estimate(req); got.Basis != duration.Timeout {
+		t.Errorf("got %+v by 30 events, want the timeout", got)
+	}
+	for range 3 {
+		a.Rest("llm", 6, 120)
+	}
+	// The first event may take its goal, 16 events 20 ms each, and one pause.
+	if got := a.Estimate(req); got.Most != 400+16*20+300 || got.Basis != duration.Events {
+		t.Errorf("got %+v, want at most %d by %s", got, 400+16*20+300, duration.Events)
+	}
+}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -159,6 +159,7 @@
 			}
 		}
 		if ended {
+			g.learnRest(c)
 			return answered{}
 		}
 		if err != nil {
@@ -208,6 +209,13 @@
 	c.runFrom, c.runAt = n, now
 }
 
+// learnRest records how long the events took that came after the last run.
+func (g *Gate) learnRest(c *call) {
+	if n := c.split.Count() - c.runFrom; c.runFrom > 0 && n > 0 {
+		g.durations.Rest(c.service, n, c.lastAt-c.runAt)
+	}
+}
+
 // copyHead sets the engine's headers on the answer.
 func (g *Gate) copyHead(c *call, from http.Header) {
 	dropped := connectionNames(from)
