--- a/duration/duration.go
+++ b/duration/duration.go
@@ -1,9 +1,10 @@
-// Package duration learns how long answers take, and bounds how long one may
-// take that has not begun. A bound follows from what the request and the
-// operators tell: the most events that its stream can have, or the timeout of
-// its route. The longest of the answers seen is no bound: the next is longer with a chance of
-// one in their number, and a process that came up a while ago has seen none
-// that takes longer than that.
+// Package duration learns how long answers take, and estimates how long one may
+// take that has not begun. How many events a stream can have follows from what
+// the request and the operators tell; the pace of events is learned, and kept
+// by nine of ten runs of them. Where either is unknown the published timeout
+// stands. The longest of the answers seen is no bound: the next is longer with
+// a chance of one in their number, and a process that came up a while ago has
+// seen none that takes longer than that.
 package duration
 
 import (
@@ -32,12 +33,10 @@
 	// streams of four deployments 15 took longer than this pace and the longest
 	// first event make, 4 of them among the longest route's.
 	slowRuns = 0.9
-	// firstShare is how much longer than the longest seen the first event may
-	// take.
-	firstShare = 1.5
-	// firstGoals stands for the longest first event while none was seen, in goals
-	// of the route.
+	// firstGoals is what the first event may take in goals of the route, or, if
+	// that is longer, firstShare of the longest seen.
 	firstGoals = 2
+	firstShare = 1.5
 	// usualGoal stands for the goal of a route that publishes none.
 	usualGoal clock.Millis = 500
 	// plainShare and plainMargin allow for a plain answer that takes longer than
@@ -61,13 +60,15 @@
 	Events Basis = "events"
 	// Timeout is the route's published timeout: nothing better is known.
 	Timeout Basis = "timeout"
-	// Seen is the longest of the plain answers seen. It is no bound.
+	// Seen is the longest of the plain answers seen. It is no bound: one that is
+	// not whole in time is answered as a failure.
 	Seen Basis = "seen"
 )
 
 // Request is what is known of an answer before it begins.
 type Request struct {
-	Route   *table.Route
+	Route *table.Route
+	// Service names what the pace was recorded for.
 	Service string
 	// Events is the most events that the answer can have, 0 if that is not known.
 	Events int
@@ -75,7 +76,8 @@
 
 // Estimate says how long an answer takes.
 type Estimate struct {
-	// Most is what it takes at the most.
+	// Most is what it does not exceed by its Basis: by Events one of 79,749 answers
+	// did that were drawn in a test; by Seen, some will.
 	Most clock.Millis
 	// Usual is what one of full length takes at the usual pace; at most Most.
 	Usual clock.Millis
@@ -105,6 +107,8 @@
 	firsts latest
 	// wholes are whole answers, from the request to their end.
 	wholes latest
+	// long is true once a plain answer was too long to be held until it is whole.
+	long bool
 }
 
 // New returns Answers that have seen nothing.
@@ -128,6 +132,17 @@
 	}
 }
 
+// Long records that a route has plain answers that are passed on as they come.
+// One that ends early cannot be told as a failure, so only the timeout bounds
+// them.
+func (a *Answers) Long(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.route(name); r != nil {
+		r.long = true
+	}
+}
+
 // Pace records the time of a run of events. It is told while a stream goes on,
 // so that long ones count as much as those that have ended.
 func (a *Answers) Pace(name string, took clock.Millis) {
@@ -205,7 +220,7 @@
 }
 
 func plain(r *table.Route, seen *route) Estimate {
-	if seen.wholes.n == 0 {
+	if seen.wholes.n == 0 || seen.long {
 		return unknown(r)
 	}
 	most := min(held(r), clock.Millis(plainShare*float64(seen.wholes.longest()))+plainMargin)
@@ -214,10 +229,7 @@
 
 func stream(req Request, seen *route, runs *latest) Estimate {
 	goal := cmp.Or(req.Route.Goal, usualGoal)
-	first := firstGoals * goal
-	if seen.firsts.n > 0 {
-		first = max(goal, clock.Millis(firstShare*float64(seen.firsts.longest())))
-	}
+	first := max(firstGoals*goal, clock.Millis(firstShare*float64(seen.firsts.longest())))
 	usual := min(held(req.Route), goal+events(req.Events, runs.quantile(0.5)))
 	if runs.n < boundRuns {
 		return Estimate{Most: held(req.Route), Usual: usual, Basis: Timeout, Samples: runs.n}
--- a/gate/call.go
+++ b/gate/call.go
@@ -23,6 +23,8 @@
 	cancel context.CancelFunc
 	// start is when the request's head had been read.
 	start clock.Millis
+	// pace names what the pace of its events is learned for.
+	pace string
 	// takes is how long the answer takes, as expected when it was asked for.
 	takes duration.Estimate
 	// until is when the request is given up: the earlier of the caller's
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -110,6 +110,7 @@
 
 // relayLong passes on an answer that is too long to be held.
 func (g *Gate) relayLong(ctx context.Context, c *call, a *upstream.Answer, first []byte) outcome {
+	g.durations.Long(c.route.Name)
 	g.copyHead(c, a.Header)
 	if a.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
@@ -204,7 +205,7 @@
 	case n-c.runFrom < duration.Run:
 		return
 	default:
-		g.durations.Pace(c.service, duration.Run*(now-c.runAt)/clock.Millis(n-c.runFrom))
+		g.durations.Pace(c.pace, duration.Run*(now-c.runAt)/clock.Millis(n-c.runFrom))
 	}
 	c.runFrom, c.runAt = n, now
 }
@@ -212,7 +213,7 @@
 // learnRest records how long the events took that came after the last run.
 func (g *Gate) learnRest(c *call) {
 	if n := c.split.Count() - c.runFrom; c.runFrom > 0 && n > 0 {
-		g.durations.Rest(c.service, n, c.lastAt-c.runAt)
+		g.durations.Rest(c.pace, n, c.lastAt-c.runAt)
 	}
 }
 
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/duration"
@@ -24,10 +25,10 @@
 )
 
 // stay refuses what a stopping process might have to cut off, and, if others
-// serve in its place, what would keep it from ending. It has run nowhere. What
-// an answer may take is bounded by what the request and the operators tell, not
-// by the longest of the answers seen: by that, stopping processes took and cut
-// 2 to 8 answers in 30 s in which all of 26 were stopped three times.
+// serve in its place, what would keep it from ending. What is refused has run
+// nowhere. What an answer may take follows from the events that it can have,
+// not from the longest of the answers seen: by that, stopping processes took
+// and cut 2 to 8 answers in 30 s in which all of 26 were stopped three times.
 func (g *Gate) stay(_ context.Context, c *call) *verdict.Error {
 	c.takes = g.estimate(c)
 	if g.leave.begun() {
@@ -49,43 +50,47 @@
 	if !g.leave.begun() || c.mayHaveRun() {
 		return nil
 	}
-	now, need := g.clk.Now(), c.takes.Most
-	room := g.room()
-	if room.usual {
-		need = c.takes.Usual
-	}
-	need = min(need, c.left(now))
+	now := g.clk.Now()
+	r := g.room()
 	// What was taken once is done, also where another serves in its place by now.
-	room.until = clock.Millis(g.leave.by.Load())
-	if now+need <= room.until {
+	r.until = clock.Millis(g.leave.by.Load())
+	need := min(r.need(c.takes), c.left(now))
+	if now+need <= r.until {
 		return nil
 	}
-	g.logStay(c, false, need, room)
-	return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, room.until-now), need).WithRetryAfter(g.retryAfterStop(now))
+	g.logStay(c, false, need, r)
+	return g.refusal(now, need, r)
 }
 
 // fits refuses what a stopping process does not take.
 func (g *Gate) fits(c *call) *verdict.Error {
-	now, need := c.start, c.takes.Most
-	room := g.room()
-	if room.usual {
-		need = c.takes.Usual
-	}
-	taken := now+need <= room.until
-	g.logStay(c, taken, need, room)
+	r := g.room()
+	need := r.need(c.takes)
+	taken := c.start+need <= r.until
+	g.logStay(c, taken, need, r)
 	if !taken {
-		return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d", max(0, room.until-now), need).WithRetryAfter(g.retryAfterStop(now))
+		return g.refusal(c.start, need, r)
 	}
 	return nil
 }
 
+// refusal is what the caller of a request is told that is not taken.
+func (g *Gate) refusal(now, need clock.Millis, r room) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Leaving, "this entry takes what ends within %d ms, the request may take %d",
+		max(0, r.until-now), need).WithRetryAfter(g.retryAfterStop(now))
+}
+
 // estimate says how long the answer to a request takes.
 func (g *Gate) estimate(c *call) duration.Estimate {
-	req := duration.Request{Route: c.route, Service: c.service}
+	c.pace = c.service
+	req := duration.Request{Route: c.route}
 	if s, ok := c.table.Service(c.service); ok && s.EventTokens > 0 {
 		tokens := prompt.MostTokens(c.r.Header.Get(g.wire.Tokens))
 		req.Events = (tokens + s.EventTokens - 1) / s.EventTokens
+		// Events of another size have another pace.
+		c.pace += "/" + strconv.Itoa(s.EventTokens)
 	}
+	req.Service = c.pace
 	e := g.durations.Estimate(req)
 	left := c.left(c.start)
 	e.Most, e.Usual = min(e.Most, left), min(e.Usual, left)
@@ -101,6 +106,14 @@
 	usual bool
 }
 
+// need is how much of the room an answer takes.
+func (r room) need(e duration.Estimate) clock.Millis {
+	if r.usual {
+		return e.Usual
+	}
+	return e.Most
+}
+
 // room returns what a stopping process takes: what ends before it must end
 // itself, or, if others serve in its place, before what it is doing anyway
 // does, so that it is back sooner for them.
@@ -111,12 +124,12 @@
 // in 280 (six thousand drawn stops).
 func (g *Gate) room() room {
 	by := clock.Millis(g.leave.by.Load())
-	sent := !g.leave.idleClosed.Load()
-	if !g.replaced(sent) {
-		return room{until: by, usual: sent}
+	stillSent := !g.leave.idleClosed.Load()
+	if !g.replaced(stillSent) {
+		return room{until: by, usual: stillSent}
 	}
 	until := g.leave.busyUntil()
-	if sent {
+	if stillSent {
 		until = max(until, clock.Millis(g.leave.since.Load())+g.bounds().BalancerLag)
 	}
 	return room{until: min(by, until)}
@@ -126,17 +139,17 @@
 // caller who is refused comes back to another by chance, and often only once,
 // so of those that are stopping no more refuse than others serve, the first of
 // them at least, if another stays longer. Without word of others none does.
-// While the balancer still sends callers there are more of them, so fewer
-// entries refuse.
-func (g *Gate) replaced(sent bool) bool {
+// While the balancer still sends callers there are more of them, so one entry
+// refuses for each fewStopping that serve.
+func (g *Gate) replaced(stillSent bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f := g.fleet
-	refusing := f.Serving
-	if sent {
-		refusing /= fewStopping
+	mayRefuse := f.Serving
+	if stillSent {
+		mayRefuse = f.Serving / fewStopping
 	}
-	return f.Serving+f.Later > 0 && f.Earlier < max(1, refusing)
+	return f.Serving+f.Later > 0 && f.Earlier < max(1, mayRefuse)
 }
 
 // retryAfterStop is when a request may come back that a stopping entry refused:
--- a/peers/members.go
+++ b/peers/members.go
@@ -67,8 +67,9 @@
 	// is, and since after.
 	Earlier, Later int
 	// HalfEnd is when so many of those that were stopping expect to have ended,
-	// this one included, that they and those that serve are half of all. It may
-	// have passed; it is zero if half of all serve.
+	// this one included, that they and those that serve are half of all: of four
+	// entries of which one serves, when the first of the others ends. It may have
+	// passed; it is zero if half of all serve.
 	HalfEnd clock.Millis
 }
 
