--- a/engines/book.go
+++ b/engines/book.go
@@ -13,6 +13,9 @@
 	byID      map[string]*Engine
 	byService map[string]*pool
 	memory    *memory
+	// evacuated are the data halls whose engines take nothing new, with the time
+	// since when.
+	evacuated map[string]clock.Millis
 }
 
 // pool is the engines of one service.
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -73,7 +73,7 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	usable := p.usable(q, now)
+	usable := b.usable(p, q, now)
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
@@ -98,12 +98,13 @@
 	return c, true
 }
 
-// usable returns the engines that can be chosen: those that are not leaving,
-// not tried and not under suspicion, unless most of the pool is.
-func (p *pool) usable(q Query, now clock.Millis) []*Engine {
+// usable returns the engines that can be chosen: those that are not leaving, not
+// in an evacuated data hall, not tried and not under suspicion, unless most of
+// the pool is.
+func (b *Book) usable(p *pool, q Query, now clock.Millis) []*Engine {
 	live := make([]*Engine, 0, len(p.engines))
 	for _, e := range p.engines {
-		if !e.info.Leaving {
+		if !e.info.Leaving && !b.isEvacuated(e) {
 			live = append(live, e)
 		}
 	}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -55,6 +55,9 @@
 	doubtful bool
 	// seenAt is when the engine was first listed here.
 	seenAt clock.Millis
+	// backAt is when its data hall was last taken back from an evacuation, zero if
+	// it never was.
+	backAt clock.Millis
 }
 
 // Info returns the engine as listed.
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -14,6 +14,9 @@
 	// after the last source of news is gone, which is as long as requests with
 	// keys are expected to be served.
 	dueOfRevocation = 0.34
+	// dueOfEvacuation is the same part of the bound for evacuations, so that one
+	// read serves both.
+	dueOfEvacuation = dueOfRevocation
 	// dueOfChange is the part of the bound for changes after which it must be
 	// confirmed, so that a change of which no watch told is found in time.
 	dueOfChange = 0.8
@@ -47,6 +50,9 @@
 	}
 	b := g.bounds()
 	due := min(dueOfRevocation*float64(b.Revocation), dueOfChange*float64(b.Change))
+	if b.Evacuation > 0 {
+		due = min(due, dueOfEvacuation*float64(b.Evacuation))
+	}
 	if lag > 0 {
 		due *= dueLagging
 	}
@@ -80,7 +86,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if t != nil && g.published.Known() {
-		k.Table, k.TableAge = t.Version(), g.published.Age(now)
+		k.Table, k.TableAge, k.Evacuated = t.Version(), g.published.Age(now), sumOf(g.evacuated)
 	}
 	for _, l := range g.book.Loads(loadFresh, n, now) {
 		k.Loads = append(k.Loads, peers.Load{Engine: l.ID, Requests: l.Requests, Age: l.Age})
@@ -88,18 +94,22 @@
 	return k
 }
 
-// Hear implements peers.Facts. What a peer knew of the same version at some
-// time is true of ours; of another version it says only that ours is old.
+// Hear implements peers.Facts. What a peer knew of the same version and the same
+// evacuations at some time is true of ours; of another version it says only that
+// ours is old, and of other evacuations only that one of us has yet to learn.
 func (g *Gate) Hear(k peers.Known, at clock.Millis) {
 	if t := g.table.Load(); t != nil && k.TableAge >= 0 {
 		g.mu.Lock()
+		same := k.Evacuated == sumOf(g.evacuated)
 		switch {
-		case k.Table == t.Version():
+		case k.Table == t.Version() && same:
 			g.published.Confirm(at - k.TableAge)
+		case k.Table == t.Version():
 		case k.Table > max(g.newest, t.Version()):
 			g.newest, g.newestAt = k.Table, at
 		}
-		if k.Table > t.Version() && k.TableAge <= denialAge {
+		newer := k.Table > t.Version() || (k.Table == t.Version() && !same && k.TableAge < g.published.Age(at))
+		if newer && k.TableAge <= denialAge {
 			g.fitAt = at
 		}
 		g.mu.Unlock()
@@ -108,7 +118,7 @@
 }
 
 // retryElsewhere is when a request may come back that was refused for the age of
-// the table: at once if another entry lately knew a newer one, since callers come
+// the table or the evacuations: at once if another entry lately knew newer ones, since callers come
 // back to another. Otherwise the store is likely away for all. The caller holds
 // mu.
 func (g *Gate) retryElsewhere(now clock.Millis) clock.Millis {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -57,6 +57,9 @@
 type Bounds struct {
 	// Revocation is how long after its removal a key may still be accepted.
 	Revocation clock.Millis
+	// Evacuation is how long after it was asked for an evacuation may not yet be
+	// in force; zero if the operators give no bound.
+	Evacuation clock.Millis
 	// Change is how long after its publication a change may not yet be in force.
 	Change clock.Millis
 	// Grace is how long a stopping process may go on.
@@ -104,7 +107,10 @@
 	mu      sync.Mutex
 	book    *engines.Book
 	budgets map[string]*budget.Budget
-	// published is the age of the table, listed that of the list of engines.
+	// evacuated names the data halls under evacuation, sorted.
+	evacuated []string
+	// published is the age of the table and the evacuations, which are read
+	// together, listed that of the list of engines.
 	published fresh.Belief
 	listed    fresh.Belief
 	// fleet is what is known of the other entries. The first of them confirms
@@ -116,7 +122,7 @@
 	newest   int64
 	newestAt clock.Millis
 	// fitAt is when a peer last told of a newer table than ours that it had
-	// proved; zero if none did.
+	// proved, or of other evacuations that it had proved later; zero if none did.
 	fitAt clock.Millis
 	// wasReady is what the log was last told.
 	wasReady bool
@@ -146,7 +152,7 @@
 	g.mu.Lock()
 	g.budgets = map[string]*budget.Budget{}
 	g.mu.Unlock()
-	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "change_ms", b.Change, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
+	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "evacuation_ms", b.Evacuation, "change_ms", b.Change, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
 }
 
 func nameSet(names []string) map[string]bool {
@@ -192,8 +198,8 @@
 	}
 }
 
-// ConfirmTable records that the table in force was still the newest at the
-// given time.
+// ConfirmTable records that the table and the evacuations in force were still
+// the newest at the given time.
 func (g *Gate) ConfirmTable(at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -281,6 +287,7 @@
 	if ready && t.Keyed() {
 		ready = g.published.Within(g.keyAge(), now)
 	}
+	ready = ready && g.knowsEvacuations(now)
 	if ready != g.wasReady {
 		g.wasReady = ready
 		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.leave.begun())
--- a/gate/place.go
+++ b/gate/place.go
@@ -16,12 +16,15 @@
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.knowsEvacuations(now) {
+		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's word of evacuations is %d ms old", g.published.Age(now)).WithRetryAfter(g.retryElsewhere(now))
+	}
 	ch, ok := g.book.Choose(engines.Query{
 		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
 		Silence: silence(c.route.Goal), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
-		return pick{}, verdict.New(c.verdict(), verdict.NoEngine, "no engine of %s is left, %d tried", c.service, len(c.tried)).WithRetryAfter(retrySoon)
+		return pick{}, g.noEngine(c)
 	}
 	in := ch.Engine.Info()
 	ch.Engine.Start(now)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -43,9 +43,13 @@
 type Known struct {
 	// Table is the version in force, zero if there is none.
 	Table int64 `json:"t,omitempty"`
-	// TableAge is how long ago it was last known to be the newest.
+	// TableAge is how long ago it was last known to be the newest, and Evacuated to
+	// be true.
 	TableAge clock.Millis `json:"ta,omitempty"`
-	Loads    []Load       `json:"l,omitempty"`
+	// Evacuated is a sum over the names of the data halls under evacuation, zero
+	// if there are none. It tells whether two processes know of the same.
+	Evacuated uint64 `json:"ev,omitempty"`
+	Loads     []Load `json:"l,omitempty"`
 }
 
 // message is both question and answer.
