--- a/engines/source.go
+++ b/engines/source.go
@@ -18,21 +18,21 @@
 // source returns the engine that most likely keeps more of the prompt than
 // the chosen one, nil if none is likely to. What this entry sent comes first;
 // for prompts that other entries sent, the ranking tells where these put them.
-// Leaving engines still give what they have. A wrong guess costs the engine one
-// question.
+// Leaving and evacuated engines still give what they have. A wrong guess costs the
+// engine one question.
 func (b *Book) source(q Query, p *pool, chosen *Engine, now clock.Millis) *Engine {
 	last := len(q.Keys) - 1
 	for i := last; i >= 0; i-- {
-		if b.memory.holds(q.Keys[i], chosen.info.ID) {
+		if b.keeps(chosen, q.Keys[i], now) {
 			return nil
 		}
 		for _, id := range b.memory.holders(q.Keys[i]) {
-			if e := b.byID[id]; e != nil && e.info.Service == q.Service && e.sound(q.Silence, now) {
+			if e := b.byID[id]; e != nil && e != chosen && e.info.Service == q.Service && b.sound(e, q.Silence, now) {
 				return e
 			}
 		}
 		if i == last {
-			if e := p.keeper(q, chosen, now); e != nil {
+			if e := b.keeper(p, q, chosen, now); e != nil {
 				return e
 			}
 		}
@@ -43,11 +43,11 @@
 // keeper returns the engine to which other entries most likely sent a prompt
 // before: one that ranks before the chosen one and is left out, or else the
 // next of its homes, which were also those before the chosen one joined.
-func (p *pool) keeper(q Query, chosen *Engine, now clock.Millis) *Engine {
+func (b *Book) keeper(p *pool, q Query, chosen *Engine, now clock.Millis) *Engine {
 	order := ranked(q.Keys[len(q.Keys)-1], p.engines)
 	at := slices.Index(order, chosen)
 	for _, e := range order[:at] {
-		if e.sound(q.Silence, now) {
+		if b.sound(e, q.Silence, now) {
 			return e
 		}
 	}
@@ -55,20 +55,45 @@
 		return nil
 	}
 	for _, e := range order[at+1:] {
-		if !e.young(now) && e.sound(q.Silence, now) {
+		if !e.young(now) && b.sound(e, q.Silence, now) {
 			return e
 		}
 	}
 	return nil
 }
 
-func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth }
+// keeps reports whether an engine most likely keeps a beginning that this entry
+// sent it. One that was evacuated meanwhile may not, if another had it later.
+func (b *Book) keeps(e *Engine, key uint64, now clock.Millis) bool {
+	if !b.memory.holds(key, e.info.ID) {
+		return false
+	}
+	return !e.returned(now) || b.memory.holders(key)[0] == e.info.ID
+}
+
+// young reports whether an engine lacks what its place in the rankings would make
+// it keep.
+func (e *Engine) young(now clock.Millis) bool { return now-e.seenAt < youth || e.returned(now) }
+
+// returned reports whether an engine's data hall was taken back lately.
+func (e *Engine) returned(now clock.Millis) bool { return e.backAt > 0 && now-e.backAt < youth }
 
 // sound reports whether an engine answers, as far as is known.
-func (e *Engine) sound(silence, now clock.Millis) bool {
+func (b *Book) sound(e *Engine, silence, now clock.Millis) bool {
+	if e.health.held(now) || e.silence(now) > silence {
+		return false
+	}
 	heard := e.heardAt
 	if e.told {
 		heard = max(heard, e.othersAt)
 	}
-	return !e.health.held(now) && e.silence(now) <= silence && heard > 0 && now-heard < soundFor
+	return heard > 0 && (now-heard < soundFor || b.vouched(e, now))
+}
+
+// vouched reports whether an evacuated engine is there though nothing is sent to
+// it that could bring a sign: the list says so. It is worth asking while the
+// chats that it had return.
+func (b *Book) vouched(e *Engine, now clock.Millis) bool {
+	since, ok := b.evacuated[e.info.Hall]
+	return ok && now-since < youth
 }
