--- a/gate/gate.go
+++ b/gate/gate.go
@@ -134,7 +134,7 @@
 	g := &Gate{
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d,
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
-		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}),
+		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Log),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
 		durations: duration.New(), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(),
 	}
--- a/gate/request.go
+++ b/gate/request.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/upstream"
 )
 
@@ -43,9 +44,20 @@
 	return &upstream.Request{
 		ID: c.id, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h,
 		Body: c.body, HasBody: c.r.ContentLength > 0 || len(c.r.TransferEncoding) > 0,
+		Doubt: doubt(c.route),
 	}
 }
 
+// doubt is how long a request waits for a sign of its engine before the engine's
+// connections are in doubt: until it, or a stream of its kind, would be taken
+// elsewhere if it might be repeated.
+func doubt(r *table.Route) clock.Millis {
+	if r.Kind != table.Stream {
+		return silence(r.Goal)
+	}
+	return max(silence(r.Goal), resumeSilence, clock.Millis(resumePauses*float64(r.PauseGoal)))
+}
+
 // headersAdded is how many headers this process adds.
 const headersAdded = 7
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,9 +41,11 @@
 type Pool struct {
 	clk    *clock.Clock
 	names  Names
+	log    *slog.Logger
 	dialer *net.Dialer
 	dials  *metrics.Counter
 	strays *metrics.Counter
+	silent *metrics.Counter
 
 	mu sync.Mutex
 	// idle has the kept connections of an address, the latest used last.
@@ -50,14 +55,21 @@
 	// most is the share of an address's connections that this process may
 	// open; no entry means no bound.
 	most map[string]int
+	// busy has the connections of an address on which an exchange is under way.
+	busy map[string]map[*conn]bool
+	// doubted is the latest sign of life, or the sending, on a connection of an
+	// address that then fell silent. What was not heard since may be silent too.
+	doubted map[string]clock.Millis
 }
 
 // NewPool returns an empty pool.
-func NewPool(clk *clock.Clock, names Names) *Pool {
+func NewPool(clk *clock.Clock, names Names, log *slog.Logger) *Pool {
 	return &Pool{
-		clk: clk, names: names, dialer: dial.New(dialLimit), idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
+		clk: clk, names: names, log: log, dialer: dial.New(dialLimit), idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
+		busy: map[string]map[*conn]bool{}, doubted: map[string]clock.Millis{},
 		dials:  metrics.GetOrCreateCounter("weldfall_engine_dials_total"),
 		strays: metrics.GetOrCreateCounter("weldfall_engine_stray_answers_total"),
+		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="engine"}`),
 	}
 }
 
@@ -79,17 +91,22 @@
 	idle := p.idle[addr]
 	delete(p.idle, addr)
 	delete(p.most, addr)
+	delete(p.doubted, addr)
 	p.mu.Unlock()
 	for _, c := range idle {
 		p.drop(c)
 	}
 }
 
-// Sweep closes connections that have been idle for too long.
+// Sweep closes connections that have been idle for too long, and those that
+// are in doubt.
 func (p *Pool) Sweep() {
 	now := p.clk.Now()
 	var old []*conn
 	p.mu.Lock()
+	for addr := range p.busy {
+		old = append(old, p.doubt(addr, now)...)
+	}
 	for addr, idle := range p.idle {
 		n := 0
 		for n < len(idle) && idle[n].until <= now {
@@ -117,13 +134,26 @@
 	until clock.Millis
 	// got counts the bytes read in the present exchange.
 	got int64
+	// heard is when the connection came up or bytes last came.
+	heard atomic.Int64
+	// sent is when the present exchange began, and patience how long it may go
+	// without a sign before the connection is in doubt, 0 for ever; both are
+	// guarded by the pool's mu.
+	sent, patience clock.Millis
+	// silent is true once the present exchange was in doubt; guarded by the
+	// pool's mu.
+	silent bool
+	clk    *clock.Clock
 }
 
 // Read counts what arrives, so that "no answer at all" can be told from "a
 // broken one".
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.nc.Read(b)
-	c.got += int64(n)
+	if n > 0 {
+		c.got += int64(n)
+		c.heard.Store(int64(c.clk.Now()))
+	}
 	return n, err
 }
 
@@ -191,7 +221,8 @@
 		p.closed(addr)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{nc: nc, addr: addr}
+	c := &conn{nc: nc, addr: addr, clk: p.clk}
+	c.heard.Store(int64(p.clk.Now()))
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
@@ -206,17 +237,94 @@
 	return nil
 }
 
-// take removes the latest used idle connection.
+// take removes the latest used idle connection that is not in doubt.
 func (p *Pool) take(addr string) *conn {
+	c, old := p.takeHeard(addr)
+	for _, o := range old {
+		p.drop(o)
+	}
+	return c
+}
+
+func (p *Pool) takeHeard(addr string) (c *conn, old []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old = p.doubt(addr, p.clk.Now())
 	idle := p.idle[addr]
 	if len(idle) == 0 {
-		return nil
+		return nil, old
 	}
-	c := idle[len(idle)-1]
+	c = idle[len(idle)-1]
 	p.idle[addr] = idle[:len(idle)-1]
-	return c
+	return c, old
+}
+
+// begin records that an exchange begins on c.
+func (p *Pool) begin(c *conn, patience clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.sent, c.patience, c.silent = p.clk.Now(), patience, false
+	if p.busy[c.addr] == nil {
+		p.busy[c.addr] = map[*conn]bool{}
+	}
+	p.busy[c.addr][c] = true
+}
+
+// end records that the exchange on c is over.
+func (p *Pool) end(c *conn) {
+	now := p.clk.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := p.busy[c.addr]
+	if !busy[c] {
+		return
+	}
+	p.look(c, now)
+	if delete(busy, c); len(busy) == 0 {
+		delete(p.busy, c.addr)
+	}
+}
+
+// look puts c in doubt if it has given no sign for longer than its exchange
+// allows. The exchange itself goes on: an engine may only be slow. The caller
+// holds mu.
+func (p *Pool) look(c *conn, now clock.Millis) {
+	last := max(c.sent, clock.Millis(c.heard.Load()))
+	if c.silent || c.patience <= 0 || now-last < c.patience {
+		return
+	}
+	c.silent = true
+	p.silent.Inc()
+	p.doubted[c.addr] = max(p.doubted[c.addr], last)
+}
+
+// doubt looks at the exchanges with addr and takes out the idle connections
+// that were not heard since the latest of those that fell silent. One that was
+// heard since is known to work; the others cost a request each to find out. The
+// caller holds mu, and closes what is returned.
+func (p *Pool) doubt(addr string, now clock.Millis) []*conn {
+	for c := range p.busy[addr] {
+		p.look(c, now)
+	}
+	at, ok := p.doubted[addr]
+	if !ok {
+		return nil
+	}
+	var old []*conn
+	p.idle[addr] = slices.DeleteFunc(p.idle[addr], func(c *conn) bool {
+		unheard := clock.Millis(c.heard.Load()) <= at
+		if unheard {
+			old = append(old, c)
+		}
+		return unheard
+	})
+	if len(p.idle[addr]) == 0 {
+		delete(p.idle, addr)
+	}
+	if len(old) > 0 {
+		p.log.Warn("connection_silent", "to", "engine", "addr", addr, "silent_ms", now-at, "closed", len(old))
+	}
+	return old
 }
 
 // release keeps c or closes it. The engine's Keep-Alive bounds its idle time.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -67,6 +67,9 @@
 	Body   []byte
 	// HasBody is true when a length is to be sent even for an empty body.
 	HasBody bool
+	// Doubt is how long the engine may give no sign before the connections on
+	// which it has not been heard since are no longer used, 0 for ever.
+	Doubt clock.Millis
 }
 
 // Answer is the head of an engine's answer, with its body still to be read.
@@ -120,6 +123,7 @@
 	a.once.Do(func() {
 		attached := a.stop()
 		ok := attached && a.whole && a.keep && a.Framed() && a.conn.br.Buffered() == 0 && a.bodySent()
+		a.pool.end(a.conn)
 		a.pool.release(a.conn, ok, a.Header)
 	})
 }
@@ -144,10 +148,12 @@
 	if err != nil {
 		return nil, err
 	}
+	p.begin(c, r.Doubt)
 	stop := context.AfterFunc(ctx, c.abort)
 	a, err := p.exchange(c, r, limit)
 	if err != nil {
 		stop()
+		p.end(c)
 		p.release(c, false, nil)
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
