--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	wg.Go(func() { e.node.Run(nodeCtx) })
 	wg.Go(func() {
-		if err := link.Serve(nodeCtx, peers, e.clk, e); err != nil {
+		if err := link.Serve(nodeCtx, peers, e.clk, e, 0); err != nil {
 			e.log.Error("peers", "error", err)
 		}
 	})
--- a/link/link.go
+++ b/link/link.go
@@ -92,9 +92,22 @@
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
+// ended reports whether the connection has ended.
+func (c *Conn) ended() bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // Close ends the connection.
 func (c *Conn) Close() { _ = c.rpc.Close() }
 
+// unheard reports whether nothing came from the other side since the given time.
+func (c *Conn) unheard(since clock.Millis) bool { return clock.Millis(c.heard.Load()) < since }
+
 // Watch marks one more request in flight until the returned function is
 // called. A watched connection that stays silent is closed.
 func (c *Conn) Watch() (release func()) {
@@ -201,6 +214,8 @@
 	once sync.Once
 	conn *Conn
 	err  error
+	// live is conn once it is dialed, for those who do not wait for that.
+	live atomic.Pointer[Conn]
 }
 
 // NewPool returns a pool whose connections deliver messages to h.
@@ -211,25 +226,39 @@
 // Get returns the live connection to addr, or dials one.
 func (p *Pool) Get(addr string, class Class) (*Conn, error) {
 	key := poolKey{addr, class}
+	for {
+		e := p.entry(key)
+		e.once.Do(func() { p.fill(key, e) })
+		if e.err != nil || !e.conn.ended() {
+			return e.conn, e.err
+		}
+		// It has just ended, and whoever is told of it has not run yet.
+		p.drop(key, e)
+	}
+}
+
+func (p *Pool) entry(key poolKey) *poolEntry {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	e := p.conns[key]
 	if e == nil {
 		e = &poolEntry{}
 		p.conns[key] = e
 	}
-	p.mu.Unlock()
-	e.once.Do(func() {
-		e.conn, e.err = p.dial(addr, class)
-		if e.err != nil {
-			p.drop(key, e)
-			return
-		}
-		go func() {
-			<-e.conn.Done()
-			p.drop(key, e)
-		}()
-	})
-	return e.conn, e.err
+	return e
+}
+
+func (p *Pool) fill(key poolKey, e *poolEntry) {
+	e.conn, e.err = p.dial(key.addr, key.class)
+	if e.err != nil {
+		p.drop(key, e)
+		return
+	}
+	e.live.Store(e.conn)
+	go func() {
+		<-e.conn.Done()
+		p.drop(key, e)
+	}()
 }
 
 func (p *Pool) drop(key poolKey, e *poolEntry) {
@@ -261,35 +290,56 @@
 	return c, nil
 }
 
-// Close ends all connections.
-func (p *Pool) Close() {
+// CloseUnheard closes the connections on which nothing was heard since the
+// given time, and returns how many.
+func (p *Pool) CloseUnheard(since clock.Millis) int {
+	n := 0
+	for _, e := range p.entries() {
+		// A connection that is being dialed is not waited for.
+		if c := e.live.Load(); c != nil && c.unheard(since) {
+			c.Close()
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pool) entries() []*poolEntry {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	entries := make([]*poolEntry, 0, len(p.conns))
 	for _, e := range p.conns {
 		entries = append(entries, e)
 	}
-	p.mu.Unlock()
-	for _, e := range entries {
-		e.once.Do(func() {})
+	return entries
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	for _, e := range p.entries() {
+		e.once.Do(func() { e.err = net.ErrClosed })
 		if e.conn != nil {
 			e.conn.Close()
 		}
 	}
 }
 
-// Serve accepts connections on ln until ctx is done, and then closes them.
-func Serve(ctx context.Context, ln net.Listener, clk *clock.Clock, h Handler) error {
-	var mu sync.Mutex
-	open := map[*Conn]bool{}
+// Serve accepts connections on ln until ctx is done, and then closes them. One
+// on which nothing comes for as long as rest is closed, since the end of a
+// silent connection does not come through; zero lets them rest for ever.
+func Serve(ctx context.Context, ln net.Listener, clk *clock.Clock, h Handler, rest clock.Millis) error {
+	open := &served{conns: map[*Conn]bool{}}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
-	defer func() {
-		mu.Lock()
-		defer mu.Unlock()
-		for c := range open {
-			c.Close()
-		}
-	}()
+	defer open.closeIf(func(*Conn) bool { return true })
+	if rest > 0 {
+		sweepCtx, stopSweep := context.WithCancel(ctx)
+		defer stopSweep()
+		go clock.Every(sweepCtx, max(1, rest/2), func() {
+			since := clk.Now() - rest
+			open.closeIf(func(c *Conn) bool { return c.unheard(since) })
+		})
+	}
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -299,23 +349,59 @@
 			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
 		}
 		go func() {
-			var b [1]byte
-			if _, err := io.ReadFull(nc, b[:]); err != nil {
+			class, err := readClass(nc)
+			if err != nil {
 				_ = nc.Close()
 				return
 			}
-			class := Data
-			if b[0] == classByte[Control] {
-				class = Control
-			}
 			c := newConn(nc, class, clk, h)
-			mu.Lock()
-			open[c] = true
-			mu.Unlock()
+			open.add(c)
 			<-c.Done()
-			mu.Lock()
-			delete(open, c)
-			mu.Unlock()
+			open.remove(c)
 		}()
 	}
 }
+
+// readClass reads the first byte of a connection. A dialer sends it at once.
+func readClass(nc net.Conn) (Class, error) {
+	var b [1]byte
+	// SetReadDeadline fails only on a closed connection, which the read reports.
+	_ = nc.SetReadDeadline(clock.Deadline(dialTimeout))
+	if _, err := io.ReadFull(nc, b[:]); err != nil {
+		return "", err
+	}
+	_ = nc.SetReadDeadline(clock.Never())
+	if b[0] == classByte[Control] {
+		return Control, nil
+	}
+	return Data, nil
+}
+
+// served are the connections that a server has accepted. It is safe for
+// concurrent use.
+type served struct {
+	mu    sync.Mutex
+	conns map[*Conn]bool
+}
+
+func (s *served) add(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+}
+
+func (s *served) remove(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *served) closeIf(f func(*Conn) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if f(c) {
+			c.Close()
+		}
+	}
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -62,7 +62,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	clk := clock.System()
-	go func() { _ = link.Serve(ctx, ln, clk, &peer{}) }()
+	go func() { _ = link.Serve(ctx, ln, clk, &peer{}, 0) }()
 	pool := link.NewPool(clk, p)
 	t.Cleanup(func() {
 		cancel()
--- /dev/null
+++ b/link/silent_test.go
@@ -0,0 +1,122 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/internal/linktest"
+	"github.com/weldfall/weldfall/link"
+)
+
+// wait waits until ok, far longer than it should take.
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("got no %s in 20 s", what)
+}
+
+// served starts a server whose connections may rest for a while.
+func served(t *testing.T) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = link.Serve(ctx, ln, clock.System(), &peer{}, 500) }()
+	return ln.Addr().String()
+}
+
+// The end of a connection does not come through on one that is silent: the
+// server must let go of it by itself.
+func TestAServerLetsGoOfASilentConnection(t *testing.T) {
+	for _, way := range []linktest.Way{linktest.There, linktest.Both} {
+		t.Run(string(way), func(t *testing.T) {
+			t.Parallel()
+			l := linktest.New(t, served(t))
+			pool := link.NewPool(clock.System(), &peer{})
+			t.Cleanup(pool.Close)
+			c, err := pool.Get(l.Addr(), link.Control)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Silence(way)
+			c.Close()
+			wait(t, "end of the silent connection at the server", func() bool { return l.Kept() == 0 })
+		})
+	}
+}
+
+// A connection that is used is kept.
+func TestAServerKeepsAConnectionThatIsUsed(t *testing.T) {
+	t.Parallel()
+	pool := link.NewPool(clock.System(), &peer{})
+	t.Cleanup(pool.Close)
+	addr := served(t)
+	first, err := pool.Get(addr, link.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		if err := first.Call(context.Background(), "echo", "x", nil); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if again, err := pool.Get(addr, link.Control); again != first {
+		t.Errorf("got another connection (%v), want the one that is used", err)
+	}
+}
+
+// A connection that never says of which class it is holds nothing.
+func TestAServerLetsGoOfAConnectionThatSaysNothing(t *testing.T) {
+	t.Parallel()
+	c, err := net.Dial("tcp", served(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+}
+
+// What was not heard lately is closed, and what was is kept.
+func TestUnheardConnectionsAreClosed(t *testing.T) {
+	t.Parallel()
+	clk := clock.System()
+	pool := link.NewPool(clk, &peer{})
+	t.Cleanup(pool.Close)
+	silent, err := pool.Get(served(t), link.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	at := clk.Now()
+	time.Sleep(20 * time.Millisecond)
+	addr := served(t)
+	heard, err := pool.Get(addr, link.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := pool.CloseUnheard(at); got != 1 {
+		t.Errorf("got %d connections closed, want 1", got)
+	}
+	<-silent.Done()
+	if again, err := pool.Get(addr, link.Control); again != heard {
+		t.Errorf("got another connection (%v), want the one that was heard", err)
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -22,6 +23,9 @@
 	askPeriod clock.Millis = 400
 	// askLimit is how long an answer is waited for.
 	askLimit clock.Millis = 800
+	// linkRest is how long a connection may be without a question: as long as a
+	// member is known without a sign.
+	linkRest = memberFor
 	// seedEvery is how many rounds lie between two calls of a seed, so that
 	// groups which grew apart meet again.
 	seedEvery = 15
@@ -93,6 +97,7 @@
 	links  *link.Pool
 	asks   *metrics.Counter
 	failed *metrics.Counter
+	silent *metrics.Counter
 
 	mu      sync.Mutex
 	members *Members
@@ -108,6 +113,7 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, members: NewMembers(Member{ID: cfg.ID, Addr: cfg.Addr}), alone: true,
 		asks:   metrics.GetOrCreateCounter("weldfall_peer_asks_total"),
 		failed: metrics.GetOrCreateCounter("weldfall_peer_asks_failed_total"),
+		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="peer"}`),
 	}
 	p.links = link.NewPool(cfg.Clock, p)
 	return p
@@ -124,7 +130,7 @@
 func (p *Peers) Run(ctx context.Context, ln net.Listener) {
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if err := link.Serve(ctx, ln, p.clk, p); err != nil {
+		if err := link.Serve(ctx, ln, p.clk, p, linkRest); err != nil {
 			p.log.Error("peers_not_served", "error", err)
 		}
 	})
@@ -156,12 +162,18 @@
 	if addr == "" {
 		return
 	}
-	p.asks.Inc()
-	question := p.message()
-	ctx, cancel := context.WithTimeout(ctx, askLimit.Duration())
-	defer cancel()
+	if n%seedEvery == 0 {
+		p.links.CloseUnheard(p.clk.Now() - linkRest)
+	}
 	at := p.clk.Now()
-	answer, err := p.call(ctx, addr, question)
+	answer, err := p.call(ctx, addr)
+	if errors.Is(err, errSilent) {
+		sent := at
+		at = p.clk.Now()
+		if answer, err = p.call(ctx, addr); err == nil {
+			p.doubt(addr, sent)
+		}
+	}
 	if err != nil {
 		p.failed.Inc()
 		p.log.Debug("ask_failed", "peer", addr, "error", err)
@@ -172,20 +184,40 @@
 	p.tellAlone()
 }
 
-func (p *Peers) call(ctx context.Context, addr string, question message) (message, error) {
+// errSilent means that a connection was there and gave no answer in time.
+var errSilent = errors.New("no answer in time")
+
+// call asks addr, over the connection that is there or a new one. One that gives
+// no answer is closed, so that the next call dials anew.
+func (p *Peers) call(ctx context.Context, addr string) (message, error) {
+	p.asks.Inc()
+	question := p.message()
+	ctx, cancel := context.WithTimeout(ctx, askLimit.Duration())
+	defer cancel()
 	c, err := p.links.Get(addr, link.Control)
 	if err != nil {
 		return message{}, err
 	}
 	var answer message
 	if err := c.Call(ctx, methodAsk, question, &answer); err != nil {
-		// The other end may have gone dark: the next call dials anew.
 		c.Close()
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = fmt.Errorf("%w: %w", errSilent, err)
+		}
 		return message{}, err
 	}
 	return answer, nil
 }
 
+// doubt closes the connections that were not heard since a question was sent
+// that got its answer on a new connection only: where one is silent others are,
+// and each would cost a round to find out.
+func (p *Peers) doubt(addr string, sent clock.Millis) {
+	p.silent.Inc()
+	n := p.links.CloseUnheard(sent)
+	p.log.Warn("connection_silent", "to", "peer", "addr", addr, "silent_ms", p.clk.Now()-sent, "closed", n)
+}
+
 func (p *Peers) message() message {
 	k := p.cfg.Facts.Tell(loadsMost)
 	stop := p.cfg.Facts.Stop()
