--- a/gate/call.go
+++ b/gate/call.go
@@ -37,6 +37,8 @@
 	service   string
 	workspace *table.Workspace
 	body      []byte
+	// reading is true once the body was asked for.
+	reading bool
 
 	// keys are the beginnings of the prompt that engines may remember.
 	keys []uint64
@@ -81,6 +83,9 @@
 	note   string
 }
 
+// hasBody reports whether the request has a body.
+func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
+
 // left returns the time until the request is given up.
 func (c *call) left(now clock.Millis) clock.Millis { return c.until - now }
 
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -1,10 +1,16 @@
 package gate
 
 import (
+	"context"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/weldfall/weldfall/common/clock"
 )
 
@@ -13,13 +19,49 @@
 // so closes a connection whose next request has been read but not yet begun.
 type callerConns struct {
 	net.Listener
-	clk  *clock.Clock
-	mu   sync.Mutex
-	open map[*callerConn]bool
+	clk    *clock.Clock
+	log    *slog.Logger
+	silent *metrics.Counter
+	mu     sync.Mutex
+	open   map[*callerConn]bool
+}
+
+func newCallerConns(ln net.Listener, clk *clock.Clock, log *slog.Logger) *callerConns {
+	return &callerConns{
+		Listener: ln, clk: clk, log: log, open: map[*callerConn]bool{},
+		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`),
+	}
+}
+
+// stalled is what a caller did when it fell silent.
+type stalled string
+
+const (
+	// inHead and inBody are a request of which a part never came, inAnswer an
+	// answer that the caller does not take.
+	inHead   stalled = "head"
+	inBody   stalled = "body"
+	inAnswer stalled = "answer"
+)
+
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// withConn hands the connection to its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// callerConnOf returns the connection of a request, nil if it is not known.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(connKey{}).(*callerConn)
+	return c
 }
 
-func newCallerConns(ln net.Listener, clk *clock.Clock) *callerConns {
-	return &callerConns{Listener: ln, clk: clk, open: map[*callerConn]bool{}}
+// tellSilent counts and logs a caller that fell silent.
+func (l *callerConns) tellSilent(addr string, s stalled) {
+	l.silent.Inc()
+	l.log.Warn("connection_silent", "to", "caller", "state", s, "addr", addr)
 }
 
 // Accept implements net.Listener.
@@ -65,6 +107,7 @@
 			c.closeIfIdle()
 		case busy && !headRead && age > head:
 			// The caller sent half a head and stalled: it gets no answer.
+			l.tellSilent(c.RemoteAddr().String(), inHead)
 			_ = c.Close()
 		}
 	}
@@ -142,6 +185,15 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.list.tellSilent(c.RemoteAddr().String(), inAnswer)
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.list.mu.Lock()
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 
@@ -140,7 +141,7 @@
 }
 
 // read takes the body, within the bounds for its size and its time.
-func (g *Gate) read(_ context.Context, c *call) *verdict.Error {
+func (g *Gate) read(ctx context.Context, c *call) *verdict.Error {
 	limit := int64(bodyLimit)
 	if l := c.table.Limits().BodyBytes; l > 0 {
 		limit = l
@@ -148,19 +149,27 @@
 	if c.r.ContentLength > limit {
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has %d bytes, at most %d are taken", c.r.ContentLength, limit)
 	}
-	if c.r.Body == nil || c.r.Body == http.NoBody {
+	if !c.hasBody() {
 		return nil
 	}
-	// A connection without deadlines is bounded by the request's context.
+	// A connection without deadlines is bounded by the request's context. Unless
+	// the body comes whole the deadline stays: the library reads the rest of a
+	// body before it answers.
+	c.reading = true
 	_ = c.rc.SetReadDeadline(clock.Deadline(c.left(g.clk.Now())))
 	body, err := whole.Read(c.r.Body, c.r.ContentLength, limit)
-	_ = c.rc.SetReadDeadline(clock.Never())
 	switch {
 	case errors.Is(err, whole.ErrTooLarge):
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if cc := callerConnOf(ctx); cc != nil {
+			cc.list.tellSilent(cc.RemoteAddr().String(), inBody)
+		}
+		return verdict.New(verdict.NotRun, verdict.Deadline, "the body did not arrive in time: %w", err)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body did not arrive whole: %w", err)
 	}
+	_ = c.rc.SetReadDeadline(clock.Never())
 	c.body = body
 	return nil
 }
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -62,7 +63,20 @@
 	if err.RetryAfter() > 0 && err.Verdict() == verdict.NotRun {
 		h.Set("Retry-After", seconds(err.RetryAfter()))
 	}
+	g.boundRest(c)
 	g.begin(c, status)
 	// A caller that is gone needs no answer.
 	_ = c.write(body, g.clk.Now())
 }
+
+// boundRest limits the time for the body of a request that is refused before it
+// was read: the library reads the rest of it before it answers, and a caller that
+// has fallen silent never sends it. The rest may take as long as a head.
+func (g *Gate) boundRest(c *call) {
+	if !c.hasBody() || c.reading {
+		return
+	}
+	_, head := g.callerTimeouts()
+	// A connection without deadlines is bounded by the request's context.
+	_ = c.rc.SetReadDeadline(clock.Deadline(min(head, max(0, c.left(g.clk.Now())))))
+}
--- a/gate/server.go
+++ b/gate/server.go
@@ -41,9 +41,9 @@
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
-	conns := newCallerConns(ln, g.clk)
+	conns := newCallerConns(ln, g.clk, g.log)
 	srv := &http.Server{
-		ConnState: conns.state, Handler: g, MaxHeaderBytes: maxHeader,
+		ConnState: conns.state, ConnContext: withConn, Handler: g, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
