--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -177,3 +177,30 @@
 		t.Errorf("got %d connections, want the 2 that were kept", got)
 	}
 }
+
+// Nothing reaches an engine for a caller who has left, also where a connection
+// is at hand.
+func TestNothingIsSentForACallerWhoHasLeft(t *testing.T) {
+	b := newBench(t)
+	b.keep(t, 1)
+	before := len(b.engine.Runs())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range 200 {
+		a, err := b.pool.Do(ctx, b.link.Addr(), b.request("left"+strconv.Itoa(i)), late)
+		if err == nil {
+			a.Close()
+			t.Error("got an answer, want nothing sent")
+			continue
+		}
+		if !errors.Is(err, upstream.ErrNotSent) {
+			t.Fatalf("got %v, want nothing sent", err)
+		}
+	}
+	if err := b.do("after", late); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(b.engine.Runs()) - before; got != 1 {
+		t.Errorf("got %d requests at the engine, want the one whose caller is there", got)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -142,8 +142,12 @@
 }
 
 // Do sends r to the engine at addr and returns the head of its answer. The
-// head must come within limit. When ctx is done the connection is closed.
+// head must come within limit. When ctx is done the connection is closed;
+// nothing is sent after that.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, limit clock.Millis) (*Answer, error) {
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
+	}
 	c, err := p.acquire(ctx, addr)
 	if err != nil {
 		return nil, err
