--- a/gate/relay.go
+++ b/gate/relay.go
@@ -116,6 +116,9 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
 	}
 	g.begin(c, a.StatusCode)
+	// The head's limit no longer holds: nothing can be taken elsewhere now, and
+	// the caller may be slow.
+	a.Limit(c.left(g.clk.Now()))
 	if err := c.write(first, g.clk.Now()); err != nil {
 		return callerGone{}
 	}
--- a/gate/send.go
+++ b/gate/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/upstream"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -200,7 +201,8 @@
 		free = c.refused < mostRefused
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s refused", c.refused, c.service)
 	case broken:
-		free = c.route.Repeatable() && c.ran < c.route.Attempts
+		// Of what has begun only a stream can go on elsewhere.
+		free = c.route.Repeatable() && c.ran < c.route.Attempts && (!c.began || c.route.Kind == table.Stream)
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.err)
 	case failed:
 		free = c.route.Repeatable() && c.ran < c.route.Attempts
