--- a/gate/call.go
+++ b/gate/call.go
@@ -19,8 +19,8 @@
 	rc *http.ResponseController
 	r  *http.Request
 	id string
-	// cancel ends the exchange with the engine.
-	cancel context.CancelFunc
+	// cancel ends the exchange with the engine, with the cause.
+	cancel context.CancelCauseFunc
 	// start is when the request's head had been read.
 	start clock.Millis
 	// pace names what the pace of its events is learned for.
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -165,12 +165,16 @@
 	since clock.Millis
 	// shut is true once the connection was closed for being idle; bytes that
 	// were read meanwhile are not handed on.
-	shut bool
+	shut  bool
+	ahead aheadOf
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.takeAhead(p)
+	if n == 0 && err == nil {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -182,6 +186,10 @@
 	if !c.busy {
 		c.busy, c.since = true, c.list.clk.Now()
 	}
+	if len(p) == 1 && c.headRead && c.ahead.done == nil && c.ahead.end == nil {
+		c.ahead.done = make(chan struct{})
+		go c.readAhead(c.ahead.done)
+	}
 	return n, err
 }
 
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	lastWords clock.Millis = 100
 )
 
+// errGraceOver is why the request of a process ends that has to end itself.
+var errGraceOver = errors.New("this entry's grace is over")
+
 // leave is how far a process is with stopping. It is safe for concurrent use.
 type leave struct {
 	// since is when it was told to stop, by when it ends at the latest; both
@@ -90,7 +94,7 @@
 	defer l.mu.Unlock()
 	l.over.Store(true)
 	for c := range l.running {
-		c.cancel()
+		c.cancel(errGraceOver)
 	}
 }
 
--- a/gate/send.go
+++ b/gate/send.go
@@ -72,10 +72,10 @@
 		case answered:
 			return nil
 		case callerGone:
-			if g.leave.over.Load() {
+			if cause := context.Cause(ctx); errors.Is(cause, errGraceOver) {
 				// A caller whose answer has not begun is told, so that it need not
 				// guess from a closed connection.
-				return verdict.New(c.verdict(), verdict.Leaving, "this entry's grace is over")
+				return verdict.New(c.verdict(), verdict.Leaving, "%w", cause)
 			}
 			c.cut = true
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
--- a/gate/server.go
+++ b/gate/server.go
@@ -26,10 +26,14 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	now := g.clk.Now()
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
 	c := &call{w: w, rc: http.NewResponseController(w), r: r, cancel: cancel, start: now, until: now + longestHold}
 	defer g.leave.done(c)
+	if cc := callerConnOf(ctx); cc != nil {
+		cc.follow(cancel)
+		defer cc.follow(nil)
+	}
 	g.serve(ctx, c)
 	if c.cut {
 		// The library closes the connection in mid-answer, so that it cannot
