--- a/peers/silent_test.go
+++ b/peers/silent_test.go
@@ -34,7 +34,7 @@
 	return f.heard
 }
 
-func (f *facts) LeavingSince() clock.Millis           { return 0 }
+func (f *facts) Stop() peers.Stop                     { return peers.Stop{} }
 func (f *facts) SetFleet(peers.Fleet)                 {}
 func (f *facts) HearLoads([]peers.Load, clock.Millis) {}
 
