--- a/engines/book.go
+++ b/engines/book.go
@@ -41,22 +41,31 @@
 	Missing Change = "missing"
 	Back    Change = "back"
 	Gone    Change = "gone"
+	// TurnedCold engines bear few requests for a while.
+	TurnedCold Change = "cold"
 )
 
 // Put records an engine as listed. An engine that was leaving stays so.
 func (b *Book) Put(in Info, now clock.Millis) Change {
 	in.Slots = max(1, in.Slots)
+	coldUntil := now + in.ColdFor
+	in.ColdFor = 0
 	e, ok := b.byID[in.ID]
 	if !ok {
-		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}})
+		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}, warmth: warmth{toldUntil: coldUntil}})
 		return Joined
 	}
+	turnedCold := now >= e.warmth.toldUntil && coldUntil > now
+	e.warmth.toldUntil = coldUntil
 	in.Leaving = in.Leaving || e.info.Leaving
 	was := e.doubtful
 	e.doubtful = false
 	if e.info == in && was {
 		return Back
 	}
+	if e.info == in && turnedCold {
+		return TurnedCold
+	}
 	if e.info == in {
 		return Same
 	}
--- a/engines/book_test.go
+++ b/engines/book_test.go
@@ -130,7 +130,7 @@
 	if got := choose(t, b, query(second), now+60_000); got.Engine == home {
 		t.Error("got the engine that was not reached since, want another")
 	}
-	if got := home.Reached(); got != engines.Trusted {
+	if got := home.Reached(now); got != engines.Trusted {
 		t.Errorf("got trust %q for an engine that took a connection, want it trusted", got)
 	}
 	if got := choose(t, b, query(second), now+60_000); got.Engine != home {
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -33,6 +33,8 @@
 	// Silence is how long an engine may leave requests without a sign before it
 	// is passed over.
 	Silence clock.Millis
+	// Cold is what holds for engines that are cold.
+	Cold Cold
 	// Tried are engines that have had the request.
 	Tried []string
 	// Random breaks ties, 0 to 1.
@@ -99,12 +101,12 @@
 }
 
 // usable returns the engines that can be chosen: those that are not leaving, not
-// in an evacuated data hall, not tried and not under suspicion, unless most of
-// the pool is.
+// in an evacuated data hall, not cold with this entry's share sent, not tried and
+// not under suspicion, unless most of the pool is.
 func (b *Book) usable(p *pool, q Query, now clock.Millis) []*Engine {
 	live := make([]*Engine, 0, len(p.engines))
 	for _, e := range p.engines {
-		if !e.info.Leaving && !b.isEvacuated(e) {
+		if !e.info.Leaving && !b.isEvacuated(e) && !e.full(q.Cold, now) {
 			live = append(live, e)
 		}
 	}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -22,6 +22,9 @@
 	Slots int
 	// Leaving engines finish what they have and take nothing new.
 	Leaving bool
+	// ColdFor is how much longer the engine was cold when the list said so. It is
+	// word of a moment: a Book does not keep it here.
+	ColdFor clock.Millis
 }
 
 // Load is what an engine said of itself in an answer.
@@ -58,6 +61,7 @@
 	// backAt is when its data hall was last taken back from an evacuation, zero if
 	// it never was.
 	backAt clock.Millis
+	warmth warmth
 }
 
 // Info returns the engine as listed.
@@ -89,6 +93,7 @@
 // Start counts a request that is about to be sent.
 func (e *Engine) Start(now clock.Millis) {
 	e.inflight++
+	e.warmth.note(now)
 	if e.waitingSince == 0 {
 		e.waitingSince = now
 	}
@@ -124,4 +129,7 @@
 
 // Reached records that the engine took a connection again, and returns what
 // that changes in the trust in it.
-func (e *Engine) Reached() Trust { return e.health.reached() }
+func (e *Engine) Reached(now clock.Millis) Trust {
+	e.warmth.reachedAt = now
+	return e.health.reached()
+}
--- a/gate/facts_test.go
+++ b/gate/facts_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -70,3 +71,32 @@
 		}
 	})
 }
+
+// An entry that loses sight of the others may be the one that is cut off: its
+// part of what all may do does not grow by it.
+func TestAnEntryThatLosesSightOfOthersTakesNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var others []string
+		for i := range 40 {
+			others = append(others, fmt.Sprintf("edge-%02d", i))
+		}
+		g, _ := newGate(t, false)
+		if got, most := g.ShareOf(64, "e"), 2; got != most {
+			t.Errorf("got %d of 64 in a new entry, want %d: there may be 32", got, most)
+		}
+		time.Sleep(10 * time.Second)
+		g.SetOthers(others[:3])
+		if got, want := g.ShareOf(64, "e"), 16; got != want {
+			t.Errorf("got %d of 64 among four, want %d", got, want)
+		}
+		g.SetOthers(others)
+		g.SetOthers(others[:3])
+		if got, most := g.ShareOf(64, "e"), 2; got > most {
+			t.Errorf("got %d of 64 where 41 were known, want at most %d", got, most)
+		}
+		g.SetOthers(nil)
+		if got, most := g.ShareOf(64, "e"), 2; got > most {
+			t.Errorf("got %d of 64 with none in sight, want at most %d", got, most)
+		}
+	})
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -71,6 +71,11 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow clock.Millis
+	// ColdOverrun and ColdExtra bound what all entries together send to a cold
+	// engine in a second: the rate that it bears times the one, and the other.
+	// There is no bound if both are zero.
+	ColdOverrun float64
+	ColdExtra   float64
 	// LoadBound is the highest load of an engine as a multiple of the mean.
 	LoadBound float64
 }
@@ -116,6 +121,15 @@
 	// fleet is what is known of the other entries. The first of them confirms
 	// the table for all.
 	fleet peers.Fleet
+	// shares are this entry's among the others, parts those of cold engines by
+	// their ids while the shares last. mostEntries is the most that were ever
+	// known.
+	shares      peers.Shares
+	others      []string
+	parts       map[string]int
+	mostEntries int
+	// leastEntries is how many entries the shares are made for at least.
+	leastEntries int
 	// newest is the newest version that a peer told of, at newestAt; zero if
 	// none did, or the platform has since shown that there is no newer one than
 	// ours.
@@ -138,6 +152,7 @@
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
 		durations: duration.New(), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(),
 	}
+	g.SetOthers(nil)
 	g.limits.Store(&cfg.Bounds)
 	return g
 }
@@ -150,7 +165,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.budgets = map[string]*budget.Budget{}
+	g.budgets, g.parts = map[string]*budget.Budget{}, map[string]int{}
 	g.mu.Unlock()
 	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "evacuation_ms", b.Evacuation, "change_ms", b.Change, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
 }
@@ -189,6 +204,7 @@
 	g.table.Store(t)
 	g.mu.Lock()
 	g.published.Confirm(at)
+	g.parts = map[string]int{}
 	for _, id := range g.book.IDs() {
 		g.boundConns(t, g.book.Get(id).Info())
 	}
@@ -243,7 +259,11 @@
 	change := g.book.Put(in, g.clk.Now())
 	g.boundConns(g.table.Load(), in)
 	g.mu.Unlock()
-	if change != engines.Same {
+	switch change {
+	case engines.Same:
+	case engines.TurnedCold:
+		g.log.Info("engine_cold", "engine", in.ID, "service", in.Service, "for_ms", in.ColdFor)
+	default:
 		g.log.Info("engine", "change", string(change), "engine", in.ID, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
 	}
 }
@@ -252,6 +272,7 @@
 func (g *Gate) RemoveEngine(id, cause string) {
 	g.mu.Lock()
 	in, ok := g.book.Remove(id)
+	delete(g.parts, id)
 	g.mu.Unlock()
 	if !ok {
 		return
--- a/gate/place.go
+++ b/gate/place.go
@@ -21,7 +21,7 @@
 	}
 	ch, ok := g.book.Choose(engines.Query{
 		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
-		Silence: silence(c.route.Goal), Tried: c.tried, Random: random(),
+		Silence: silence(c.route.Goal), Cold: g.cold(c), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
 		return pick{}, g.noEngine(c)
@@ -134,7 +134,7 @@
 			continue
 		}
 		g.mu.Lock()
-		trust := e.Reached()
+		trust := e.Reached(g.clk.Now())
 		g.mu.Unlock()
 		g.logTrust(id, trust, "connected")
 		return
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -73,6 +73,8 @@
 	Stop() Stop
 	// SetFleet takes what is known of the others.
 	SetFleet(f Fleet)
+	// SetOthers takes the ids of the other entries that are known, sorted.
+	SetOthers(ids []string)
 	// HearLoads takes the loads of a peer that asked.
 	HearLoads(loads []Load, at clock.Millis)
 }
@@ -241,6 +243,7 @@
 	f := p.members.Fleet(p.clk.Now())
 	n := f.Entries
 	p.cfg.Facts.SetFleet(f)
+	p.cfg.Facts.SetOthers(p.members.others())
 	changed := p.alone != (n == 1)
 	p.alone = n == 1
 	p.mu.Unlock()
--- a/table/table.go
+++ b/table/table.go
@@ -77,6 +77,10 @@
 	// EventTokens is how many tokens an event of a stream holds; the last may
 	// hold fewer. Zero if that is not published.
 	EventTokens int
+	// Warmup is how long an engine stays cold after its start, zero if none does,
+	// and WarmupRate how many requests a second it bears meanwhile.
+	Warmup     clock.Millis
+	WarmupRate float64
 }
 
 // Workspace is a group of callers that share keys.
