--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,43 +1,116 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
+	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
+// Streams of very unequal length.
+const (
+	longPath = "/long/"
+	// longCallers is how many callers of a gate ask for them.
+	longCallers = 6
+	longPause   = 30 * time.Millisecond
+	// longMost is how many events the longest has, and longTokens what is told of
+	// it: 4.2 s, a little less than a stopping process has.
+	longMost   = 140
+	longTokens = longMost * standin.Stride
+	// leastPart is the part of what is told that comes at least. fullShare of the
+	// answers have all of it; the rest are mostly short, since the part rises by
+	// this power of an even draw. A process that served for a second so has seen
+	// few that take longer than that, or none.
+	leastPart = 0.1
+	fullShare = 0.08
+	partPower = 8
+	// longPatience is longer than any answer may take.
+	longPatience = standin.LongTimeout + 2*time.Second
+)
+
+// longEvents returns how many events the answer to a request has that told the
+// given number of tokens.
+func longEvents(id string, tokens int) int {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id)
+	rng := rand.New(rand.NewPCG(h.Sum64(), uint64(tokens)))
+	most := float64(tokens / standin.Stride)
+	if rng.Float64() < fullShare {
+		return int(most)
+	}
+	return max(1, int(most*(leastPart+(1-leastPart)*math.Pow(rng.Float64(), partPower))))
+}
+
 // call sends requests to a gate over kept connections until the run is over.
 func (w *world) call(g, c int) {
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(g*callers+c)))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 8 * time.Second}
-	defer client.CloseIdleConnections()
 	paths := []string{"/safe/x", "/unsafe/x", "/chat/x", "/resume/x"}
-	for n := 0; w.ctx.Err() == nil; n++ {
-		a := asked{id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: paths[rng.IntN(len(paths))], key: keyKept, sent: time.Now()}
+	w.callWith(callerPatience, func(n int) asked {
+		a := asked{gate: g, id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: paths[rng.IntN(len(paths))], key: keyKept, sent: time.Now()}
 		if rng.IntN(4) == 0 {
 			a.key = keyRevoked
 		}
-		w.rec.add(w.ask(client, w.gates[g].callers, a))
+		return a
+	}, rng)
+}
+
+// callLong asks for streams of very unequal length. Half of the requests tell
+// the most that may come out.
+func (w *world) callLong(g, c int) {
+	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(longCallersFrom+g*longCallers+c)))
+	w.callWith(longPatience, func(n int) asked {
+		a := asked{gate: g, id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: longPath + "x", key: keyKept, tokens: longTokens, sent: time.Now()}
+		if rng.IntN(2) == 0 {
+			a.tokens = standin.Stride * (1 + rng.IntN(longMost))
+		}
+		return a
+	}, rng)
+}
+
+// longCallersFrom keeps the draws of longCallers from those of the others.
+const longCallersFrom = 1 << 32
+
+// callWith sends what next returns until the run is over.
+func (w *world) callWith(patience time.Duration, next func(n int) asked, rng *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: patience}
+	defer client.CloseIdleConnections()
+	for n := 0; w.ctx.Err() == nil; n++ {
+		a := next(n)
+		a = w.ask(client, w.gates[a.gate].callers, a)
+		a.ended = time.Now()
+		w.rec.add(a)
 		time.Sleep(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
 	}
 }
 
 func (w *world) ask(client *http.Client, addr string, a asked) asked {
 	prompt := fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id)
-	req, err := standin.NewRequest("http://"+addr+a.path, host, a.id, a.key, prompt)
+	req, err := standin.NewRequest(standin.Ask{
+		URL: "http://" + addr + a.path, Host: host, ID: a.id, Key: a.key, Prompt: prompt, Deadline: a.deadline(), Tokens: a.tokens,
+	})
 	if err != nil {
 		return a
 	}
 	res, err := client.Do(req)
 	if err != nil {
+		a.gaveUp = timedOut(err)
 		return a
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	a.status, a.body, a.whole, a.signature = res.StatusCode, string(body), err == nil, standin.Signature(res.Header)
+	a.gaveUp = timedOut(err)
 	return a
 }
+
+func timedOut(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -13,11 +13,17 @@
 
 // asked is one request of a caller and what became of it.
 type asked struct {
-	id     string
-	path   string
-	key    string
-	sent   time.Time
+	gate int
+	id   string
+	path string
+	key  string
+	// tokens is the most that may come out, 0 if the request does not tell.
+	tokens      int
+	sent, ended time.Time
+	// status is 0 if there was no head of an answer.
 	status int
+	// gaveUp is true when the caller's patience was over.
+	gaveUp bool
 	// whole is true when the answer came to its end.
 	whole     bool
 	body      string
@@ -30,7 +36,22 @@
 }
 
 func (a asked) stream() bool {
-	return strings.HasPrefix(a.path, "/chat/") || strings.HasPrefix(a.path, "/resume/")
+	return strings.HasPrefix(a.path, "/chat/") || strings.HasPrefix(a.path, "/resume/") || a.long()
+}
+
+func (a asked) long() bool { return strings.HasPrefix(a.path, longPath) }
+
+// deadline is what the caller tells, and what the route allows.
+func (a asked) deadline() time.Duration {
+	if a.long() {
+		return standin.LongTimeout
+	}
+	return askTimeout
+}
+
+// leaving reports whether a gate refused the request since it was stopping.
+func (a asked) leaving() bool {
+	return a.status == http.StatusServiceUnavailable && a.signature == "" && strings.Contains(a.body, `"reason":"leaving"`)
 }
 
 // want is the whole answer to a request.
@@ -38,8 +59,12 @@
 	if !a.stream() {
 		return "for " + a.id
 	}
+	events := streamEvents
+	if a.long() {
+		events = longEvents(a.id, a.tokens)
+	}
 	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	for n := 1; n <= events; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, a.id, n)
 	}
 	return b.String()
@@ -55,7 +80,12 @@
 	revoked   map[string]time.Time
 	disturbed time.Time
 	ended     time.Time
-	broken    []string
+	// stops has when gates were told to stop, troubles what may excuse a cut.
+	stops    []stopped
+	troubles []trouble
+	// excused counts cuts around a planned stop that break no promise.
+	excused int
+	broken  []string
 }
 
 func (r *record) add(a asked) {
@@ -87,9 +117,10 @@
 
 // judge holds what was seen against the promises.
 func (r *record) judge(engines []*standin.Engine, services []string, gateLives int) {
-	ran := map[string][]*standin.Run{}
+	ran, reached := map[string][]*standin.Run{}, map[string]bool{}
 	for _, e := range engines {
 		for _, run := range e.Runs() {
+			reached[run.ID] = true
 			if run.Executed {
 				ran[run.ID] = append(ran[run.ID], run)
 			}
@@ -101,6 +132,9 @@
 	failed := map[int]int{}
 	for _, a := range r.asked {
 		r.judgeOne(a, ran[a.id])
+		if reached[a.id] {
+			r.judgeStop(a)
+		}
 		if a.sent.After(r.ended.Add(-recovered)) && a.key == keyKept {
 			late++
 			if a.status == http.StatusOK && a.whole {
--- a/soak/link.go
+++ b/soak/link.go
@@ -35,8 +35,30 @@
 
 	mu    sync.Mutex
 	fault LinkFault
-	// open has the connections; true marks those that lost bytes.
-	open map[net.Conn]bool
+	open  map[*pair]bool
+}
+
+// pair is a connection that is carried. Its fields are guarded by the link's
+// mu.
+type pair struct {
+	near, far net.Conn
+	// lost is true once bytes were dropped that a sound link would have carried.
+	lost bool
+	// mute is what is dropped for good, with all that would tell of it: also the
+	// close of an end. The kernel acknowledges what is dropped, so that only
+	// those who wait for an answer can notice. "" drops nothing.
+	mute LinkFault
+}
+
+// mutes reports whether the connection is silent for good in a direction.
+func (p *pair) mutes(way LinkFault) bool { return p.mute == Cut || p.mute == way }
+
+// back returns the opposite of DeafTo or DeafFrom.
+func back(way LinkFault) LinkFault {
+	if way == DeafTo {
+		return DeafFrom
+	}
+	return DeafTo
 }
 
 func newLink(target string) (*link, error) {
@@ -44,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{ln: ln, target: target, fault: Sound, open: map[net.Conn]bool{}}
+	l := &link{ln: ln, target: target, fault: Sound, open: map[*pair]bool{}}
 	go l.accept()
 	return l, nil
 }
@@ -57,9 +79,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = f
-	for c, lost := range l.open {
-		if f == Resets || (f == Sound && lost) {
-			_ = c.Close()
+	for p := range l.open {
+		if f == Resets || (f == Sound && p.lost) {
+			_, _ = p.near.Close(), p.far.Close()
+		}
+	}
+}
+
+// silence makes up to so many of the open connections silent for good. New
+// ones work.
+func (l *link) silence(f LinkFault, most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		if most == 0 {
+			return
+		}
+		if p.mute == "" {
+			p.mute = f
+			most--
 		}
 	}
 }
@@ -92,12 +130,16 @@
 		return
 	}
 	defer func() { _ = far.Close() }()
-	l.track(near, far)
-	defer l.untrack(near, far)
-	done := make(chan struct{}, 2)
-	go func() { l.pump(far, near, DeafTo); done <- struct{}{} }()
-	go func() { l.pump(near, far, DeafFrom); done <- struct{}{} }()
-	<-done
+	p := &pair{near: near, far: far}
+	l.track(p)
+	defer l.untrack(p)
+	done := make(chan LinkFault, 2)
+	go func() { l.pump(p, far, near, DeafTo); done <- DeafTo }()
+	go func() { l.pump(p, near, far, DeafFrom); done <- DeafFrom }()
+	if way := <-done; l.muted(p, way) {
+		// The other end does not hear that this one closed.
+		<-done
+	}
 }
 
 func (l *link) now() LinkFault {
@@ -106,42 +148,54 @@
 	return l.fault
 }
 
-func (l *link) track(conns ...net.Conn) {
+func (l *link) muted(p *pair, way LinkFault) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range conns {
-		l.open[c] = false
-	}
+	return p.mutes(way)
+}
+
+func (l *link) track(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[p] = true
+}
+
+func (l *link) untrack(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, p)
 }
 
-func (l *link) untrack(conns ...net.Conn) {
+// pass returns what becomes of bytes that go a way now: Cut drops them.
+func (l *link) pass(p *pair, way LinkFault) LinkFault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range conns {
-		delete(l.open, c)
+	switch {
+	case p.mutes(way):
+		return Cut
+	case l.fault == Cut || l.fault == way:
+		p.lost = true
+		return Cut
 	}
+	return l.fault
 }
 
 // pump copies one way until either end closes.
-func (l *link) pump(to, from net.Conn, deaf LinkFault) {
+func (l *link) pump(p *pair, to, from net.Conn, way LinkFault) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		switch f := l.now(); {
-		case f == Cut || f == deaf:
-			l.mu.Lock()
-			l.open[from] = true
-			l.mu.Unlock()
-		case n > 0:
+		if f := l.pass(p, way); f != Cut && n > 0 {
 			if f == Delayed {
 				time.Sleep(linkDelay)
 			}
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			// Where the other end's close is not heard, what goes there is lost.
+			if _, werr := to.Write(buf[:n]); werr != nil && !l.muted(p, back(way)) {
 				return
 			}
 		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) {
+			if !errors.Is(err, io.EOF) && !l.muted(p, way) {
 				_ = to.Close()
 			}
 			return
--- /dev/null
+++ b/soak/parts_test.go
@@ -0,0 +1,185 @@
+package soak_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/soak"
+)
+
+// The seeds that are kept stay worth keeping only while they draw the same.
+func TestKeptSeedsDrawWhatTheyDrew(t *testing.T) {
+	for seed, want := range map[uint64]uint64{1: 0x32a0d87668d69dc, 2: 0x3177a7374ffc113e, 3: 0xa53632ff3e979063, 30007: 0xd6ef8c13bf951dfa} {
+		h := fnv.New64a()
+		for _, s := range soak.Schedule(seed, 18*time.Second, soak.Even) {
+			fmt.Fprintln(h, s)
+		}
+		if got := h.Sum64(); got != want {
+			t.Errorf("seed %d: got schedule %#x, want %#x", seed, got, want)
+		}
+	}
+}
+
+func TestPlannedPlaysStopGatesWithinASecondOfTheirStart(t *testing.T) {
+	ways, many, again := map[string]bool{}, map[int]bool{}, map[int]bool{}
+	for seed := range uint64(50) {
+		early := false
+		for _, s := range soak.Schedule(seed, 18*time.Second, soak.Planned) {
+			switch s.Kind {
+			case soak.Series:
+				early = early || s.At < time.Second
+				ways[s.How], many[s.Many], again[s.Again] = true, true, true
+				if s.For >= time.Second {
+					t.Errorf("seed %d: got %v after a return, want under a second", seed, s.For)
+				}
+			case soak.Reload, soak.Publish, soak.Join, soak.Leave, soak.Compact:
+			default:
+				t.Errorf("seed %d: got %v, want planned work alone", seed, s)
+			}
+		}
+		if !early {
+			t.Errorf("seed %d: got no stop within a second of the start", seed)
+		}
+	}
+	if len(ways) < 3 || len(many) < 3 || len(again) < 3 {
+		t.Errorf("got ways %v of groups of %v, again %v, want three of each", ways, many, again)
+	}
+}
+
+func TestLongAnswersAreMostlyShortAndSometimesWhatWasTold(t *testing.T) {
+	const n = 2000
+	short, full := 0, 0
+	most := soak.LongEvents("", 0)
+	for i := range n {
+		got := soak.LongEvents(fmt.Sprint(i), soak.LongTokens)
+		most = max(most, got)
+		if got < soak.LongTokens/4/10 {
+			t.Fatalf("got %d events of %d tokens, want a tenth at least", got, soak.LongTokens)
+		}
+		if got < soak.LongTokens/4/3 {
+			short++
+		}
+		if got == soak.LongTokens/4 {
+			full++
+		}
+	}
+	if short < n*2/3 || full < n/50 || full > n/5 || most > soak.LongTokens/4 {
+		t.Errorf("got %d short and %d full of %d, at most %d events", short, full, n, most)
+	}
+}
+
+func TestCutsAroundAPlannedStop(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		cut             soak.CutAnswer
+		again           []time.Duration
+		broken, excused int
+	}{
+		"taken late and cut":               {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms}, broken: 1},
+		"sent before and cut early":        {cut: soak.CutAnswer{Sent: -200 * ms, Ended: 1000 * ms}, broken: 1},
+		"early, running at the end":        {cut: soak.CutAnswer{Sent: 1800 * ms, Ended: 4600 * ms}, excused: 1},
+		"early, seen after the next stop":  {cut: soak.CutAnswer{Sent: 1800 * ms, Ended: 4602 * ms}, again: []time.Duration{4601 * ms}, excused: 1},
+		"late, seen after the next stop":   {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4602 * ms}, again: []time.Duration{4601 * ms}, broken: 1},
+		"cut early by the next stop":       {cut: soak.CutAnswer{Sent: 4700 * ms, Ended: 5000 * ms}, again: []time.Duration{4800 * ms}, broken: 1},
+		"whole":                            {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, Whole: true}},
+		"the caller gave up":               {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, GaveUp: true}},
+		"as long as it may take":           {cut: soak.CutAnswer{Path: "/safe/x", Sent: 500 * ms, Ended: 3500 * ms}},
+		"another gate":                     {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, Gate: 1}},
+		"before the stop":                  {cut: soak.CutAnswer{Sent: -900 * ms, Ended: -100 * ms}},
+		"long after the stop":              {cut: soak.CutAnswer{Sent: 5000 * ms, Ended: 6100 * ms}},
+		"engine trouble meanwhile":         {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, TroubleGate: soak.EveryGate, Trouble: 3000 * ms, Until: 3500 * ms}, excused: 1},
+		"trouble of the gate shortly ago":  {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, Trouble: -3000 * ms, Until: -500 * ms}, excused: 1},
+		"trouble of the gate, long over":   {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, Trouble: -3000 * ms, Until: -900 * ms}, broken: 1},
+		"trouble of another gate":          {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, TroubleGate: 2, Trouble: 3000 * ms, Until: 3500 * ms}, broken: 1},
+		"trouble that began after the cut": {cut: soak.CutAnswer{Sent: 2200 * ms, Ended: 4600 * ms, Trouble: 4700 * ms, Until: 5500 * ms}, broken: 1},
+	} {
+		if c.cut.Path == "" {
+			c.cut.Path = "/long/x"
+		}
+		broken, excused := soak.JudgeCut(c.cut, c.again...)
+		if broken != c.broken || excused != c.excused {
+			t.Errorf("%s: got %d broken, %d excused, want %d, %d", name, broken, excused, c.broken, c.excused)
+		}
+	}
+}
+
+// echo answers each connection with what came, until the test is over.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// echoed reports whether a byte comes back within a while, and whether the
+// connection was seen to end.
+func echoed(c net.Conn) (back, ended bool) {
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	ne, ok := err.(net.Error)
+	return err == nil, err != nil && (!ok || !ne.Timeout())
+}
+
+func TestSilentConnectionsStaySilentAndNewOnesWork(t *testing.T) {
+	for _, way := range []soak.LinkFault{soak.Cut, soak.DeafTo, soak.DeafFrom} {
+		t.Run(string(way), func(t *testing.T) {
+			t.Parallel()
+			l, err := soak.NewLink(echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(l.Close)
+			dial := func() net.Conn {
+				c, err := net.Dial("tcp", l.Addr())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = c.Close() })
+				if back, _ := echoed(c); !back {
+					t.Fatal("got nothing back on a sound connection")
+				}
+				return c
+			}
+			silent := dial()
+			l.Silence(way, 1)
+			for range 2 {
+				if back, ended := echoed(silent); back || ended {
+					t.Errorf("got back %v, ended %v on a silent connection, want neither", back, ended)
+				}
+			}
+			sound := dial()
+			if back, _ := echoed(sound); !back {
+				t.Error("got nothing back on a new connection")
+			}
+			_ = sound.Close()
+			_ = silent.Close()
+			left := 0
+			if way != soak.DeafFrom {
+				// The end that was dialled does not hear of the close.
+				left = 1
+			}
+			for end := time.Now().Add(2 * time.Second); l.Open() != left; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("got %d connections open at the link, want %d", l.Open(), left)
+				}
+			}
+		})
+	}
+}
--- a/soak/play.go
+++ b/soak/play.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync"
 	"syscall"
 	"time"
 
@@ -10,10 +11,15 @@
 // play carries out the schedule.
 func (w *world) play() {
 	begin := time.Now()
+	w.quietFrom = begin.Add(w.cfg.Length - quiet)
 	for _, s := range w.cfg.Steps {
 		time.Sleep(time.Until(begin.Add(s.At)))
 		w.wg.Go(func() {
+			from := time.Now()
 			w.strike(s)
+			if !s.planned() {
+				w.rec.trouble(w.struck(s), from, time.Now())
+			}
 			if s.disturbs() {
 				w.rec.setDisturbed(time.Now())
 			}
@@ -22,6 +28,44 @@
 	time.Sleep(time.Until(begin.Add(w.cfg.Length)))
 }
 
+// struck returns the number of the only gate that a trouble can reach, or
+// everyGate.
+func (w *world) struck(s Step) int {
+	switch s.Kind {
+	case Kill, Pause, StoreLink, SilentStore, Revoke:
+		return s.Who % len(w.gates)
+	}
+	return everyGate
+}
+
+// stopSeries stops gates that follow on one another, each again within a
+// second of its return.
+func (w *world) stopSeries(s Step) {
+	var wg sync.WaitGroup
+	for i := range min(s.Many, len(w.gates)) {
+		g := w.gates[(s.Who+i)%len(w.gates)]
+		one := func() {
+			for range s.Again + 1 {
+				if !time.Now().Before(w.quietFrom) {
+					return
+				}
+				g.restart(syscall.SIGTERM)
+				time.Sleep(s.For)
+			}
+		}
+		switch s.How {
+		case inTurn:
+			one()
+		case overlapping:
+			wg.Go(one)
+			time.Sleep(s.For)
+		default:
+			wg.Go(one)
+		}
+	}
+	wg.Wait()
+}
+
 // strike begins a trouble, and ends it.
 func (w *world) strike(s Step) {
 	g := w.gates[s.Who%len(w.gates)]
@@ -35,10 +79,18 @@
 	case Stop:
 		g.restart(syscall.SIGTERM)
 	case Roll:
+		var wg sync.WaitGroup
 		for _, g := range w.gates {
-			go g.restart(syscall.SIGTERM)
+			wg.Go(func() { g.restart(syscall.SIGTERM) })
 			time.Sleep(s.For)
 		}
+		wg.Wait()
+	case Series:
+		w.stopSeries(s)
+	case SilentStore:
+		g.store.silence(LinkFault(s.How), s.Many)
+	case SilentEngine:
+		l.silence(LinkFault(s.How), s.Many)
 	case Pause:
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(s.For)
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,6 +24,8 @@
 	peers   string
 	store   *link
 	logs    *os.File
+	number  int
+	rec     *record
 
 	// restarting makes overlapping restarts one after the other.
 	restarting sync.Mutex
@@ -36,7 +38,7 @@
 	over  bool
 }
 
-func newGate(cfg Config, i int, store string, seeds []string) (*gate, error) {
+func newGate(cfg Config, i int, store string, seeds []string, rec *record) (*gate, error) {
 	l, err := newLink(store)
 	if err != nil {
 		return nil, err
@@ -49,7 +51,7 @@
 		}
 		addrs = append(addrs, a)
 	}
-	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l}
+	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l, number: i, rec: rec}
 	text := standin.BootText(standin.Boot{
 		Number: i, Seeds: seeds, Callers: addrs[0], Readiness: addrs[1], Peers: addrs[2], Store: l.addr(),
 		Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow,
@@ -94,7 +96,7 @@
 	return "", fmt.Errorf("no free port from %d to %d: %w", firstPort, lastPort, err)
 }
 
-// begin starts the process and waits until it listens.
+// begin starts the process and does not wait until it listens.
 func (g *gate) begin() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -135,6 +137,7 @@
 	g.mu.Lock()
 	done := g.done
 	g.mu.Unlock()
+	at := time.Now()
 	g.signal(s)
 	select {
 	case <-done:
@@ -142,12 +145,16 @@
 		g.signal(syscall.SIGKILL)
 		<-done
 	}
+	if s == syscall.SIGTERM {
+		g.rec.stopped(stopped{gate: g.number, at: at, gone: time.Now()})
+	}
 	// The next trouble or the judgement shows a gate that did not start.
 	_ = g.begin()
 }
 
-// restartLimit is the grace of a planned stop and a little more.
-const restartLimit = 6 * time.Second
+// restartLimit is when a process is killed that was told to stop. The grace is
+// its own to keep, so a second is added.
+const restartLimit = standin.Grace + time.Second
 
 func (g *gate) end() {
 	g.mu.Lock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -34,6 +34,36 @@
 	Revoke Kind = "revoke"
 	// Roll stops all gates one after the other.
 	Roll Kind = "roll"
+	// Series stops some gates, and each of them again soon after its return.
+	Series Kind = "series"
+	// SilentStore and SilentEngine make connections that are open silent for
+	// good, without a reset, while new ones work.
+	SilentStore  Kind = "silent_store"
+	SilentEngine Kind = "silent_engine"
+)
+
+// Play says what is drawn from a seed and how long answers are.
+type Play string
+
+const (
+	// Even has troubles of many kinds, and streams of one length.
+	Even Play = "even"
+	// Planned has planned work alone, and streams of very unequal length.
+	Planned Play = "planned"
+	// Mixed has troubles of all kinds, and streams of very unequal length.
+	Mixed Play = "mixed"
+)
+
+// Plays lists all plays.
+var Plays = []Play{Even, Planned, Mixed}
+
+func (p Play) uneven() bool { return p != Even }
+
+// How the stops of a series lie to one another.
+const (
+	together    = "together"
+	overlapping = "overlapping"
+	inTurn      = "in_turn"
 )
 
 // kinds is drawn from evenly; what stands twice comes twice as often.
@@ -41,6 +71,12 @@
 	Kill, Pause, Stop, Reload, Store, Compact, StoreLink, StoreLink, EngineLink, Engine, Engine, Engine, Engine, Engines, Leave, Leave, Join, Publish, Revoke,
 }
 
+// mixedKinds is drawn from in a mixed play.
+var mixedKinds = slices.Concat(kinds, []Kind{Series, Series, Series, SilentStore, SilentStore, SilentEngine, SilentEngine})
+
+// plannedKinds is what goes on besides the stops of a planned play.
+var plannedKinds = []Kind{Reload, Publish, Join, Leave, Compact}
+
 // Step is one trouble of a schedule.
 type Step struct {
 	At   time.Duration
@@ -50,12 +86,24 @@
 	Who int
 	// How is the variant, "" where there is one only.
 	How string
+	// Many is how many gates or connections it strikes where that may be several,
+	// and Again how often each gate of a series is stopped once more.
+	Many, Again int
+}
+
+// planned reports whether it is work that no promise is excused by.
+func (s Step) planned() bool {
+	switch s.Kind {
+	case Stop, Roll, Series, Reload, Leave, Join, Publish, Compact:
+		return true
+	}
+	return false
 }
 
 // disturbs reports whether a gate may know less of engines while it lasts.
 func (s Step) disturbs() bool {
 	switch s.Kind {
-	case Pause, Store, Compact, StoreLink, Revoke:
+	case Pause, Store, Compact, StoreLink, SilentStore, Revoke:
 		return true
 	}
 	return false
@@ -63,25 +111,38 @@
 
 // String returns the step as it stands in reports.
 func (s Step) String() string {
-	return fmt.Sprintf("%v for %v: %s %s on %d", s.At, s.For, s.Kind, s.How, s.Who)
+	text := fmt.Sprintf("%v for %v: %s %s on %d", s.At, s.For, s.Kind, s.How, s.Who)
+	if s.Many > 0 {
+		text += fmt.Sprintf(", %d of them, %d times more", s.Many, s.Again)
+	}
+	return text
 }
 
 var (
 	storeFaults = []standin.Fault{standin.Busy, standin.Limited, standin.Reset, standin.Silent, standin.Nonsense, standin.Deaf, standin.Mute}
 	linkFaults  = []LinkFault{Delayed, Cut, DeafTo, DeafFrom, Resets}
 	commonWays  = []string{"refuse", "reset", "error"}
+	silences    = []LinkFault{Cut, DeafTo, DeafFrom}
+	seriesWays  = []string{together, together, overlapping, inTurn}
 	engineWays  = []string{"refuse", "reset", "cut", "extra", "older", "unframed", "garbage", "slow", "error"}
 )
 
 // newSchedule draws the troubles of a run. They overlap, and end quiet before
 // the run does, so that recovery can be judged.
-func newSchedule(seed uint64, length time.Duration) []Step {
+func newSchedule(seed uint64, length time.Duration, play Play) []Step {
 	rng := rand.New(rand.NewPCG(seed, seed))
+	if play == Planned {
+		return newPlanned(rng, length)
+	}
+	from := kinds
+	if play == Mixed {
+		from = mixedKinds
+	}
 	n := int(length/time.Second)*stepsPerSecond/10 + 1
 	var steps []Step
 	for range n {
 		at := time.Duration(rng.Int64N(int64(length - quiet)))
-		s := Step{At: at, Kind: kinds[rng.IntN(len(kinds))]}
+		s := Step{At: at, Kind: from[rng.IntN(len(from))]}
 		longest := longestStep
 		if s.Kind == StoreLink || s.Kind == Revoke {
 			longest = longestCut
@@ -97,6 +158,10 @@
 			s.How = engineWays[rng.IntN(len(engineWays))]
 		case Engines:
 			s.How = commonWays[rng.IntN(len(commonWays))]
+		case Series:
+			s = newSeries(rng, at)
+		case SilentStore, SilentEngine:
+			s.How, s.Many = string(silences[rng.IntN(len(silences))]), 1+rng.IntN(mostSilent)
 		}
 		steps = append(steps, s)
 	}
@@ -108,7 +173,41 @@
 	return steps
 }
 
+// newPlanned draws stops, the first of them within a second of the start of the
+// gates, and some other planned work.
+func newPlanned(rng *rand.Rand, length time.Duration) []Step {
+	steps := []Step{newSeries(rng, time.Duration(rng.Int64N(int64(time.Second))))}
+	for range 1 + rng.IntN(mostSeries) {
+		steps = append(steps, newSeries(rng, time.Duration(rng.Int64N(int64(length-quiet)))))
+	}
+	for range rng.IntN(mostOther) {
+		s := Step{At: time.Duration(rng.Int64N(int64(length - quiet))), Kind: plannedKinds[rng.IntN(len(plannedKinds))], Who: rng.IntN(whoMost)}
+		steps = append(steps, s)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	return steps
+}
+
+// groups is how many gates are stopped. All comes twice: while none serves in
+// their place, stopping gates take what may end in time.
+var groups = []int{1, 2, whoMost, whoMost}
+
+// newSeries draws stops of one gate, of two or of all.
+func newSeries(rng *rand.Rand, at time.Duration) Step {
+	s := Step{At: at, Kind: Series, Who: rng.IntN(whoMost), How: seriesWays[rng.IntN(len(seriesWays))], Again: rng.IntN(mostAgain + 1)}
+	s.For = shortestStep + time.Duration(rng.Int64N(int64(time.Second-shortestStep)))
+	s.Many = groups[rng.IntN(len(groups))]
+	return s
+}
+
 const (
+	// mostSeries bounds the series after the first of a planned play, mostOther
+	// the other planned work, mostAgain how often a gate is stopped again, and
+	// mostSilent how many connections fall silent at a time.
+	mostSeries = 3
+	mostOther  = 5
+	mostAgain  = 2
+	mostSilent = 3
 	// stepsPerSecond is in tenths: 25 troubles begin in ten seconds.
 	stepsPerSecond = 25
 	// whoMost bounds the numbers of gates and engines that are struck; they
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,6 +19,8 @@
 type Config struct {
 	Seed   uint64
 	Length time.Duration
+	// Play says what is drawn from the seed, "" for Even.
+	Play Play
 	// Gates is how many processes are run.
 	Gates int
 	// Binary and Env start weldfall.
@@ -35,13 +37,18 @@
 	Config   Config
 	Requests int
 	Served   int
+	// Refused counts what gates refused since they were stopping.
+	Refused int
+	// Excused counts answers cut around a planned stop that break no promise.
+	Excused int
 	// Broken has the promises that did not hold.
 	Broken []string
 }
 
 // String returns the summary in one line.
 func (r Report) String() string {
-	return fmt.Sprintf("seed=%d gates=%d steps=%d requests=%d served=%d broken=%d", r.Config.Seed, r.Config.Gates, len(r.Config.Steps), r.Requests, r.Served, len(r.Broken))
+	return fmt.Sprintf("seed=%d play=%s gates=%d steps=%d requests=%d served=%d refused_leaving=%d cut_excused=%d broken=%d",
+		r.Config.Seed, r.Config.Play, r.Config.Gates, len(r.Config.Steps), r.Requests, r.Served, r.Refused, r.Excused, len(r.Broken))
 }
 
 // Figures of the deployment that is run.
@@ -58,6 +65,10 @@
 	streamEvents = 12
 	eventPause   = 15 * time.Millisecond
 	callers      = 3
+	// askTimeout is the deadline that callers tell, and callerPatience is after
+	// how long they give up.
+	askTimeout     = 3 * time.Second
+	callerPatience = 8 * time.Second
 )
 
 // world is a deployment that runs.
@@ -68,6 +79,8 @@
 	gates []*gate
 	ctx   context.Context
 	wg    sync.WaitGroup
+	// quietFrom is when no more trouble is begun.
+	quietFrom time.Time
 
 	mu      sync.Mutex
 	engines []*standin.Engine
@@ -80,8 +93,11 @@
 
 // Run plays one schedule and judges it.
 func Run(ctx context.Context, cfg Config) (Report, error) {
+	if cfg.Play == "" {
+		cfg.Play = Even
+	}
 	if cfg.Steps == nil {
-		cfg.Steps = newSchedule(cfg.Seed, cfg.Length)
+		cfg.Steps = newSchedule(cfg.Seed, cfg.Length, cfg.Play)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -91,19 +107,23 @@
 	}
 	defer w.stop()
 	w.play()
+	// Answers that run on say nothing of recovery.
+	w.rec.ended = time.Now()
 	cancel()
 	w.wg.Wait()
-	w.rec.ended = time.Now()
 	lives := 0
 	for _, g := range w.gates {
 		lives += g.lives
 	}
 	w.rec.judge(w.engines, w.services, lives)
-	r := Report{Config: cfg, Requests: len(w.rec.asked), Broken: w.rec.broken}
+	r := Report{Config: cfg, Requests: len(w.rec.asked), Excused: w.rec.excused, Broken: w.rec.broken}
 	for _, a := range w.rec.asked {
 		if a.status == http.StatusOK && a.whole {
 			r.Served++
 		}
+		if a.leaving() {
+			r.Refused++
+		}
 	}
 	return r, nil
 }
@@ -123,7 +143,7 @@
 	w.publish()
 	var seeds []string
 	for i := range w.cfg.Gates {
-		g, err := newGate(w.cfg, i, storeAddr, seeds)
+		g, err := newGate(w.cfg, i, storeAddr, seeds, w.rec)
 		if err != nil {
 			return err
 		}
@@ -137,6 +157,11 @@
 		for c := range callers {
 			w.wg.Go(func() { w.call(i, c) })
 		}
+		if w.cfg.Play.uneven() {
+			for c := range longCallers {
+				w.wg.Go(func() { w.callLong(i, callers+c) })
+			}
+		}
 	}
 	return nil
 }
@@ -205,6 +230,9 @@
 		if strings.HasPrefix(run.URI, "/chat/") || strings.HasPrefix(run.URI, "/resume/") {
 			p = standin.Reply{Events: streamEvents, Pause: eventPause, Load: "1,0,8"}
 		}
+		if strings.HasPrefix(run.URI, longPath) {
+			p = standin.Reply{Events: longEvents(run.ID, run.Tokens()), Pause: longPause, Load: "1,0,8"}
+		}
 		if way == "" || run.ID == "" || run.ID[len(run.ID)-1]%2 == 0 {
 			return p
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,26 +11,34 @@
 
 func TestMain(m *testing.M) { fleettest.Main(m) }
 
-func config(t *testing.T, seed uint64) soak.Config {
+func config(t *testing.T, seed uint64, play soak.Play) soak.Config {
 	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return soak.Config{Seed: seed, Length: 18 * time.Second, Gates: 3, Binary: self, Env: []string{fleettest.MainEnv + "=1"}, Dir: t.TempDir()}
+	return soak.Config{Seed: seed, Play: play, Length: 18 * time.Second, Gates: 3, Binary: self, Env: []string{fleettest.MainEnv + "=1"}, Dir: t.TempDir()}
 }
 
 // Seeds that once failed stay here, each with its cause.
 func TestSeedsKeepThePromises(t *testing.T) {
-	for name, seed := range map[string]uint64{"first": 1, "second": 2, "all gates stopped in turn": 3, "store deaf while a key is revoked": 30007} {
+	for name, kept := range map[string]struct {
+		seed uint64
+		play soak.Play
+	}{
+		"first":                             {1, soak.Even},
+		"second":                            {2, soak.Even},
+		"all gates stopped in turn":         {3, soak.Even},
+		"store deaf while a key is revoked": {30007, soak.Even},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r, err := soak.Run(t.Context(), config(t, seed))
+			r, err := soak.Run(t.Context(), config(t, kept.seed, kept.play))
 			if err != nil {
 				t.Fatal(err)
 			}
 			for _, b := range r.Broken {
-				t.Errorf("seed %d: %s", seed, b)
+				t.Errorf("seed %d, play %s: %s", kept.seed, kept.play, b)
 			}
 			if r.Served == 0 {
 				t.Errorf("got no request served of %d", r.Requests)
