--- a/soak/weldsoak/main.go
+++ b/soak/weldsoak/main.go
@@ -1,6 +1,8 @@
 // Weldsoak runs soaks with fresh or given seeds and prints a line for each. A
 // broken promise ends it with the seed, the smallest schedule that was found
 // and the place of the logs.
+//
+// Without --play the seeds take turns: every second is a planned play.
 package main
 
 import (
@@ -9,6 +11,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,15 +24,14 @@
 // mainEnv makes this program run as weldfall.
 const mainEnv = "WELDSOAK_MAIN"
 
-// shrinkRuns bounds the runs that look for a smaller schedule.
-const shrinkRuns = 16
-
 type args struct {
 	Seed      uint64  `arg:"--seed" help:"seed of the first run; 0 draws one"`
 	Minutes   float64 `arg:"--minutes" default:"1" help:"how long seeds are tried"`
 	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 15 at least"`
 	Processes int     `arg:"--processes" default:"4" help:"gates, 1 to 200"`
-	Dir       string  `arg:"--dir" help:"where settings files and logs are kept; a temporary one if empty"`
+	Play      string  `arg:"--play" help:"even, planned or mixed; planned and mixed in turn if empty"`
+	Shrink    int     `arg:"--shrink" default:"16" help:"runs that look for a smaller schedule once a promise broke"`
+	Dir       string  `arg:"--dir" help:"where settings files and logs are kept, made if it is missing; a temporary one if empty"`
 }
 
 func main() {
@@ -48,14 +50,15 @@
 	if a.Seconds < 15 || a.Processes < 1 || a.Processes > 200 {
 		return fmt.Errorf("--seconds must be 15 or more and --processes 1 to 200")
 	}
+	if a.Play != "" && !slices.Contains(soak.Plays, soak.Play(a.Play)) {
+		return fmt.Errorf("--play is %q and must be one of %v", a.Play, soak.Plays)
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	if a.Dir == "" {
-		if a.Dir, err = os.MkdirTemp("", "weldsoak"); err != nil {
-			return err
-		}
+	if a.Dir, err = place(a.Dir); err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -66,27 +69,49 @@
 	end := time.Now().Add(time.Duration(a.Minutes * float64(time.Minute)))
 	for ; time.Now().Before(end) && ctx.Err() == nil; seed++ {
 		r, err := soak.Run(ctx, soak.Config{
-			Seed: seed, Length: time.Duration(a.Seconds) * time.Second, Gates: a.Processes, Binary: self, Env: []string{mainEnv + "=1"}, Dir: a.Dir,
+			Seed: seed, Length: time.Duration(a.Seconds) * time.Second, Play: a.play(seed), Gates: a.Processes, Binary: self, Env: []string{mainEnv + "=1"}, Dir: a.Dir,
 		})
 		if err != nil {
 			return err
 		}
 		fmt.Println(r)
 		if len(r.Broken) > 0 {
-			return tell(ctx, r)
+			return tell(ctx, r, a.Shrink)
 		}
 	}
 	return nil
 }
 
+// play returns what is drawn from a seed.
+func (a args) play(seed uint64) soak.Play {
+	switch {
+	case a.Play != "":
+		return soak.Play(a.Play)
+	case seed%2 == 0:
+		return soak.Planned
+	}
+	return soak.Mixed
+}
+
+// place returns the folder for settings files and logs, and makes it.
+func place(dir string) (string, error) {
+	if dir == "" {
+		return os.MkdirTemp("", "weldsoak")
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", fmt.Errorf("--dir: the folder for settings files and logs cannot be made: %w; name one in a place that can be written, or leave --dir out", err)
+	}
+	return dir, nil
+}
+
 // tell prints what broke and the smallest schedule on which it does.
-func tell(ctx context.Context, r soak.Report) error {
+func tell(ctx context.Context, r soak.Report, runs int) error {
 	for _, b := range r.Broken {
 		fmt.Println("  broken:", b)
 	}
-	small := soak.Shrink(ctx, r, shrinkRuns)
+	small := soak.Shrink(ctx, r, runs)
 	for _, s := range small.Config.Steps {
 		fmt.Println("  step:", s)
 	}
-	return fmt.Errorf("seed %d: %d promises broken; logs in %s", r.Config.Seed, len(r.Broken), r.Config.Dir)
+	return fmt.Errorf("seed %d, play %s: %d promises broken; logs in %s", r.Config.Seed, r.Config.Play, len(r.Broken), r.Config.Dir)
 }
