--- a/soak/play.go
+++ b/soak/play.go
@@ -8,6 +8,10 @@
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
+// restartSlack is how long a single restart may wait for one that came before:
+// it is over before the last requests, which must be served.
+const restartSlack = time.Second
+
 // play carries out the schedule.
 func (w *world) play() {
 	begin := time.Now()
@@ -46,10 +50,10 @@
 		g := w.gates[(s.Who+i)%len(w.gates)]
 		one := func() {
 			for range s.Again + 1 {
-				if !time.Now().Before(w.quietFrom) {
+				if time.Now().After(w.quietFrom) {
 					return
 				}
-				g.restart(syscall.SIGTERM)
+				g.restart(syscall.SIGTERM, w.quietFrom)
 				time.Sleep(s.For)
 			}
 		}
@@ -75,13 +79,16 @@
 	w.mu.Unlock()
 	switch s.Kind {
 	case Kill:
-		g.restart(syscall.SIGKILL)
+		g.restart(syscall.SIGKILL, w.quietFrom.Add(restartSlack))
 	case Stop:
-		g.restart(syscall.SIGTERM)
+		g.restart(syscall.SIGTERM, w.quietFrom.Add(restartSlack))
 	case Roll:
 		var wg sync.WaitGroup
 		for _, g := range w.gates {
-			wg.Go(func() { g.restart(syscall.SIGTERM) })
+			if time.Now().After(w.quietFrom) {
+				break
+			}
+			wg.Go(func() { g.restart(syscall.SIGTERM, w.quietFrom) })
 			time.Sleep(s.For)
 		}
 		wg.Wait()
--- a/soak/process.go
+++ b/soak/process.go
@@ -130,10 +130,15 @@
 	}
 }
 
-// restart ends the process by a signal and starts it again.
-func (g *gate) restart(s syscall.Signal) {
+// restart ends the process by a signal and starts it again, unless its turn
+// comes later than by: restarts wait for one another, and a gate that returns
+// at the end of the run says nothing of recovery.
+func (g *gate) restart(s syscall.Signal, by time.Time) {
 	g.restarting.Lock()
 	defer g.restarting.Unlock()
+	if time.Now().After(by) {
+		return
+	}
 	g.mu.Lock()
 	done := g.done
 	g.mu.Unlock()
