--- a/duration/duration.go
+++ b/duration/duration.go
@@ -46,7 +46,7 @@
 	// Longest is for how long any request is held whose route publishes no
 	// timeout.
 	Longest clock.Millis = 600_000
-	// routesMost and servicesMost bound what is remembered: 2 KB each.
+	// routesMost and servicesMost bound what is remembered: 4 KB each.
 	routesMost   = 256
 	servicesMost = 64
 )
@@ -90,11 +90,11 @@
 type Answers struct {
 	mu       sync.Mutex
 	routes   map[string]*route
-	services map[string]*service
+	services map[string]*pace
 }
 
-// service is what was seen of one service.
-type service struct {
+// pace is what was seen of the pace of events.
+type pace struct {
 	runs latest
 	// rest is how many events, in restTook, came at the ends of streams, after
 	// their last runs. They make a run once there are enough.
@@ -102,8 +102,29 @@
 	restTook clock.Millis
 }
 
+// end takes the events after the last run of a stream.
+func (p *pace) end(events int, took clock.Millis) {
+	p.rest += events
+	p.restTook += took
+	if p.rest >= Run {
+		p.runs.add(Run * p.restTook / clock.Millis(p.rest))
+		p.rest, p.restTook = 0, 0
+	}
+}
+
+// slower returns what the given part of the runs keep at each of two paces, the
+// longer of the two. A pace of which too little is known does not count.
+func (p *pace) slower(o *pace, part float64) clock.Millis {
+	took := p.runs.quantile(part)
+	if o.runs.n >= leastRuns {
+		took = max(took, o.runs.quantile(part))
+	}
+	return took
+}
+
 // route is what was seen of one route.
 type route struct {
+	pace
 	firsts latest
 	// wholes are whole answers, from the request to their end.
 	wholes latest
@@ -112,7 +133,7 @@
 }
 
 // New returns Answers that have seen nothing.
-func New() *Answers { return &Answers{routes: map[string]*route{}, services: map[string]*service{}} }
+func New() *Answers { return &Answers{routes: map[string]*route{}, services: map[string]*pace{}} }
 
 // First records the time until the first event of a stream.
 func (a *Answers) First(name string, took clock.Millis) {
@@ -143,43 +164,44 @@
 	}
 }
 
-// Pace records the time of a run of events. It is told while a stream goes on,
-// so that long ones count as much as those that have ended.
-func (a *Answers) Pace(name string, took clock.Millis) {
+// Pace records the time of a run of events of a route at a service. It is told
+// while a stream goes on, so that long ones count as much as those that have
+// ended.
+func (a *Answers) Pace(name, service string, took clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.service(name); s != nil {
-		s.runs.add(took)
+	for _, p := range a.paces(name, service) {
+		p.runs.add(took)
 	}
 }
 
 // Rest records the time of the events that came after the last run of a stream.
 // Without them nothing would be known of a service whose streams are shorter
 // than a run.
-func (a *Answers) Rest(name string, events int, took clock.Millis) {
+func (a *Answers) Rest(name, service string, events int, took clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.service(name)
-	if s == nil {
-		return
-	}
-	s.rest += events
-	s.restTook += took
-	if s.rest >= Run {
-		s.runs.add(Run * s.restTook / clock.Millis(s.rest))
-		s.rest, s.restTook = 0, 0
+	for _, p := range a.paces(name, service) {
+		p.end(events, took)
 	}
 }
 
-// service returns what is known of a service, nil if no more can be remembered.
-// The caller holds mu.
-func (a *Answers) service(name string) *service {
-	s := a.services[name]
+// paces returns what is known of the pace of a service and of a route, without
+// those of which no more can be remembered. The caller holds mu.
+func (a *Answers) paces(name, service string) []*pace {
+	var out []*pace
+	s := a.services[service]
 	if s == nil && len(a.services) < servicesMost {
-		s = &service{}
-		a.services[name] = s
+		s = &pace{}
+		a.services[service] = s
+	}
+	if s != nil {
+		out = append(out, s)
+	}
+	if r := a.route(name); r != nil {
+		out = append(out, &r.pace)
 	}
-	return s
+	return out
 }
 
 // route returns what is known of a route, nil if no more can be remembered.
@@ -208,7 +230,7 @@
 	if req.Events == 0 || s == nil || s.runs.n < leastRuns {
 		return unknown(req.Route)
 	}
-	return stream(req, seen, &s.runs)
+	return stream(req, seen, s)
 }
 
 // held is for how long a request of a route is held.
@@ -227,15 +249,17 @@
 	return Estimate{Most: most, Usual: most, Basis: Seen, Samples: seen.wholes.n}
 }
 
-func stream(req Request, seen *route, runs *latest) Estimate {
+// stream estimates a stream whose length is known. Its pace is that of the
+// service, of which more is known, or that of its route if that is slower.
+func stream(req Request, seen *route, s *pace) Estimate {
 	goal := cmp.Or(req.Route.Goal, usualGoal)
 	first := max(firstGoals*goal, clock.Millis(firstShare*float64(seen.firsts.longest())))
-	usual := min(held(req.Route), goal+events(req.Events, runs.quantile(0.5)))
-	if runs.n < boundRuns {
-		return Estimate{Most: held(req.Route), Usual: usual, Basis: Timeout, Samples: runs.n}
+	usual := min(held(req.Route), goal+events(req.Events, s.slower(&seen.pace, 0.5)))
+	if s.runs.n < boundRuns {
+		return Estimate{Most: held(req.Route), Usual: usual, Basis: Timeout, Samples: s.runs.n}
 	}
-	most := min(held(req.Route), max(first+events(req.Events, runs.quantile(slowRuns))+req.Route.PauseGoal, seen.wholes.longest()))
-	return Estimate{Most: most, Usual: min(usual, most), Basis: Events, Samples: runs.n}
+	most := min(held(req.Route), max(first+events(req.Events, s.slower(&seen.pace, slowRuns))+req.Route.PauseGoal, seen.wholes.longest()))
+	return Estimate{Most: most, Usual: min(usual, most), Basis: Events, Samples: s.runs.n}
 }
 
 // events is how long n events take where a run takes so long.
--- a/duration/duration_test.go
+++ b/duration/duration_test.go
@@ -20,7 +20,7 @@
 	a.First(streamed.Name, first)
 	for range 10 {
 		for _, took := range runs {
-			a.Pace("llm", took)
+			a.Pace(streamed.Name, "llm", took)
 		}
 	}
 	return a
@@ -78,7 +78,7 @@
 func TestAFewRunsTellTheUsualPaceOnly(t *testing.T) {
 	a := duration.New()
 	for range 10 {
-		a.Pace("llm", 160)
+		a.Pace(streamed.Name, "llm", 160)
 	}
 	got := a.Estimate(duration.Request{Route: streamed, Service: "llm", Events: 200})
 	if want := (duration.Estimate{Most: 15_000, Usual: 400 + 200*20, Basis: duration.Timeout, Samples: 10}); got != want {
@@ -145,19 +145,19 @@
 	req := duration.Request{Route: streamed, Service: "llm", Events: 16}
 	for range 5 {
 		a.First(streamed.Name, 100)
-		a.Rest("llm", 6, 120)
+		a.Rest(streamed.Name, "llm", 6, 120)
 	}
 	if got := a.Estimate(req); got.Usual != 15_000 {
 		t.Errorf("got %+v by 30 events, want the timeout", got)
 	}
 	for range 3 {
-		a.Rest("llm", 6, 120)
+		a.Rest(streamed.Name, "llm", 6, 120)
 	}
 	if got := a.Estimate(req); got.Usual != 400+16*20 || got.Basis != duration.Timeout {
 		t.Errorf("got %+v by 48 events, want usually %d, and no bound yet", got, 400+16*20)
 	}
 	for range 60 {
-		a.Rest("llm", 6, 120)
+		a.Rest(streamed.Name, "llm", 6, 120)
 	}
 	// The first event may take two goals, 16 events 20 ms each, and one pause.
 	if got := a.Estimate(req); got.Most != 800+16*20+300 || got.Basis != duration.Events {
@@ -191,3 +191,22 @@
 		t.Errorf("got %+v, want the timeout of %d", got, plain.Timeout)
 	}
 }
+
+// Routes of one service may differ: where much is known of short events and
+// less of long ones, a route of long ones does not go by the short.
+func TestASlowRouteGoesByItsOwnPace(t *testing.T) {
+	a := duration.New()
+	for range 100 {
+		a.Pace("another", "llm", 80)
+	}
+	for range 8 {
+		a.Pace(streamed.Name, "llm", 240)
+	}
+	got := a.Estimate(duration.Request{Route: streamed, Service: "llm", Events: 100})
+	if want := clock.Millis(400 + 100*30); got.Usual != want {
+		t.Errorf("got usually %d, want %d", got.Usual, want)
+	}
+	if want := clock.Millis(800 + 100*30 + 300); got.Most != want {
+		t.Errorf("got at most %d, want %d", got.Most, want)
+	}
+}
--- a/duration/stops_test.go
+++ b/duration/stops_test.go
@@ -62,7 +62,7 @@
 			a.First(streamed.Name, d.first)
 			a.Whole(streamed.Name, d.whole())
 			for _, r := range d.runs {
-				a.Pace("llm", r)
+				a.Pace(streamed.Name, "llm", r)
 			}
 			longest = max(longest, d.whole())
 		}
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -131,8 +131,8 @@
 	if a.status != http.StatusOK || !strings.Contains(a.body, `"path":"/fees?ref=7"`) {
 		t.Errorf("service: got %d %s, want 200 with the path", a.status, a.body)
 	}
-	if got, want := len(f.RunsOf(f.Services[0])), 1; got != want {
-		t.Errorf("service runs: got %d, want %d", got, want)
+	if runs := f.RunsOf(f.Services[0]); len(runs) != 1 {
+		t.Errorf("service runs: got %d, want 1: %+v", len(runs), runs)
 	}
 	wrong := chat(f.Entries[0], chatBody(false, 1, "x"))
 	wrong.key = "planning.ws0.wrong"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,10 @@
 		"second":                            {2, soak.Even},
 		"all gates stopped in turn":         {3, soak.Even},
 		"store deaf while a key is revoked": {30007, soak.Even},
+		// The longest of a few answers stood for what the next might take.
+		"answers that outlast a stop": {916, soak.Planned},
+		// The pace of one route stood for that of a slower one.
+		"streams slower than others of their service": {913, soak.Planned},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
