--- /dev/null
+++ b/internal/days/days_test.go
@@ -0,0 +1,470 @@
+package days_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/weldfall/weldfall/internal/days"
+)
+
+// kindsText has the form of the bench's text, with kinds of this test's own.
+const kindsText = `Each entry has 'at' and 'kind'. for_s: how long (5). gap_s: time between steps (1). share: part of the things.
+For servers, 'how' may also hold wide (of all copies) and every (none is spared). For machines, 'how' may also hold chief (the one that acted last), tail (it doesn't lead; with torn also wipe) or root. After these may stand again (a change, and more), twin (two such at once) and, for mach_halt, busy (each is stopped). Cuts are silent.
+
+flood: x times the traffic of a zone or class (all)
+drop: share of a class's requests are about one thing
+serv_down: share (.15) of a service's servers are down for for_s; how: dark (silent, mostly), gone (for good), slow (x (8) times as long), + near (only for callers)
+serv_grey: share (.2) fail x (.4) of their requests
+leave: share (.5) drain; how: spot (they are gone x s (2.5) after the notice; others come, with dry nowhere)
+mach_die: share (.1) of the machines: the end; how: power (dark for for_s)
+mach_halt: share (1) get the signal, x (1) at a time, each gap_s
+store: the platform's store; how: silent busy reset, and lapse (leases run out); log, how: deal (anew), rewind
+patient: share of the clients leave; how once: they stay, and don't retry; prompt: jobs are cancelled
+change: how: route quota (+ under: far below what is sent) idle
+
+these may come too:
+lie: share (.15) say well (how: errors hang), or say ill and are well (how: bad)
+`
+
+const siteText = `length_s = 34.0
+lead_s = 10.0
+zones = [ { name = "a" }, { name = "b" } ]
+machines = [
+  { class = "front", zone = "a", count = 3, spare = 1 },
+  { class = "front", zone = "b", count = 2, spare = 1 },
+  { class = "side", zone = "b", count = 4, app = "llm" },
+]
+services = [ { name = "llm", conn_cap = 100, servers = [{ zone = "b", count = 4 }], llm = { kv_tokens = 1001, prefill_tokens_per_ms = 42.6 } } ]
+troubles = [
+  { kind = "flood", x = 1.7, for_s = 3.0 },
+  { kind = "drop", share = 0.28, for_s = 30.0, class = "chat" },
+  { kind = "mach_die", how = "chief again", on = "core", count = 1 },
+]
+[bounds]
+drain_ms = 2000
+config_ms = 2000
+grace_s = 8.0
+[goal]
+zone = 0.0
+[platform]
+writes_per_s = 400.0
+reads_per_s = 2000.0
+[[day]]
+name = "one"
+plan = [ { at = 3.0, kind = "leave", share = 0.3 } ]
+faults = [ { at = 3, kind = "serv_grey", how = "mute", x = 0.45 } ]
+`
+
+func site(t *testing.T) (days.Site, []days.Kind) {
+	t.Helper()
+	s, err := days.ParseSite([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds, err := days.Parse(kindsText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, kinds
+}
+
+func draw(t *testing.T, w days.Wanted) []days.Day {
+	t.Helper()
+	s, kinds := site(t)
+	w.Seeds = max(1, w.Seeds)
+	all, err := s.Draw(kinds, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+var stops = days.Wanted{Seed: 1, Seeds: 20, Stop: "mach_halt", Beside: []string{"leave"}, Under: []string{"flood"}}
+
+func figure(t days.Trouble, field string) float64 {
+	if n, ok := t[field].(int64); ok {
+		return float64(n)
+	}
+	n, _ := t[field].(float64)
+	return n
+}
+
+func TestParseReadsTheVariantsOfEachKind(t *testing.T) {
+	_, kinds := site(t)
+	want := map[string]string{
+		"flood": "", "drop": "", "mach_die": "again chief power root tail twin", "mach_halt": "again busy chief root tail twin",
+		"serv_down": "dark,every,gone,slow,slow near,wide", "serv_grey": "every wide", "leave": "every,spot,spot dry,wide",
+		"patient": "once prompt", "change": "idle,quota,quota under,route", "lie": "bad errors hang",
+		"store": "busy lapse log deal reset rewind silent",
+	}
+	for _, k := range kinds {
+		sep := " "
+		if strings.Contains(want[k.Name], ",") {
+			sep = ","
+		}
+		hows := strings.FieldsFunc(want[k.Name], func(r rune) bool { return string(r) == sep })
+		slices.Sort(hows)
+		if !slices.Equal(k.Hows, hows) {
+			t.Errorf("%s: variants %q, want %q", k.Name, k.Hows, hows)
+		}
+	}
+	if len(kinds) != len(want) {
+		t.Errorf("%d kinds, want %d", len(kinds), len(want))
+	}
+}
+
+func TestParseReadsFigures(t *testing.T) {
+	_, kinds := site(t)
+	for _, tc := range []struct {
+		kind, field string
+		want        float64
+	}{{"serv_grey", "x", 0.4}, {"serv_grey", "share", 0.2}, {"serv_grey", "for_s", 5}, {"serv_grey", "gap_s", 1}, {"mach_halt", "share", 1}, {"leave", "share", 0.5}} {
+		i := slices.IndexFunc(kinds, func(k days.Kind) bool { return k.Name == tc.kind })
+		if got := kinds[i].Figures[tc.field]; got != tc.want {
+			t.Errorf("%s %s = %g, want %g", tc.kind, tc.field, got, tc.want)
+		}
+	}
+	if _, ok := kinds[0].Figures["x"]; ok {
+		t.Errorf("%s has a figure for x, which its text doesn't give", kinds[0].Name)
+	}
+}
+
+func TestTextsOfAnotherFormAreErrors(t *testing.T) {
+	if _, err := days.Parse("usage: bench kinds SITE\n"); err == nil {
+		t.Error("a text without kinds was read")
+	}
+	for _, text := range []string{"", "length_s = 'x'", strings.Replace(siteText, "34.0", "3.0", 1), strings.Replace(siteText, "grace_s = 8.0", "", 1), strings.ReplaceAll(siteText, `class = "front"`, `app = "x"`)} {
+		if _, err := days.ParseSite([]byte(text)); err == nil {
+			t.Errorf("a site file was read that has no length, grace or entries: %.40q", text)
+		}
+	}
+}
+
+func TestSameSeedSameDays(t *testing.T) {
+	text := func(w days.Wanted) string {
+		var b bytes.Buffer
+		for _, d := range draw(t, w) {
+			out, err := d.TOML()
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Write(out)
+		}
+		return b.String()
+	}
+	for _, w := range []days.Wanted{{Seed: 7}, stops, {Seed: 7, Seeds: 3, Random: 9}} {
+		one, again := text(w), text(w)
+		w.Seed++
+		if one != again || one == text(w) {
+			t.Errorf("%+v: the days don't depend on the seed alone", w)
+		}
+	}
+}
+
+// A day is the same whatever else is drawn beside it.
+func TestADayDependsOnNoOther(t *testing.T) {
+	all := draw(t, days.Wanted{Seed: 4, Shapes: []string{"alone", "twice"}})
+	few := draw(t, days.Wanted{Seed: 4, Shapes: []string{"twice"}, Only: []string{"serv_down/dark"}})
+	if len(few) != 1 {
+		t.Fatalf("%d days of one variant and shape", len(few))
+	}
+	i := slices.IndexFunc(all, func(d days.Day) bool { return d.Name == few[0].Name })
+	if i < 0 || fmt.Sprint(all[i]) != fmt.Sprint(few[0]) {
+		t.Errorf("drawn alone: %v", few[0])
+	}
+}
+
+func TestTroublesLieWithinTheDay(t *testing.T) {
+	s, _ := site(t)
+	for _, w := range []days.Wanted{{Seed: 1, Seeds: 20}, stops} {
+		for _, d := range draw(t, w) {
+			all := slices.Concat(d.Plan, d.Faults)
+			if len(all) == 0 {
+				t.Errorf("%s holds nothing", d.Name)
+			}
+			for _, tr := range all {
+				if at := figure(tr, "at"); at < 0 || at+figure(tr, "for_s") > s.Length+0.011 || at >= s.Length {
+					t.Errorf("%s: %v in a day of %g s", d.Name, tr, s.Length)
+				}
+			}
+		}
+	}
+}
+
+func TestShapes(t *testing.T) {
+	s, _ := site(t)
+	const span = 5
+	for _, d := range draw(t, days.Wanted{Seed: 1, Seeds: 20, Only: []string{"serv_grey"}}) {
+		all := slices.Concat(d.Plan, d.Faults)
+		first, last := figure(all[0], "at"), figure(all[len(all)-1], "at")
+		shape := strings.Split(strings.TrimPrefix(d.Name, strings.ReplaceAll(d.Label, "/", "-")+"-"), "-")[0]
+		ok := map[string]bool{
+			"alone": len(all) == 1, "first": first < 2, "end": first == s.Length-span, "twice": len(all) == 2 && last-first >= span-0.011,
+			"over": len(all) == 2 && last > first && last-first < span, "pair": len(all) == 2,
+		}
+		if good, known := ok[shape]; !good || !known {
+			t.Errorf("%s: %v", d.Name, all)
+		}
+	}
+}
+
+func TestEntriesTakeTheSitesOwnFigures(t *testing.T) {
+	all := draw(t, days.Wanted{Seed: 1, Shapes: []string{"alone"}})
+	entry := func(label string) days.Trouble {
+		i := slices.IndexFunc(all, func(d days.Day) bool { return d.Label == label })
+		if i < 0 {
+			t.Fatalf("no day %q", label)
+		}
+		return slices.Concat(all[i].Plan, all[i].Faults)[0]
+	}
+	if e := entry("flood"); figure(e, "x") != 1.7 {
+		t.Errorf("the bench has no x for it, the site has: %v", e)
+	}
+	if e := entry("drop"); e["class"] != "chat" || figure(e, "for_s") > 34.0/3 {
+		t.Errorf("want the site's class, and a third of the day at most: %v", e)
+	}
+	if e := entry("mach_die/chief/again/core"); figure(e, "count") != 1 || e["share"] != nil {
+		t.Errorf("want the site's entry: %v", e)
+	}
+	if e := entry("serv_grey/wide"); e["x"] != nil || figure(e, "share") < 0.2*0.7 || figure(e, "share") > 0.2*1.5+0.01 {
+		t.Errorf("want the bench's own x, and a share around its own: %v", e)
+	}
+}
+
+func TestPlanHoldsPlannedWork(t *testing.T) {
+	for _, d := range draw(t, days.Wanted{Seed: 1, Planned: []string{"change"}}) {
+		for _, tr := range d.Plan {
+			if tr["kind"] != "leave" && tr["kind"] != "change" {
+				t.Errorf("%s plans %v", d.Name, tr)
+			}
+		}
+		for _, tr := range d.Faults {
+			if tr["kind"] == "leave" || tr["kind"] == "change" {
+				t.Errorf("%s has as a fault %v", d.Name, tr)
+			}
+		}
+	}
+}
+
+func TestStops(t *testing.T) {
+	const entries, grace = 5, 8
+	uneven := 0
+	for _, d := range draw(t, stops) {
+		var halts []days.Trouble
+		for _, tr := range d.Plan {
+			if tr["kind"] == "mach_halt" {
+				halts = append(halts, tr)
+			}
+		}
+		if len(halts) < 2 || figure(halts[0], "at") < 0.5 || figure(halts[0], "at") > 1.5 {
+			t.Fatalf("%s: want stops from half a second on, and again: %v", d.Name, halts)
+		}
+		if strings.HasPrefix(d.Label, "stops/groups") {
+			continue
+		}
+		for i, h := range halts {
+			n, gap := int(figure(h, "x")), figure(h, "gap_s")
+			if n > entries/2 && n < entries && entries-n != n {
+				uneven++
+			}
+			if d.Label == "stops/singly" && (n != 1 || gap < 0.4 || gap > 2) || d.Label == "stops/moment" && n != entries {
+				t.Errorf("%s: %v", d.Name, h)
+			}
+			back := figure(h, "at") + float64((entries-1)/n)*gap + grace
+			if i+1 < len(halts) && (figure(halts[i+1], "at") < back || figure(halts[i+1], "at") > back+1.02) {
+				t.Errorf("%s: next stop at %g, the last is back at %g", d.Name, figure(halts[i+1], "at"), back)
+			}
+		}
+		if d.Label == "stops/beside/leave" && len(d.Plan) != 2*len(halts) || d.Label == "stops/under/flood" && len(d.Faults) != len(halts) {
+			t.Errorf("%s: not one entry beside or over each stop: %v", d.Name, d)
+		}
+	}
+	if uneven == 0 {
+		t.Error("no groups of unequal size")
+	}
+}
+
+func TestWantedErrors(t *testing.T) {
+	s, kinds := site(t)
+	for _, w := range []days.Wanted{{Seeds: 1, Shapes: []string{"no"}}, {Seeds: 1, Only: []string{"no"}}, {Seeds: 1, Stop: "mach_halt", Under: []string{"no"}}, {}} {
+		if all, err := s.Draw(kinds, w); err == nil {
+			t.Errorf("%+v gave %d days", w, len(all))
+		}
+	}
+}
+
+// edited returns the tree of the site file after a deployment.
+func edited(t *testing.T, name string) map[string]any {
+	t.Helper()
+	text, err := days.Edit([]byte(siteText), name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	if _, err := days.ParseSite(text); err != nil {
+		t.Errorf("%s: %v", name, err)
+	}
+	return tree
+}
+
+func TestEditsOfFigures(t *testing.T) {
+	for name, want := range map[string]string{
+		"small-memory": "kv_tokens:125", "large-memory": "kv_tokens:8008", "slow-reading": "prefill_tokens_per_ms:14.2", "fast-reading": "prefill_tokens_per_ms:127.8",
+		"few-connections": "conn_cap:25", "many-connections": "conn_cap:400", "short-bounds": "drain_ms:1500 grace_s:6", "long-bounds": "drain_ms:4000 grace_s:16",
+		"thin-store": "reads_per_s:100 writes_per_s:20",
+	} {
+		if got := fmt.Sprint(edited(t, name)); !strings.Contains(got, want) {
+			t.Errorf("%s: no %s in %s", name, want, got)
+		}
+	}
+}
+
+func TestEveryDeploymentChangesTheSite(t *testing.T) {
+	var before map[string]any
+	if err := toml.Unmarshal([]byte(siteText), &before); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range days.Deployments() {
+		if fmt.Sprint(edited(t, name)) == fmt.Sprint(before) {
+			t.Errorf("%s changes nothing", name)
+		}
+	}
+}
+
+func TestEditsOfEntries(t *testing.T) {
+	for name, want := range map[string]int{"one-entry": 1, "twelve-entries": 12} {
+		text, err := days.Edit([]byte(siteText), name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := days.ParseSite(text)
+		if err != nil || s.Entries() != want {
+			t.Errorf("%s: %d entries, %v", name, s.Entries(), err)
+		}
+		if !strings.Contains(fmt.Sprint(s.Machines), "app:llm") {
+			t.Errorf("%s took other machines away: %v", name, s.Machines)
+		}
+	}
+}
+
+func TestOneHall(t *testing.T) {
+	tree := edited(t, "one-hall")
+	if zones := tree["zones"].([]any); len(zones) != 1 {
+		t.Errorf("zones: %v", zones)
+	}
+	if got := fmt.Sprint(tree); strings.Contains(got, "zone:b") || !strings.Contains(got, "zone:a") {
+		t.Errorf("something is still in the other zone: %s", got)
+	}
+	if weight := tree["goal"].(map[string]any)["zone"]; weight != 0.0 {
+		t.Errorf("the weight of zones became %v", weight)
+	}
+}
+
+func TestChangeWritesWhatTheBenchWants(t *testing.T) {
+	from, to := t.TempDir(), t.TempDir()
+	path := filepath.Join(from, "s.toml")
+	write := func(name, text string) {
+		if err := os.WriteFile(filepath.Join(from, name), []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("s.toml", siteText)
+	write("wire.json", "{}")
+	if _, err := days.Change(path, to, []string{"one-entry"}); err == nil {
+		t.Error("no error without CUT beside the site file")
+	}
+	write("CUT", "9 x\n")
+	out, err := days.Change(path, to, []string{"one-entry", "thin-store"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"s.toml", "wire.json", "CUT"} {
+		if _, err := os.Stat(filepath.Join(filepath.Dir(out), name)); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := days.Change(path, to, []string{"no-such"}); err == nil || !strings.Contains(err.Error(), "one-hall") {
+		t.Errorf("want an error that names the deployments: %v", err)
+	}
+}
+
+const (
+	keptOut = `built in 0.0 s; 1 lines in 1 files
+day                  own/srv  score  worth served refused failed  weakest part
+unk                    17/15   1.00  0.929  0.989   0.000  0.013  worst class 0.90; prices 0.046
+`
+	brokenOut = `day                  own/srv  score  worth served refused failed  weakest part
+early                  17/15   0.00 -0.063  0.985   0.006  0.009  worst class 0.90; prices 0.107  BROKEN: LOST 4 (else 0.95)
+rules broken: LOST 4, DRAIN 1
+`
+)
+
+func TestParseResult(t *testing.T) {
+	r, err := days.ParseResult(keptOut)
+	if want := (days.Result{Worth: 0.929, Served: 0.989, Failed: 0.013}); err != nil || r != want {
+		t.Errorf("%+v, %v; want %+v", r, err, want)
+	}
+	r, err = days.ParseResult(brokenOut)
+	if want := (days.Result{Worth: -0.063, Served: 0.985, Refused: 0.006, Failed: 0.009, Broken: "LOST 4, DRAIN 1"}); err != nil || r != want {
+		t.Errorf("%+v, %v; want %+v", r, err, want)
+	}
+	r, err = days.ParseResult(strings.Split(brokenOut, "rules broken")[0])
+	if err != nil || r.Broken != "LOST 4" {
+		t.Errorf("by the line of the day alone: %+v, %v", r, err)
+	}
+	if _, err = days.ParseResult("built in 0.0 s\nbench: the day can't be read\n"); err == nil || !strings.Contains(err.Error(), "can't be read") {
+		t.Errorf("want an error with the last line: %v", err)
+	}
+}
+
+// A program that prints like the bench stands in for it.
+func TestPlayAllKeepsOutputAndSeed(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "bench")
+	script := "#!/bin/sh\ncase $3 in *flood-alone-2*) echo 'given up'; exit 1;; esac\necho \"$@\"\ncat <<'E'\n" + brokenOut + "E\n"
+	if err := os.WriteFile(program, []byte(script), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	all := draw(t, days.Wanted{Seed: 1, Seeds: 3, Shapes: []string{"alone"}, Only: []string{"flood"}})
+	plays := days.Bench(program).PlayAll(t.Context(), "s.toml", dir, all, 2, "because")
+	if len(plays) != 3 || plays[0].Broken != "LOST 4, DRAIN 1" || plays[1].Err == nil || plays[2].Err != nil {
+		t.Fatalf("%+v", plays)
+	}
+	out, err := os.ReadFile(plays[2].Path + ".out")
+	if err != nil || !strings.Contains(string(out), "run s.toml "+plays[2].Path+" --no-cpu --jobs 1 --seed 3 --why because: flood-alone-3") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
+func TestTell(t *testing.T) {
+	day := func(label string, r days.Result, err error) days.Play {
+		return days.Play{Day: days.Day{Label: label, Seed: 5}, Path: "d.toml", Result: r, Err: err}
+	}
+	kept, lost := day("b", days.Result{Worth: 0.5}, nil), day("c", days.Result{}, errors.New("given up"))
+	bad := day("a", days.Result{Worth: 0.25, Broken: "LOST 4"}, nil)
+	for _, tc := range []struct {
+		plays  []days.Play
+		broken bool
+		ok     bool
+	}{{[]days.Play{kept}, false, true}, {[]days.Play{kept, lost}, false, false}, {[]days.Play{kept, bad, lost}, true, false}} {
+		var b bytes.Buffer
+		err := days.Tell(&b, tc.plays, "bench run s.toml")
+		if errors.Is(err, days.ErrBroken) != tc.broken || (err == nil) != tc.ok {
+			t.Errorf("%v: %s", err, b.String())
+		}
+		if tc.broken && !(strings.Contains(b.String(), "LOST 4: bench run s.toml d.toml --no-cpu --seed 5") && strings.Contains(b.String(), "given up") && strings.Contains(b.String(), "2      1  0.375")) {
+			t.Errorf("not told how to play it again, or not what was given up, or a wrong mean:\n%s", b.String())
+		}
+	}
+}
