--- a/internal/days/days_test.go
+++ b/internal/days/days_test.go
@@ -255,7 +255,7 @@
 }
 
 func TestStops(t *testing.T) {
-	const entries, grace = 5, 8
+	const entries, away = 5, 8 + 0.5
 	uneven := 0
 	for _, d := range draw(t, stops) {
 		var halts []days.Trouble
@@ -278,7 +278,7 @@
 			if d.Label == "stops/singly" && (n != 1 || gap < 0.4 || gap > 2) || d.Label == "stops/moment" && n != entries {
 				t.Errorf("%s: %v", d.Name, h)
 			}
-			back := figure(h, "at") + float64((entries-1)/n)*gap + grace
+			back := figure(h, "at") + float64((entries-1)/n)*gap + away
 			if i+1 < len(halts) && (figure(halts[i+1], "at") < back || figure(halts[i+1], "at") > back+1.02) {
 				t.Errorf("%s: next stop at %g, the last is back at %g", d.Name, figure(halts[i+1], "at"), back)
 			}
@@ -322,7 +322,7 @@
 	for name, want := range map[string]string{
 		"small-memory": "kv_tokens:125", "large-memory": "kv_tokens:8008", "slow-reading": "prefill_tokens_per_ms:14.2", "fast-reading": "prefill_tokens_per_ms:127.8",
 		"few-connections": "conn_cap:25", "many-connections": "conn_cap:400", "short-bounds": "drain_ms:1500 grace_s:6", "long-bounds": "drain_ms:4000 grace_s:16",
-		"thin-store": "reads_per_s:100 writes_per_s:20",
+		"thin-store": "reads_per_s:10 writes_per_s:2",
 	} {
 		if got := fmt.Sprint(edited(t, name)); !strings.Contains(got, want) {
 			t.Errorf("%s: no %s in %s", name, want, got)
--- a/internal/days/deploy.go
+++ b/internal/days/deploy.go
@@ -24,7 +24,7 @@
 	"many-connections": func(t tree) { scale(t["services"], 4, "conn_cap") },
 	"short-bounds":     func(t tree) { scale(t["bounds"], 0.75, "drain_ms", "config_ms", "grace_s") },
 	"long-bounds":      func(t tree) { scale(t["bounds"], 2, "drain_ms", "config_ms", "grace_s") },
-	"thin-store":       func(t tree) { scale(t["platform"], 0.05, "writes_per_s", "reads_per_s") },
+	"thin-store":       func(t tree) { scale(t["platform"], 1.0/200, "writes_per_s", "reads_per_s") },
 	"one-hall":         oneHall,
 	"one-entry":        func(t tree) { entries(t, 1) },
 	"twelve-entries":   func(t tree) { entries(t, 12) },
--- a/internal/days/stops.go
+++ b/internal/days/stops.go
@@ -13,6 +13,9 @@
 	// shortGap and longGap are the seconds between stops one by one: less than
 	// the return of a process takes, so that several are away at once.
 	shortGap, longGap = 0.4, 2.0
+	// restart is for how many seconds after its grace the bench keeps a stopped
+	// process away, by the times that it prints.
+	restart = 0.5
 )
 
 // stops returns the days of planned stops for a seed, none if no kind that
@@ -73,7 +76,7 @@
 	for at := firstStop + r.Float64(); ; at += between(r, 0.1, 1) {
 		n, gap := size(r), hundredths(between(r, shortGap, longGap))
 		t := Trouble{"at": hundredths(at), "kind": kind, "share": 1.0, "x": float64(n), "gap_s": gap}
-		at += float64((s.Entries()-1)/n)*gap + s.Bounds.Grace
+		at += float64((s.Entries()-1)/n)*gap + s.Bounds.Grace + restart
 		if at > s.Length && len(all) > 0 {
 			return all
 		}
@@ -81,11 +84,12 @@
 	}
 }
 
-// groups stops groups of drawn sizes shortly after each other, all in all each
-// entry about once, and again after their return.
+// groups stops groups of drawn sizes shortly after each other, as many as there
+// are entries, and again after the return. The bench picks who is in a group, so
+// that one may be stopped as soon as it is back.
 func (s Site) groups(r *rand.Rand, kind string) (all []Trouble) {
 	last := s.Length - s.Bounds.Grace
-	for at := firstStop; at <= last; at += s.Bounds.Grace + r.Float64() {
+	for at := firstStop; at <= last; at += s.Bounds.Grace + restart + r.Float64() {
 		for left := s.Entries(); left > 0 && at <= last; at += between(r, shortGap, longGap) {
 			size := 1 + r.IntN(left)
 			left -= size
