--- a/budget/budget.go
+++ b/budget/budget.go
@@ -20,8 +20,11 @@
 	Ratio float64
 	// Window is the time over which both are counted.
 	Window clock.Millis
-	// Extra is how many repeats this process may add to the ratio.
+	// Extra is how many repeats this process may add to the ratio in a window.
 	Extra float64
+	// Since is when the process began. Its extra grows from then over a window,
+	// since the process that it replaces may just have spent its own.
+	Since clock.Millis
 }
 
 // Budget counts the requests and the repeats of one service.
@@ -37,6 +40,21 @@
 // New returns a budget that has counted nothing.
 func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
 
+// Set changes what is allowed. What was counted stays, unless the window is
+// another.
+func (b *Budget) Set(cfg Config) {
+	if cfg.Window != b.cfg.Window {
+		*b = Budget{}
+	}
+	b.cfg = cfg
+}
+
+// extra returns how much the process may add to the ratio now.
+func (b *Budget) extra(now clock.Millis) float64 {
+	age, window := float64(now-b.cfg.Since), float64(max(1, b.cfg.Window))
+	return b.cfg.Extra * min(1, max(0, age/window))
+}
+
 func (b *Budget) advance(now clock.Millis) *count {
 	n := int64(now) / max(1, int64(b.cfg.Window)/parts)
 	if n-b.at >= slices {
@@ -61,7 +79,7 @@
 		requests += c.requests
 		repeats += c.repeats
 	}
-	return b.cfg.Ratio*float64(requests) + b.cfg.Extra - float64(repeats)
+	return b.cfg.Ratio*float64(requests) + b.extra(now) - float64(repeats)
 }
 
 // Spend takes one repeat, or reports that none is left.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -165,7 +165,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.budgets, g.parts = map[string]*budget.Budget{}, map[string]int{}
+	g.parts = map[string]int{}
 	g.mu.Unlock()
 	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "evacuation_ms", b.Evacuation, "change_ms", b.Change, "grace_ms", b.Grace, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
 }
@@ -318,14 +318,17 @@
 
 // budget returns the retry budget of a service. The caller holds mu.
 func (g *Gate) budget(service string) *budget.Budget {
+	bounds := g.bounds()
+	cfg := budget.Config{
+		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
+		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)), Since: g.began,
+	}
 	b := g.budgets[service]
 	if b == nil {
-		b = budget.New(budget.Config{
-			Ratio: g.bounds().RetryRatio * retryShare, Window: g.bounds().RetryWindow,
-			Extra: g.bounds().RetryExtra / extraShare,
-		})
+		b = budget.New(cfg)
 		g.budgets[service] = b
 	}
+	b.Set(cfg)
 	return b
 }
 
@@ -333,8 +336,9 @@
 	// retryShare keeps the ratio of one process a little under the fleet's,
 	// since windows are not aligned.
 	retryShare = 0.9
-	// extraShare is the number of entries that may each use their part of the
-	// extra repeats; a fleet of more entries would need a smaller part.
+	// extraShare is the least number of parts into which the extra repeats are
+	// divided. Where more entries are known there are as many: 103 entries with a
+	// 32nd each might spend three times the fleet's extra.
 	extraShare = 32
 )
 
