--- a/duration/duration_test.go
+++ b/duration/duration_test.go
@@ -210,3 +210,11 @@
 		t.Errorf("got at most %d, want %d", got.Most, want)
 	}
 }
+
+func BenchmarkEstimate(b *testing.B) {
+	a := paced(50, 160, 170, 180, 190, 200, 150, 140, 130, 120, 110, 100, 90, 160, 170, 180, 190, 200, 150, 140, 130, 120, 110, 100, 90, 160, 170)
+	req := duration.Request{Route: streamed, Service: "llm", Events: 184}
+	for b.Loop() {
+		a.Estimate(req)
+	}
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -23,10 +23,11 @@
 	cancel context.CancelCauseFunc
 	// start is when the request's head had been read.
 	start clock.Millis
-	// pace names what the pace of its events is learned for.
-	pace string
-	// takes is how long the answer takes, as expected when it was asked for.
-	takes duration.Estimate
+	// expected is what is known of the answer before it begins.
+	expected duration.Request
+	// takes is how long the answer takes, nil until a stopping process asks. The
+	// mu of leave guards it.
+	takes *duration.Estimate
 	// until is when the request is given up: the earlier of the caller's
 	// deadline and the route's timeout.
 	until clock.Millis
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -152,6 +152,7 @@
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
 		durations: duration.New(), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(),
 	}
+	g.leave.estimate = g.estimate
 	g.SetOthers(nil)
 	g.limits.Store(&cfg.Bounds)
 	return g
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/peers"
 )
 
@@ -43,6 +44,10 @@
 	// over is true once the process cuts off what is still running.
 	over atomic.Bool
 
+	// estimate says how long the answer to a call takes. It sorts some hundred
+	// measurements, so no call is asked about before the process stops.
+	estimate func(c *call) duration.Estimate
+
 	mu sync.Mutex
 	// running holds the calls that were taken and are not done.
 	running map[*call]struct{}
@@ -71,19 +76,37 @@
 	delete(l.running, c)
 }
 
+// takes returns how long the answer to a call takes, as expected when a stopping
+// process first asked.
+func (l *leave) takes(c *call) duration.Estimate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.takesOf(c)
+}
+
+// takesOf is takes for those who hold mu.
+func (l *leave) takesOf(c *call) duration.Estimate {
+	if c.takes == nil {
+		e := l.estimate(c)
+		c.takes = &e
+	}
+	return *c.takes
+}
+
 // busyUntil returns when all that runs is done at the latest; zero if nothing
 // does.
 func (l *leave) busyUntil() clock.Millis {
-	return l.last(func(c *call) clock.Millis { return c.start + c.takes.Most })
+	return l.last(func(e duration.Estimate) clock.Millis { return e.Most })
 }
 
-// last returns the last of the ends of all that runs.
-func (l *leave) last(end func(c *call) clock.Millis) clock.Millis {
+// last returns the last of the ends of all that runs, where an answer takes what
+// of its estimate says.
+func (l *leave) last(of func(duration.Estimate) clock.Millis) clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var at clock.Millis
 	for c := range l.running {
-		at = max(at, end(c))
+		at = max(at, c.start+of(l.takesOf(c)))
 	}
 	return at
 }
@@ -105,7 +128,7 @@
 	if since == 0 {
 		return peers.Stop{}
 	}
-	busy := g.leave.last(func(c *call) clock.Millis { return c.start + c.takes.Usual })
+	busy := g.leave.last(func(e duration.Estimate) clock.Millis { return e.Usual })
 	end := max(busy, since+g.bounds().BalancerLag+drainQuiet)
 	return peers.Stop{Since: since, End: min(end, clock.Millis(g.leave.by.Load()))}
 }
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -208,7 +208,7 @@
 	case n-c.runFrom < duration.Run:
 		return
 	default:
-		g.durations.Pace(c.route.Name, c.pace, duration.Run*(now-c.runAt)/clock.Millis(n-c.runFrom))
+		g.durations.Pace(c.route.Name, c.expected.Service, duration.Run*(now-c.runAt)/clock.Millis(n-c.runFrom))
 	}
 	c.runFrom, c.runAt = n, now
 }
@@ -216,7 +216,7 @@
 // learnRest records how long the events took that came after the last run.
 func (g *Gate) learnRest(c *call) {
 	if n := c.split.Count() - c.runFrom; c.runFrom > 0 && n > 0 {
-		g.durations.Rest(c.route.Name, c.pace, n, c.lastAt-c.runAt)
+		g.durations.Rest(c.route.Name, c.expected.Service, n, c.lastAt-c.runAt)
 	}
 }
 
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -30,7 +30,7 @@
 // not from the longest of the answers seen: by that, stopping processes took
 // and cut 2 to 8 answers in 30 s in which all of 26 were stopped three times.
 func (g *Gate) stay(_ context.Context, c *call) *verdict.Error {
-	c.takes = g.estimate(c)
+	g.expect(c)
 	if g.leave.begun() {
 		if err := g.fits(c); err != nil {
 			return err
@@ -54,7 +54,7 @@
 	r := g.room()
 	// What was taken once is done, also where another serves in its place by now.
 	r.until = clock.Millis(g.leave.by.Load())
-	need := min(r.need(c.takes), c.left(now))
+	need := min(r.need(g.leave.takes(c)), c.left(now))
 	if now+need <= r.until {
 		return nil
 	}
@@ -65,7 +65,7 @@
 // fits refuses what a stopping process does not take.
 func (g *Gate) fits(c *call) *verdict.Error {
 	r := g.room()
-	need := r.need(c.takes)
+	need := r.need(g.leave.takes(c))
 	taken := c.start+need <= r.until
 	g.logStay(c, taken, need, r)
 	if !taken {
@@ -80,18 +80,22 @@
 		max(0, r.until-now), need).WithRetryAfter(g.retryAfterStop(now))
 }
 
-// estimate says how long the answer to a request takes.
-func (g *Gate) estimate(c *call) duration.Estimate {
-	c.pace = c.service
-	req := duration.Request{Route: c.route}
+// expect records what is known of the answer before it begins.
+func (g *Gate) expect(c *call) {
+	req := duration.Request{Route: c.route, Service: c.service}
 	if s, ok := c.table.Service(c.service); ok && s.EventTokens > 0 {
 		tokens := prompt.MostTokens(c.r.Header.Get(g.wire.Tokens))
 		req.Events = (tokens + s.EventTokens - 1) / s.EventTokens
 		// Events of another size have another pace.
-		c.pace += "/" + strconv.Itoa(s.EventTokens)
+		req.Service += "/" + strconv.Itoa(s.EventTokens)
 	}
-	req.Service = c.pace
-	e := g.durations.Estimate(req)
+	c.expected = req
+}
+
+// estimate says how long the answer to a request takes, at most until it is
+// given up.
+func (g *Gate) estimate(c *call) duration.Estimate {
+	e := g.durations.Estimate(c.expected)
 	left := c.left(c.start)
 	e.Most, e.Usual = min(e.Most, left), min(e.Usual, left)
 	return e
@@ -178,7 +182,8 @@
 // at the latest.
 func (g *Gate) logStay(c *call, taken bool, need clock.Millis, r room) {
 	g.counts.stopping[taken].Inc()
+	takes := g.leave.takes(c)
 	g.log.Info("stopping", "request", c.id, "route", c.route.Name, "taken", taken, "need_ms", need, "usual", r.usual,
-		"basis", c.takes.Basis, "samples", c.takes.Samples, "process_age_ms", c.start-g.began,
+		"basis", takes.Basis, "samples", takes.Samples, "process_age_ms", c.start-g.began,
 		"room_ms", max(0, r.until-c.start), "ends_in_ms", clock.Millis(g.leave.by.Load())-c.start)
 }
