--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -25,8 +25,8 @@
 	late clock.Millis = 20_000
 )
 
-// bench is a pool of connections to one engine behind a link.
-type bench struct {
+// rig is a pool of connections to one engine behind a link.
+type rig struct {
 	pool   *upstream.Pool
 	link   *linktest.Link
 	engine *standin.Engine
@@ -34,7 +34,7 @@
 	doubt clock.Millis
 }
 
-func newBench(t *testing.T) *bench {
+func newRig(t *testing.T) *rig {
 	t.Helper()
 	t.Parallel()
 	e, err := standin.NewEngine("i-1", func(standin.Run) standin.Reply { return standin.Reply{Body: "x"} })
@@ -43,15 +43,15 @@
 	}
 	t.Cleanup(e.Close)
 	names := upstream.Names{RequestID: "Weldfall-Request-Id", NotRun: "Weldfall-Not-Executed"}
-	return &bench{pool: upstream.NewPool(clock.System(), names, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
+	return &rig{pool: upstream.NewPool(clock.System(), names, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
 }
 
-func (b *bench) request(id string) *upstream.Request {
+func (b *rig) request(id string) *upstream.Request {
 	h := http.Header{"Weldfall-Request-Id": {id}}
 	return &upstream.Request{ID: id, Method: http.MethodGet, URI: "/x", Host: "h", Header: h, Doubt: b.doubt}
 }
 
-func (b *bench) do(id string, limit clock.Millis) error {
+func (b *rig) do(id string, limit clock.Millis) error {
 	a, err := b.pool.Do(context.Background(), b.link.Addr(), b.request(id), limit)
 	if err != nil {
 		return err
@@ -62,7 +62,7 @@
 }
 
 // keep leaves n idle connections in the pool.
-func (b *bench) keep(t *testing.T, n int) {
+func (b *rig) keep(t *testing.T, n int) {
 	t.Helper()
 	var mu sync.Mutex
 	seen, all := map[string]bool{}, make(chan struct{})
@@ -99,7 +99,7 @@
 func TestASilentConnectionIsTheLastOfItsKind(t *testing.T) {
 	for _, way := range []linktest.Way{linktest.There, linktest.Back, linktest.Both} {
 		t.Run(string(way), func(t *testing.T) {
-			b := newBench(t)
+			b := newRig(t)
 			b.keep(t, 3)
 			b.link.Silence(way)
 			if err := b.do("first", soon); !errors.Is(err, upstream.ErrSilent) {
@@ -115,7 +115,7 @@
 // A request that must wait to the end on a silent connection warns the others
 // long before.
 func TestARequestThatWaitsWarnsTheOthers(t *testing.T) {
-	b := newBench(t)
+	b := newRig(t)
 	b.keep(t, 3)
 	b.link.Silence(linktest.Both)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -143,7 +143,7 @@
 // An engine that takes long for one request costs none of the connections on
 // which it has answered meanwhile.
 func TestASlowAnswerCostsNoConnectionThatWasHeard(t *testing.T) {
-	b := newBench(t)
+	b := newRig(t)
 	b.doubt = 10 * soon
 	b.keep(t, 2)
 	slow, arrived := make(chan struct{}), make(chan struct{})
@@ -181,7 +181,7 @@
 // Nothing reaches an engine for a caller who has left, also where a connection
 // is at hand.
 func TestNothingIsSentForACallerWhoHasLeft(t *testing.T) {
-	b := newBench(t)
+	b := newRig(t)
 	b.keep(t, 1)
 	before := len(b.engine.Runs())
 	ctx, cancel := context.WithCancel(context.Background())
