--- a/entry/admit.go
+++ b/entry/admit.go
@@ -45,7 +45,7 @@
 }
 
 // admit charges the request to its workspace's rate.
-func (e *Entry) admit(_ context.Context, c *call) error {
+func (e *Entry) admit(_ context.Context, c *call) *verdict.Error {
 	l := c.values.Limits
 	if l.TokensPerSecond == 0 {
 		return nil
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -21,7 +21,7 @@
 // claim gets the promise of the key's witnesses that no other attempt runs.
 // The first ranked is asked before the rest, so that of two attempts at the
 // same time one wins.
-func (e *Entry) claim(ctx context.Context, c *call) error {
+func (e *Entry) claim(ctx context.Context, c *call) *verdict.Error {
 	if c.once == nil || c.once.Key == 0 {
 		return nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"github.com/weldfall/weldfall/burn"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/filter"
 	"github.com/weldfall/weldfall/fleet"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/member"
@@ -256,11 +257,10 @@
 // models lists the models that the caller's workspace may use.
 func (e *Entry) models(w http.ResponseWriter, r *http.Request) {
 	c := e.newCall(w, r, chatService)
-	for _, f := range []filter{{"identify", e.identify}, {"resolve", e.resolve}} {
-		if err := f.run(r.Context(), c); err != nil {
-			e.respond(c, f.name, err)
-			return
-		}
+	way := filter.List[*call]{{Name: "identify", Run: e.identify}, {Name: "resolve", Run: e.resolve}}
+	if name, err := way.Run(r.Context(), c); err != nil {
+		e.respond(c, name, err)
+		return
 	}
 	out := modelList{Object: "list", Data: []model{}}
 	for _, id := range slices.Sorted(maps.Keys(c.values.Models)) {
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -57,7 +57,7 @@
 }
 
 // identify finds the workspace by the bearer key; a wrong key goes no further.
-func (e *Entry) identify(ctx context.Context, c *call) error {
+func (e *Entry) identify(ctx context.Context, c *call) *verdict.Error {
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.Unauthorized, "no bearer key: send Authorization: Bearer KEY")
@@ -75,13 +75,13 @@
 }
 
 // resolve takes the settings in force.
-func (e *Entry) resolve(_ context.Context, c *call) error {
+func (e *Entry) resolve(_ context.Context, c *call) *verdict.Error {
 	c.values = e.node.Effective(c.path)
 	return nil
 }
 
 // read takes the body, within the workspace's bound.
-func (e *Entry) read(_ context.Context, c *call) error {
+func (e *Entry) read(_ context.Context, c *call) *verdict.Error {
 	limit := int64(c.values.Limits.BodyBytes)
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(clock.Deadline(bodyTimeout))
@@ -108,7 +108,7 @@
 }
 
 // classify finds the pool and the chat, and whether the request may run again.
-func (e *Entry) classify(_ context.Context, c *call) error {
+func (e *Entry) classify(_ context.Context, c *call) *verdict.Error {
 	c.pool = c.values.Routing.Pool
 	if c.isChat() {
 		c.pool = c.values.Models[c.chat.Model]
@@ -124,7 +124,7 @@
 	return classifyOnce(c, e)
 }
 
-func classifyOnce(c *call, e *Entry) error {
+func classifyOnce(c *call, e *Entry) *verdict.Error {
 	key := c.r.Header.Get(HeaderKey)
 	repeatable := c.values.Once.Repeatable && key == ""
 	if mark := c.r.Header.Get(HeaderRepeatable); mark != "" {
--- a/entry/send.go
+++ b/entry/send.go
@@ -29,7 +29,7 @@
 
 // send offers the request to engines until one takes it, and streams the
 // answer. Another engine is tried only after a refusal that is certain.
-func (e *Entry) send(ctx context.Context, c *call) error {
+func (e *Entry) send(ctx context.Context, c *call) *verdict.Error {
 	ctx, cancel := context.WithTimeout(ctx, c.left(e.clk.Now()).Duration())
 	defer cancel()
 	e.budget.earn(c.values.Retry.BudgetRatio)
@@ -85,7 +85,7 @@
 }
 
 // shed is the final answer when no engine is left to offer the request to.
-func (e *Entry) shed(c *call, s route.Shed, last *verdict.Error) error {
+func (e *Entry) shed(c *call, s route.Shed, last *verdict.Error) *verdict.Error {
 	if s.Empty {
 		return e.failed(c, verdict.New(verdict.NotRun, verdict.NoEngine, "pool %q has no live engine", c.pool).WithRetryAfter(2000))
 	}
@@ -97,7 +97,7 @@
 }
 
 // failed gives the claim of a request back that certainly has not run.
-func (e *Entry) failed(c *call, err *verdict.Error) error {
+func (e *Entry) failed(c *call, err *verdict.Error) *verdict.Error {
 	if err.Verdict() == verdict.NotRun && c.claimed != 0 {
 		e.release(c, c.claimed)
 	}
