--- a/budget/budget.go
+++ b/budget/budget.go
@@ -22,9 +22,6 @@
 	Window clock.Millis
 	// Extra is how many repeats this process may add to the ratio in a window.
 	Extra float64
-	// Since is when the process began. Its extra grows from then over a window,
-	// since the process that it replaces may just have spent its own.
-	Since clock.Millis
 }
 
 // Budget counts the requests and the repeats of one service.
@@ -49,12 +46,6 @@
 	b.cfg = cfg
 }
 
-// extra returns how much the process may add to the ratio now.
-func (b *Budget) extra(now clock.Millis) float64 {
-	age, window := float64(now-b.cfg.Since), float64(max(1, b.cfg.Window))
-	return b.cfg.Extra * min(1, max(0, age/window))
-}
-
 func (b *Budget) advance(now clock.Millis) *count {
 	n := int64(now) / max(1, int64(b.cfg.Window)/parts)
 	if n-b.at >= slices {
@@ -79,7 +70,7 @@
 		requests += c.requests
 		repeats += c.repeats
 	}
-	return b.cfg.Ratio*float64(requests) + b.extra(now) - float64(repeats)
+	return b.cfg.Ratio*float64(requests) + b.cfg.Extra - float64(repeats)
 }
 
 // Spend takes one repeat, or reports that none is left.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -322,7 +322,7 @@
 	bounds := g.bounds()
 	cfg := budget.Config{
 		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
-		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)), Since: g.began,
+		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)),
 	}
 	b := g.budgets[service]
 	if b == nil {
