--- /dev/null
+++ b/peers/cost_test.go
@@ -0,0 +1,188 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/peers"
+)
+
+// busyFacts has as many loads to tell as a message takes.
+type busyFacts struct {
+	loads []peers.Load
+
+	mu sync.Mutex
+	// fleet and others are what the entry was last told of the others.
+	fleet  peers.Fleet
+	others []string
+	// most is how many entries it ever knew, which it goes on counting, as a gate
+	// does for its shares.
+	most int
+}
+
+func newBusyFacts() *busyFacts {
+	f := &busyFacts{}
+	for i := range 20 {
+		f.loads = append(f.loads, peers.Load{Engine: fmt.Sprintf("i-%010x", 0x9b6bcf2168+i), Requests: 10 + i, Age: 100 + clock.Millis(90*i)})
+	}
+	return f
+}
+
+func (f *busyFacts) Tell(n int) peers.Known {
+	return peers.Known{Table: 1234, TableAge: 321, Loads: f.loads[:n]}
+}
+func (*busyFacts) Hear(peers.Known, clock.Millis)       {}
+func (*busyFacts) Stop() peers.Stop                     { return peers.Stop{} }
+func (*busyFacts) HearLoads([]peers.Load, clock.Millis) {}
+
+func (f *busyFacts) SetFleet(fleet peers.Fleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fleet = fleet
+}
+
+func (f *busyFacts) SetOthers(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.others = ids
+	f.most = max(f.most, len(ids)+1)
+}
+
+// share returns the entry's part of a whole, as of what it knows, and whether it
+// takes itself to be the first.
+func (f *busyFacts) share(self string, whole int) (part int, first bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return peers.NewShares(self, f.others, f.most).Of(whole, "engine"), f.fleet.First
+}
+
+// countedListener counts the bytes of the connections that it accepts, in both
+// directions.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// processorMicros is the processor time of this process so far.
+func processorMicros(b *testing.B) float64 {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1000
+}
+
+// BenchmarkTalk measures what the talk of entries costs, and what they know of
+// each other: run it with -benchtime 1x. Bytes are those of the connections'
+// content, without the headers of packets. "firsts" is how many take themselves to
+// be the first of all, "shares" what all parts of a whole sum up to; both should
+// be 1.
+func BenchmarkTalk(b *testing.B) {
+	for _, n := range []int{5, 27, 103, 300, 1000} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) { talk(b, n) })
+	}
+}
+
+func talk(b *testing.B, n int) {
+	const (
+		settle = 10 * time.Second
+		period = 20 * time.Second
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	clk, log := clock.System(), slog.New(slog.DiscardHandler)
+	answered := make([]atomic.Int64, n)
+	all, facts := make([]*peers.Peers, n), make([]*busyFacts, n)
+	name := func(i int) string { return fmt.Sprintf("edge-spanish-town-%d", i) }
+	var seeds []string
+	lns := make([]net.Listener, n)
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		lns[i] = countedListener{ln, &answered[i]}
+		if i < 3 {
+			seeds = append(seeds, ln.Addr().String())
+		}
+	}
+	for i := range n {
+		facts[i] = newBusyFacts()
+		all[i] = peers.New(peers.Config{ID: name(i), Addr: lns[i].Addr().String(), Seeds: seeds, Facts: facts[i], Clock: clk, Log: log})
+		wg.Go(func() { all[i].Run(ctx, lns[i]) })
+	}
+	asked := metrics.GetOrCreateCounter("weldfall_peer_asks_total").Get
+	for b.Loop() {
+		time.Sleep(settle)
+		before, asks, cpu := make([]int64, n), asked(), processorMicros(b)
+		for i := range n {
+			before[i] = answered[i].Load()
+		}
+		time.Sleep(period)
+		cpu, asks = processorMicros(b)-cpu, asked()-asks
+		sum, rates := 0.0, make([]float64, n)
+		for i := range n {
+			rates[i] = float64(answered[i].Load()-before[i]) / period.Seconds()
+			sum += rates[i]
+		}
+		slices.Sort(rates)
+		const whole = 100
+		known, given, firsts := 0, 0, 0
+		for i, p := range all {
+			known += p.Count()
+			part, first := facts[i].share(name(i), whole)
+			given += part
+			if first {
+				firsts++
+			}
+		}
+		b.ReportMetric(sum*period.Seconds()/float64(asks), "bytes/exchange")
+		b.ReportMetric(2*sum/float64(n), "mean_B/s")
+		b.ReportMetric(rates[n-1]+sum/float64(n), "most_B/s")
+		b.ReportMetric(cpu/float64(asks), "us/exchange")
+		b.ReportMetric(float64(asks)/period.Seconds()/float64(n), "asks/s")
+		b.ReportMetric(float64(known)/float64(n), "known")
+		b.ReportMetric(float64(firsts), "firsts")
+		b.ReportMetric(float64(given)/whole, "shares")
+		b.ReportMetric(0, "ns/op")
+	}
+}
