--- a/gate/facts.go
+++ b/gate/facts.go
@@ -118,9 +118,9 @@
 }
 
 // retryElsewhere is when a request may come back that was refused for the age of
-// the table or the evacuations: at once if another entry lately knew newer ones, since callers come
-// back to another. Otherwise the store is likely away for all. The caller holds
-// mu.
+// the table or the evacuations: at once if another entry lately knew newer ones,
+// since callers come back to another. Otherwise the store is likely away for
+// all. The caller holds mu.
 func (g *Gate) retryElsewhere(now clock.Millis) clock.Millis {
 	if g.fitAt > 0 && now-g.fitAt <= fitFor {
 		return retryAtOnce
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/internal/linktest"
+	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/platform/standin"
 	"github.com/weldfall/weldfall/upstream"
 )
@@ -25,6 +26,9 @@
 	late clock.Millis = 20_000
 )
 
+// dialect has the names that the stand-in engine speaks.
+var dialect = platform.Dialect()
+
 // rig is a pool of connections to one engine behind a link.
 type rig struct {
 	pool   *upstream.Pool
@@ -42,12 +46,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Close)
-	names := upstream.Names{RequestID: "Weldfall-Request-Id", NotRun: "Weldfall-Not-Executed"}
+	names := upstream.Names{RequestID: dialect.RequestID, NotRun: dialect.NotRun}
 	return &rig{pool: upstream.NewPool(clock.System(), names, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
 }
 
 func (b *rig) request(id string) *upstream.Request {
-	h := http.Header{"Weldfall-Request-Id": {id}}
+	h := http.Header{dialect.RequestID: {id}}
 	return &upstream.Request{ID: id, Method: http.MethodGet, URI: "/x", Host: "h", Header: h, Doubt: b.doubt}
 }
 
