--- a/gate/conns.go
+++ b/gate/conns.go
@@ -90,7 +90,7 @@
 	case http.StateActive:
 		// A request that came with the one before needs no further read.
 		c.busy, c.headRead = true, true
-		c.stay()
+		c.keep()
 	case http.StateIdle:
 		c.busy, c.headRead, c.since = false, false, l.clk.Now()
 	}
@@ -229,8 +229,8 @@
 	return true
 }
 
-// stay takes back that the connection is to be closed. The caller holds mu.
-func (c *callerConn) stay() {
+// keep takes back that the connection is to be closed. The caller holds mu.
+func (c *callerConn) keep() {
 	if c.closing {
 		c.closing = false
 		_ = c.Conn.SetReadDeadline(c.ahead.deadline)
@@ -255,7 +255,7 @@
 
 // come records that a request has come. The caller holds mu.
 func (c *callerConn) come() {
-	c.stay()
+	c.keep()
 	if !c.busy {
 		c.busy, c.since = true, c.list.clk.Now()
 	}
