--- a/duration/duration.go
+++ b/duration/duration.go
@@ -37,8 +37,6 @@
 	// that is longer, firstShare of the longest seen.
 	firstGoals = 2
 	firstShare = 1.5
-	// usualGoal stands for the goal of a route that publishes none.
-	usualGoal clock.Millis = 500
 	// plainShare and plainMargin allow for a plain answer that takes longer than
 	// the longest seen.
 	plainShare               = 1.25
@@ -252,7 +250,7 @@
 // stream estimates a stream whose length is known. Its pace is that of the
 // service, of which more is known, or that of its route if that is slower.
 func stream(req Request, seen *route, s *pace) Estimate {
-	goal := cmp.Or(req.Route.Goal, usualGoal)
+	goal := req.Route.GoalOrUsual()
 	first := max(firstGoals*goal, clock.Millis(firstShare*float64(seen.firsts.longest())))
 	usual := min(held(req.Route), goal+events(req.Events, s.slower(&seen.pace, 0.5)))
 	if s.runs.n < boundRuns {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -324,12 +324,12 @@
 		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
 		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)),
 	}
-	b := g.budgets[service]
-	if b == nil {
-		b = budget.New(cfg)
-		g.budgets[service] = b
+	if b := g.budgets[service]; b != nil {
+		b.Set(cfg)
+		return b
 	}
-	b.Set(cfg)
+	b := budget.New(cfg)
+	g.budgets[service] = b
 	return b
 }
 
--- a/gate/place.go
+++ b/gate/place.go
@@ -1,13 +1,13 @@
 package gate
 
 import (
-	"cmp"
 	"context"
 	"strconv"
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -21,7 +21,7 @@
 	}
 	ch, ok := g.book.Choose(engines.Query{
 		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
-		Silence: silence(c.route.Goal), Cold: g.cold(c), Tried: c.tried, Random: random(),
+		Silence: silence(c.route), Cold: g.cold(c), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
 		return pick{}, g.noEngine(c)
@@ -59,17 +59,13 @@
 	boundSlack = 2.0
 )
 
-const (
-	// silenceGoals is how many times its goal a request allows for the silence
-	// of the engine that it goes to.
-	silenceGoals = 2
-	// usualGoal stands for the goal of a route that publishes none.
-	usualGoal clock.Millis = 500
-)
+// silenceGoals is how many times its goal a request allows for the silence of the
+// engine that it goes to.
+const silenceGoals = 2
 
 // silence is how long an engine may leave requests without a sign before a
-// request with the given goal goes elsewhere.
-func silence(goal clock.Millis) clock.Millis { return silenceGoals * cmp.Or(goal, usualGoal) }
+// request of a route goes elsewhere.
+func silence(r *table.Route) clock.Millis { return silenceGoals * r.GoalOrUsual() }
 
 // keyBound is the multiple of the mean load up to which a chat stays at the
 // engine that remembers it.
--- a/gate/request.go
+++ b/gate/request.go
@@ -53,9 +53,9 @@
 // elsewhere if it might be repeated.
 func doubt(r *table.Route) clock.Millis {
 	if r.Kind != table.Stream {
-		return silence(r.Goal)
+		return silence(r)
 	}
-	return max(silence(r.Goal), resumeSilence, clock.Millis(resumePauses*float64(r.PauseGoal)))
+	return max(silence(r), resumeSilence, clock.Millis(resumePauses*float64(r.PauseGoal)))
 }
 
 // headersAdded is how many headers this process adds.
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if !g.leave.take(c) {
-		return verdict.New(verdict.NotRun, verdict.Leaving, "this entry's grace is over").WithRetryAfter(g.retryAfterStop(c.start))
+		return verdict.New(verdict.NotRun, verdict.Leaving, "%w", errGraceOver).WithRetryAfter(g.retryAfterStop(c.start))
 	}
 	return nil
 }
@@ -54,20 +54,22 @@
 	r := g.room()
 	// What was taken once is done, also where another serves in its place by now.
 	r.until = clock.Millis(g.leave.by.Load())
-	need := min(r.need(g.leave.takes(c)), c.left(now))
+	takes := g.leave.takes(c)
+	need := min(r.need(takes), c.left(now))
 	if now+need <= r.until {
 		return nil
 	}
-	g.logStay(c, false, need, r)
+	g.logStay(c, takes, false, need, r)
 	return g.refusal(now, need, r)
 }
 
 // fits refuses what a stopping process does not take.
 func (g *Gate) fits(c *call) *verdict.Error {
 	r := g.room()
-	need := r.need(g.leave.takes(c))
+	takes := g.leave.takes(c)
+	need := r.need(takes)
 	taken := c.start+need <= r.until
-	g.logStay(c, taken, need, r)
+	g.logStay(c, takes, taken, need, r)
 	if !taken {
 		return g.refusal(c.start, need, r)
 	}
@@ -180,9 +182,8 @@
 // logStay tells what a stopping process does with a request: how long it may
 // take, what that rests on, by when it must be done, and when the process ends
 // at the latest.
-func (g *Gate) logStay(c *call, taken bool, need clock.Millis, r room) {
+func (g *Gate) logStay(c *call, takes duration.Estimate, taken bool, need clock.Millis, r room) {
 	g.counts.stopping[taken].Inc()
-	takes := g.leave.takes(c)
 	g.log.Info("stopping", "request", c.id, "route", c.route.Name, "taken", taken, "need_ms", need, "usual", r.usual,
 		"basis", takes.Basis, "samples", takes.Samples, "process_age_ms", c.start-g.began,
 		"room_ms", max(0, r.until-c.start), "ends_in_ms", clock.Millis(g.leave.by.Load())-c.start)
--- a/table/table.go
+++ b/table/table.go
@@ -61,6 +61,12 @@
 	Resumable bool
 }
 
+// usualGoal stands for the goal of a route that publishes none.
+const usualGoal clock.Millis = 500
+
+// GoalOrUsual returns the goal, or what stands for it where none is published.
+func (r *Route) GoalOrUsual() clock.Millis { return cmp.Or(r.Goal, usualGoal) }
+
 // Repeatable reports whether a request may be sent to a second engine after
 // the first may have run it.
 func (r *Route) Repeatable() bool {
