--- a/gate/account.go
+++ b/gate/account.go
@@ -24,6 +24,7 @@
 	// off.
 	stopping  map[bool]*metrics.Counter
 	cutAtStop *metrics.Counter
+	table     tableCounts
 }
 
 func newCounts() counts {
@@ -39,6 +40,7 @@
 			false: metrics.GetOrCreateCounter(`weldfall_stopping_total{taken="false"}`),
 		},
 		cutAtStop: metrics.GetOrCreateCounter("weldfall_cut_at_stop_total"),
+		table:     newTableCounts(),
 	}
 	for _, class := range []string{"1xx", "2xx", "3xx", "4xx", "5xx"} {
 		c.answers[class] = metrics.GetOrCreateCounter(`weldfall_answers_total{class="` + class + `"}`)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/weldfall/weldfall/budget"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/duration"
@@ -153,6 +155,7 @@
 		durations: duration.New(), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(),
 	}
 	g.leave.estimate = g.estimate
+	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
 	g.SetOthers(nil)
 	g.limits.Store(&cfg.Bounds)
 	return g
@@ -194,38 +197,6 @@
 // keyAge is the greatest age of the table at which keys are accepted.
 func (g *Gate) keyAge() clock.Millis { return g.bounds().Revocation - revocationMargin }
 
-// SetTable puts a newer version of the routes and keys in force, known to be
-// true at the given time. An older version than the one in force is ignored.
-func (g *Gate) SetTable(t *table.Table, at clock.Millis) {
-	old := g.table.Load()
-	if old != nil && t.Version() < old.Version() {
-		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
-		return
-	}
-	g.table.Store(t)
-	g.mu.Lock()
-	g.published.Confirm(at)
-	g.parts = map[string]int{}
-	for _, id := range g.book.IDs() {
-		g.boundConns(t, g.book.Get(id).Info())
-	}
-	g.mu.Unlock()
-	if old == nil || old.Version() != t.Version() {
-		g.log.Info("table_in_force", "version", t.Version(), "age_ms", g.clk.Now()-at)
-	}
-}
-
-// ConfirmTable records that the table and the evacuations in force were still
-// the newest at the given time.
-func (g *Gate) ConfirmTable(at clock.Millis) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.published.Confirm(at)
-	if at > g.newestAt {
-		g.newest = 0
-	}
-}
-
 // ConfirmEngines records that the list of engines was complete at the given
 // time.
 func (g *Gate) ConfirmEngines(at clock.Millis) {
--- /dev/null
+++ b/gate/news.go
@@ -0,0 +1,78 @@
+package gate
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/table"
+)
+
+// SetTable puts a newer version of the routes and keys in force, which came so.
+// An older version than the one in force is ignored.
+func (g *Gate) SetTable(t *table.Table, a table.Arrival) {
+	old := g.table.Load()
+	if old != nil && t.Version() < old.Version() {
+		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
+		return
+	}
+	g.table.Store(t)
+	g.mu.Lock()
+	g.published.Confirm(a.TrueAt)
+	g.parts = map[string]int{}
+	for _, id := range g.book.IDs() {
+		g.boundConns(t, g.book.Get(id).Info())
+	}
+	g.mu.Unlock()
+	if old == nil || old.Version() != t.Version() {
+		g.tellTable(t, a)
+	}
+}
+
+// ConfirmTable records that the table and the evacuations in force were still
+// the newest at the given time.
+func (g *Gate) ConfirmTable(at clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.published.Confirm(at)
+	if at > g.newestAt {
+		g.newest = 0
+	}
+}
+
+// tellTable logs and counts how a version came that is now in force.
+func (g *Gate) tellTable(t *table.Table, a table.Arrival) {
+	now := g.clk.Now()
+	g.log.Info("table_in_force", "version", t.Version(), "age_ms", now-a.TrueAt, "bytes", a.Bytes, "heard_ms", now-a.HeardAt,
+		"transfer_ms", a.Transfer, "decode_us", a.Decoding, "build_us", a.Building)
+	g.counts.table.bytes.Update(float64(a.Bytes))
+	g.counts.table.transfer.Update(inSeconds(a.Transfer))
+	g.counts.table.decoding.Update(float64(a.Decoding) / microsPerSecond)
+	g.counts.table.building.Update(float64(a.Building) / microsPerSecond)
+}
+
+const microsPerSecond = 1_000_000
+
+// tableAge returns how long ago the table was last known to be the newest, in
+// seconds, or -1 if there is none.
+func (g *Gate) tableAge() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.published.Known() {
+		return -1
+	}
+	return inSeconds(g.published.Age(g.clk.Now()))
+}
+
+// tableCounts are the histograms of how versions came into force.
+type tableCounts struct {
+	bytes, transfer, decoding, building *metrics.Histogram
+}
+
+func newTableCounts() tableCounts {
+	return tableCounts{
+		bytes:    metrics.GetOrCreateHistogram("weldfall_table_bytes"),
+		transfer: metrics.GetOrCreateHistogram("weldfall_table_transfer_seconds"),
+		decoding: metrics.GetOrCreateHistogram("weldfall_table_decode_seconds"),
+		building: metrics.GetOrCreateHistogram("weldfall_table_build_seconds"),
+	}
+}
--- a/table/table.go
+++ b/table/table.go
@@ -119,6 +119,20 @@
 	Limits     Limits
 }
 
+// Arrival tells how a version came to this process.
+type Arrival struct {
+	// TrueAt is the latest time at which it is known to have been the newest.
+	TrueAt clock.Millis
+	// HeardAt is when the answer that brought it began, zero if that is not known.
+	HeardAt clock.Millis
+	// Bytes is the size of that answer and Transfer how long it took.
+	Bytes    int
+	Transfer clock.Millis
+	// Decoding and Building are what it took to read the answer's text and to
+	// make the Table, in microseconds.
+	Decoding, Building int64
+}
+
 // Table is one version of the published routes and keys.
 type Table struct {
 	version  int64
