--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -1,11 +1,12 @@
 // Package linktest has a link for tests whose open connections can fall silent
-// for good while new ones work.
+// for good while new ones work, and which carries only so many bytes a second.
 package linktest
 
 import (
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Way is the way that bytes go on a connection.
@@ -29,6 +30,13 @@
 	// that were dropped.
 	dials int
 	lost  int
+	// pace is how many bytes a second all connections together carry back, 0 if
+	// there is no bound; back counts those that they carried.
+	pace int
+	back int64
+
+	// turn is held while a piece is on its way back: connections share the link.
+	turn sync.Mutex
 }
 
 // pair is a connection through the link. Both ends are acknowledged by the
@@ -69,6 +77,21 @@
 	}
 }
 
+// Pace bounds how many bytes a second the link carries back, over all its
+// connections.
+func (l *Link) Pace(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace = bytes
+}
+
+// Back returns how many bytes the link carried back.
+func (l *Link) Back() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.back
+}
+
 // Open returns how many connections are open at either end.
 func (l *Link) Open() int {
 	l.mu.Lock()
@@ -125,6 +148,9 @@
 			continue
 		}
 		p := &pair{near: near.(*net.TCPConn), far: far.(*net.TCPConn), silent: map[Way]bool{}, ended: map[Way]bool{}}
+		// What waits in the kernel is not on the link: a slow link holds little.
+		_ = p.near.SetWriteBuffer(bufferBytes)
+		_ = p.far.SetReadBuffer(bufferBytes)
 		l.mu.Lock()
 		l.open[p] = true
 		l.dials++
@@ -134,12 +160,37 @@
 	}
 }
 
+const (
+	// pieceBytes is what is copied at once.
+	pieceBytes = 8 << 10
+	// bufferBytes is what waits in the kernel on either side at most; with less
+	// than a segment of loopback it deals out bytes by timers.
+	bufferBytes = 128 << 10
+)
+
+// carry takes the time that n bytes need on their way back.
+func (l *Link) carry(n int) {
+	l.mu.Lock()
+	pace := l.pace
+	l.back += int64(n)
+	l.mu.Unlock()
+	if pace == 0 {
+		return
+	}
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(pace))
+}
+
 // pump copies one way until the sending end closes, and then tells the other
 // end unless the way is silent.
 func (l *Link) pump(p *pair, w Way, from, to *net.TCPConn) {
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, pieceBytes)
 	for {
 		n, err := from.Read(buf)
+		if w == Back {
+			l.carry(n)
+		}
 		silent := l.took(p, w, n)
 		if n > 0 && !silent {
 			if _, werr := to.Write(buf[:n]); werr != nil {
