--- a/commands/gate.go
+++ b/commands/gate.go
@@ -75,7 +75,7 @@
 	g := gate.New(gate.Config{
 		ID: boot.ID, Dialect: platform.Dialect(), Bounds: boot.Bounds, Clock: clk, Log: log,
 	})
-	reader := platform.NewReader(platform.NewStore(boot.Store, clk), g, boot.Waits, clk, log)
+	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: boot.Store, Link: boot.Link, Clock: clk}), g, boot.Waits, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -137,6 +137,10 @@
 	// ours.
 	newest   int64
 	newestAt clock.Millis
+	// coming is true while the store sends a large version, announcedAt when it
+	// first began to send one that is newer than the one in force, 0 if it did not.
+	coming      bool
+	announcedAt clock.Millis
 	// fitAt is when a peer last told of a newer table than ours that it had
 	// proved, or of other evacuations that it had proved later; zero if none did.
 	fitAt clock.Millis
@@ -280,7 +284,7 @@
 	if ready && t.Keyed() {
 		ready = g.published.Within(g.keyAge(), now)
 	}
-	ready = ready && g.knowsEvacuations(now)
+	ready = ready && g.knowsEvacuations(now) && g.outdated(now) == 0
 	if ready != g.wasReady {
 		g.wasReady = ready
 		g.log.Info("readiness", "ready", ready, "table_age_ms", g.published.Age(now), "list_age_ms", g.listed.Age(now), "draining", g.leave.begun())
--- a/gate/news.go
+++ b/gate/news.go
@@ -18,6 +18,9 @@
 	g.table.Store(t)
 	g.mu.Lock()
 	g.published.Confirm(a.TrueAt)
+	if old == nil || old.Version() != t.Version() {
+		g.announcedAt = 0
+	}
 	g.parts = map[string]int{}
 	for _, id := range g.book.IDs() {
 		g.boundConns(t, g.book.Get(id).Info())
@@ -37,6 +40,56 @@
 	if at > g.newestAt {
 		g.newest = 0
 	}
+	if at > g.announcedAt {
+		g.announcedAt = 0
+	}
+}
+
+// TableComing records that the store has begun to send a large version, newer than
+// the one in force if news is true.
+func (g *Gate) TableComing(news bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.coming = true
+	if news && g.announcedAt == 0 {
+		g.announcedAt = g.clk.Now()
+	}
+}
+
+// TableStopped records that the store sends no version any more.
+func (g *Gate) TableStopped() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.coming = false
+}
+
+// outdatedMargin is taken off the bound for changes: a change may have been
+// confirmed that much before this entry heard of it, since a slow store answers
+// after 400 ms, and a request is on its way to an engine for some time.
+const outdatedMargin clock.Millis = 650
+
+// outdated returns how long the version in force has been known not to be the newest
+// if that is too long to serve by it, else 0. It takes both: evidence that a change
+// is as old as the operators' bound, from the store or from a peer, and that the
+// store is sending it. An entry that the store does not reach serves on by what it
+// has, since nobody can tell it more, and for as long as the store is away all would
+// have to refuse. The caller holds mu.
+func (g *Gate) outdated(now clock.Millis) clock.Millis {
+	t := g.table.Load()
+	if t == nil || !g.coming {
+		return 0
+	}
+	var age clock.Millis
+	if g.announcedAt > 0 {
+		age = now - g.announcedAt
+	}
+	if g.newest > t.Version() {
+		age = max(age, now-g.newestAt)
+	}
+	if age <= g.bounds().Change-outdatedMargin {
+		return 0
+	}
+	return age
 }
 
 // tellTable logs and counts how a version came that is now in force.
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -61,6 +61,9 @@
 	if c.table == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry does not know the routes yet").WithRetryAfter(retryStale)
 	}
+	if err := g.checkOutdated(); err != nil {
+		return err
+	}
 	if limit, n := c.table.Limits().HeaderBytes, headerBytes(c.r); limit > 0 && n > limit {
 		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "the header has %d bytes, at most %d are taken", n, limit)
 	}
@@ -90,6 +93,18 @@
 	return nil
 }
 
+// checkOutdated refuses what would run by a version that is known to be too old.
+func (g *Gate) checkOutdated() *verdict.Error {
+	now := g.clk.Now()
+	g.mu.Lock()
+	age, back := g.outdated(now), g.retryElsewhere(now)
+	g.mu.Unlock()
+	if age == 0 {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.NotReady, "a newer version of the routes has been on its way to this entry for %d ms", age).WithRetryAfter(back)
+}
+
 // headerBytes returns the size of a request's header.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
