--- a/commands/gate.go
+++ b/commands/gate.go
@@ -18,6 +18,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/gate"
 	"github.com/weldfall/weldfall/peers"
@@ -71,11 +72,11 @@
 
 // runGate serves until ctx is done and what is in flight has finished.
 func runGate(ctx context.Context, boot platform.Boot, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
-	clk := clock.System()
+	clk, link := clock.System(), downlink.New(boot.Link)
 	g := gate.New(gate.Config{
-		ID: boot.ID, Dialect: platform.Dialect(), Bounds: boot.Bounds, Clock: clk, Log: log,
+		ID: boot.ID, Dialect: platform.Dialect(), Bounds: boot.Bounds, Link: link, Clock: clk, Log: log,
 	})
-	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: boot.Store, Link: boot.Link, Clock: clk}), g, boot.Waits, clk, log)
+	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: boot.Store, Link: link, Clock: clk}), g, boot.Waits, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/gate/ahead.go
+++ b/gate/ahead.go
@@ -66,6 +66,7 @@
 	buf := make([]byte, aheadPiece)
 	for {
 		n, err := c.Conn.Read(buf)
+		c.list.link.Came(n)
 		if !c.keepAhead(buf[:n], err) {
 			return
 		}
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/sock"
 )
 
@@ -23,13 +24,14 @@
 	clk    *clock.Clock
 	log    *slog.Logger
 	silent *metrics.Counter
+	link   *downlink.Downlink
 	mu     sync.Mutex
 	open   map[*callerConn]bool
 }
 
-func newCallerConns(ln net.Listener, clk *clock.Clock, log *slog.Logger) *callerConns {
+func newCallerConns(ln net.Listener, clk *clock.Clock, link *downlink.Downlink, log *slog.Logger) *callerConns {
 	return &callerConns{
-		Listener: ln, clk: clk, log: log, open: map[*callerConn]bool{},
+		Listener: ln, clk: clk, log: log, link: link, open: map[*callerConn]bool{},
 		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`),
 	}
 }
@@ -178,6 +180,7 @@
 	n, err := c.takeAhead(p)
 	for n == 0 && err == nil {
 		n, err = c.Conn.Read(p)
+		c.list.link.Came(n)
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.hasMore() {
 			err = nil
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,6 +16,7 @@
 
 	"github.com/weldfall/weldfall/budget"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/fresh"
@@ -87,8 +88,10 @@
 	ID      string
 	Dialect Dialect
 	Bounds  Bounds
-	Clock   *clock.Clock
-	Log     *slog.Logger
+	// Link is that of the process, nil if nothing is known of it.
+	Link  *downlink.Downlink
+	Clock *clock.Clock
+	Log   *slog.Logger
 }
 
 // Gate is the entry of one process.
@@ -154,7 +157,7 @@
 	g := &Gate{
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d,
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
-		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Log),
+		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
 		durations: duration.New(), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(),
 	}
--- a/gate/server.go
+++ b/gate/server.go
@@ -45,7 +45,7 @@
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
-	conns := newCallerConns(ln, g.clk, g.log)
+	conns := newCallerConns(ln, g.clk, g.cfg.Link, g.log)
 	srv := &http.Server{
 		ConnState: conns.state, ConnContext: withConn, Handler: g, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
--- a/table/table.go
+++ b/table/table.go
@@ -108,14 +108,15 @@
 	Idle clock.Millis
 }
 
-// Config is what a Table is made of.
+// Config is what a Table is made of. Versions may share routes and workspaces, which
+// nobody changes.
 type Config struct {
 	Version  int64
-	Routes   []Route
+	Routes   []*Route
 	Services []Service
 	// Keyed is true when requests need a key, even if no key is left.
 	Keyed      bool
-	Workspaces []Workspace
+	Workspaces []*Workspace
 	Limits     Limits
 }
 
@@ -133,35 +134,41 @@
 	Decoding, Building int64
 }
 
+// place is where requests come in: a host, in lower case, and a prefix of the path.
+type place struct{ host, prefix string }
+
 // Table is one version of the published routes and keys.
 type Table struct {
-	version  int64
-	byHost   map[string][]Route
+	version int64
+	// routes has the route of each place whose prefix ends with a slash, others
+	// those of a host that do not, the longest prefix first.
+	routes map[place]*Route
+	others map[string][]*Route
+	// longest is the length of the longest prefix in routes.
+	longest  int
 	services map[string]Service
 	keyed    bool
 	byKey    map[string]*Workspace
 	limits   Limits
 }
 
-// New returns the table of cfg. The longest prefix of a host comes first.
+// New returns the table of cfg. The longest prefix of a host goes before the
+// others, and the first of two routes with the same.
 func New(cfg Config) *Table {
 	t := &Table{
 		version: cfg.Version, limits: cfg.Limits, keyed: cfg.Keyed,
-		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]*Workspace{},
+		routes: make(map[place]*Route, len(cfg.Routes)), others: map[string][]*Route{}, services: map[string]Service{}, byKey: map[string]*Workspace{},
 	}
 	for _, r := range cfg.Routes {
-		r.Host = strings.ToLower(r.Host)
-		slices.SortFunc(r.Shares, func(a, b Share) int { return cmp.Compare(a.Service, b.Service) })
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		t.add(ordered(r))
 	}
-	for _, routes := range t.byHost {
-		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	for _, routes := range t.others {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, s := range cfg.Services {
 		t.services[s.Name] = s
 	}
-	for i := range cfg.Workspaces {
-		w := &cfg.Workspaces[i]
+	for _, w := range cfg.Workspaces {
 		for _, k := range w.Keys {
 			t.byKey[k] = w
 		}
@@ -169,6 +176,32 @@
 	return t
 }
 
+// ordered returns the route with its host in lower case and its shares sorted: the
+// route itself if they are.
+func ordered(r *Route) *Route {
+	host := strings.ToLower(r.Host)
+	byService := func(a, b Share) int { return cmp.Compare(a.Service, b.Service) }
+	if host == r.Host && slices.IsSortedFunc(r.Shares, byService) {
+		return r
+	}
+	c := *r
+	c.Host, c.Shares = host, slices.Clone(r.Shares)
+	slices.SortFunc(c.Shares, byService)
+	return &c
+}
+
+func (t *Table) add(r *Route) {
+	if !strings.HasSuffix(r.Prefix, "/") {
+		t.others[r.Host] = append(t.others[r.Host], r)
+		return
+	}
+	p := place{r.Host, r.Prefix}
+	if t.routes[p] == nil {
+		t.routes[p] = r
+		t.longest = max(t.longest, len(r.Prefix))
+	}
+}
+
 // Version returns the version that the operators gave.
 func (t *Table) Version() int64 { return t.version }
 
@@ -184,13 +217,30 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	routes := t.byHost[strings.ToLower(host)]
-	for i := range routes {
-		if strings.HasPrefix(path, routes[i].Prefix) {
-			return &routes[i], true
+	host = strings.ToLower(host)
+	best := t.slashed(host, path)
+	for _, r := range t.others[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			if best == nil || len(r.Prefix) > len(best.Prefix) {
+				best = r
+			}
+			break
+		}
+	}
+	return best, best != nil
+}
+
+// slashed returns the route whose prefix is the longest that begins the path and
+// ends with a slash, nil if there is none. It looks up a prefix for each slash that
+// may end one, so it takes as long among a hundred thousand routes as among four.
+func (t *Table) slashed(host, path string) *Route {
+	path = path[:min(len(path), t.longest)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := t.routes[place{host, path[:end+1]}]; r != nil {
+			return r
 		}
 	}
-	return nil, false
+	return nil
 }
 
 // Workspace returns the workspace that holds a key, or false.
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/weldfall/weldfall/table"
 )
 
 func routes() *table.Table {
-	return table.New(table.Config{Version: 3, Keyed: true, Routes: []table.Route{
+	return table.New(table.Config{Version: 3, Keyed: true, Routes: []*table.Route{
 		{Name: "short", Host: "A.example", Prefix: "/a/"},
 		{Name: "long", Host: "a.example", Prefix: "/a/b/"},
 		{Name: "other", Host: "b.example", Prefix: "/"},
-	}, Workspaces: []table.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}}})
+		{Name: "twice", Host: "b.example", Prefix: "/"},
+		{Name: "word", Host: "b.example", Prefix: "/wo"},
+		{Name: "longer word", Host: "b.example", Prefix: "/word"},
+		{Name: "below a word", Host: "b.example", Prefix: "/words/"},
+	}, Workspaces: []*table.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}}})
 }
 
 func TestTheLongestPrefixOfAHostWins(t *testing.T) {
@@ -23,6 +28,10 @@
 		{"a.example", "/a", ""},
 		{"a.example", "/x/", ""},
 		{"b.example", "/anything", "other"},
+		{"b.example", "/wo", "word"},
+		{"b.example", "/words", "longer word"},
+		{"b.example", "/words/x", "below a word"},
+		{"a.example", "/a/b/" + strings.Repeat("/", 1<<20), "long"},
 		{"c.example", "/a/", ""},
 	} {
 		got := ""
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/dial"
+	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/sock"
 )
 
@@ -42,6 +43,7 @@
 	clk    *clock.Clock
 	names  Names
 	log    *slog.Logger
+	link   *downlink.Downlink
 	dialer *net.Dialer
 	dials  *metrics.Counter
 	strays *metrics.Counter
@@ -62,10 +64,11 @@
 	doubted map[string]clock.Millis
 }
 
-// NewPool returns an empty pool.
-func NewPool(clk *clock.Clock, names Names, log *slog.Logger) *Pool {
+// NewPool returns an empty pool. link is that of the process, nil if nothing is known
+// of it.
+func NewPool(clk *clock.Clock, names Names, link *downlink.Downlink, log *slog.Logger) *Pool {
 	return &Pool{
-		clk: clk, names: names, log: log, dialer: dial.New(dialLimit), idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
+		clk: clk, names: names, log: log, link: link, dialer: dial.New(dialLimit), idle: map[string][]*conn{}, open: map[string]int{}, most: map[string]int{},
 		busy: map[string]map[*conn]bool{}, doubted: map[string]clock.Millis{},
 		dials:  metrics.GetOrCreateCounter("weldfall_engine_dials_total"),
 		strays: metrics.GetOrCreateCounter("weldfall_engine_stray_answers_total"),
@@ -144,6 +147,7 @@
 	// pool's mu.
 	silent bool
 	clk    *clock.Clock
+	link   *downlink.Downlink
 }
 
 // Read counts what arrives, so that "no answer at all" can be told from "a
@@ -152,6 +156,7 @@
 	n, err := c.nc.Read(b)
 	if n > 0 {
 		c.got += int64(n)
+		c.link.Came(n)
 		c.heard.Store(int64(c.clk.Now()))
 	}
 	return n, err
@@ -207,7 +212,7 @@
 		p.closed(addr)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{nc: nc, addr: addr, clk: p.clk}
+	c := &conn{nc: nc, addr: addr, clk: p.clk, link: p.link}
 	c.heard.Store(int64(p.clk.Now()))
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -47,7 +47,7 @@
 	}
 	t.Cleanup(e.Close)
 	names := upstream.Names{RequestID: dialect.RequestID, NotRun: dialect.NotRun}
-	return &rig{pool: upstream.NewPool(clock.System(), names, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
+	return &rig{pool: upstream.NewPool(clock.System(), names, nil, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
 }
 
 func (b *rig) request(id string) *upstream.Request {
