silence, source, peers, account: Mend the cause elsewhere, and tell by which version requests ran

Cause: the own path's client gave each batch 5 s in all, whatever its size, and a question to a peer 0.8 s of the clock, in which a process that stood still is not listening. Change: both count silence in time that this process had to listen; a batch ends when nothing comes.

--- a/account/account.go
+++ b/account/account.go
@@ -81,12 +81,15 @@
 	// final line has not come.
 	attempts map[string]Cause
 	requests []request
+	// tables are the versions of the settings by which requests ran or that came
+	// into force.
+	tables map[int64]*tableUse
 	// skipped counts lines that are no log lines.
 	skipped int
 }
 
 // New returns an empty account.
-func New() *Account { return &Account{attempts: map[string]Cause{}} }
+func New() *Account { return &Account{attempts: map[string]Cause{}, tables: map[int64]*tableUse{}} }
 
 // longestLine bounds a log line, in bytes.
 const longestLine = 64 << 10
@@ -132,6 +135,8 @@
 		a.attempts[id] = causeOfAttempt(f["outcome"])
 	case "answered", "failed":
 		a.finish(id, f)
+	case "table_in_force":
+		a.inForce(f)
 	}
 }
 
@@ -153,6 +158,7 @@
 		r.Cause = causeOfFailure(f, before)
 	}
 	a.requests = append(a.requests, r)
+	a.ranBy(f, at)
 }
 
 // outcomeOf judges a final line.
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +102,29 @@
 		t.Errorf("got %v for an endless line, want an error that says so", err)
 	}
 }
+
+// The report shows an entry that goes on serving by an old version.
+func TestTheVersionOfEachRequestIsTold(t *testing.T) {
+	ran := func(at, instance string, version int) string {
+		return line(at, fmt.Sprintf("msg=answered instance=%s request=a route=r status=200 table=%d", instance, version))
+	}
+	inForce := func(at, instance string, version int) string {
+		return line(at, fmt.Sprintf("msg=table_in_force instance=%s version=%d", instance, version))
+	}
+	out := report(t,
+		inForce("01.000", "edge-1", 16)+ran("01.5", "edge-1", 16)+inForce("02.000", "edge-1", 19)+ran("03.0", "edge-1", 19),
+		inForce("01.100", "edge-2", 16)+ran("08.25", "edge-2", 16),
+	)
+	for _, want := range []string{
+		"16 2 2 00:00:01.000 00:00:01.100 00:00:08.250 edge-2 6.25s",
+		"19 1 1 00:00:02.000 00:00:02.000 00:00:03.000 edge-1 -",
+	} {
+		found := false
+		for l := range strings.Lines(out) {
+			found = found || strings.Join(strings.Fields(l), " ") == want
+		}
+		if !found {
+			t.Errorf("got no line %q in:\n%s", want, out)
+		}
+	}
+}
--- a/common/silence/silence.go
+++ b/common/silence/silence.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +31,21 @@
 	begun chan struct{}
 }
 
+// ErrSilent is why a context ended whose Guard heard nothing.
+var ErrSilent = errors.New("no answer in time")
+
+// Context returns a context that ends with ErrSilent as its cause when no sign came
+// for the limit, counted as Wait does. cancel must be called.
+func (g *Guard) Context(ctx context.Context, wait, limit clock.Millis) (silent context.Context, cancel func()) {
+	silent, end := context.WithCancelCause(ctx)
+	go func() {
+		if g.Wait(silent, wait, limit) {
+			end(ErrSilent)
+		}
+	}()
+	return silent, func() { end(nil) }
+}
+
 // New returns a guard of something that has given no sign.
 func New() *Guard { return &Guard{begun: make(chan struct{})} }
 
@@ -38,6 +55,21 @@
 // Heard records that bytes came.
 func (g *Guard) Heard(bytes int) { g.heard.Add(int64(bytes)) }
 
+// Reader returns r with each read heard.
+func (g *Guard) Reader(r io.Reader) io.Reader { return reader{r, g} }
+
+type reader struct {
+	r io.Reader
+	g *Guard
+}
+
+// Read implements io.Reader.
+func (r reader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	r.g.Heard(n)
+	return n, err
+}
+
 // Wait returns true when no sign came for the limit, counted from the first sign or
 // the end of the given wait, and false when ctx is done.
 func (g *Guard) Wait(ctx context.Context, wait, limit clock.Millis) bool {
