soak: Grow the settings to a megabyte on slow links and judge the bound for changes

Change: a play of its own. Links to the store carry 10 Mbit/s, versions grow by up to 2,500 routes to 1 MB while history is lost, connections fall silent, gates pause, are killed and stopped. Each version has a route of its own; past the bound and half a second it must be served while it is there and not after.

--- a/soak/link.go
+++ b/soak/link.go
@@ -25,6 +25,9 @@
 	Resets LinkFault = "resets"
 )
 
+// linkBuffer is what waits at either end of a slow link, in bytes.
+const linkBuffer = 128 << 10
+
 // linkDelay is what a delayed link adds to each piece.
 const linkDelay = 150 * time.Millisecond
 
@@ -33,11 +36,27 @@
 	ln     net.Listener
 	target string
 
+	// pace is how many bytes a second come back over all connections, 0 if there is
+	// no bound. It is set before the link is used.
+	pace int
+	// turn is held while bytes are on their way back.
+	turn sync.Mutex
+
 	mu    sync.Mutex
 	fault LinkFault
 	open  map[*pair]bool
 }
 
+// carryBack takes the time that n bytes need to come back.
+func (l *link) carryBack(n int) {
+	if l.pace == 0 {
+		return
+	}
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(l.pace))
+}
+
 // pair is a connection that is carried. Its fields are guarded by the link's
 // mu.
 type pair struct {
@@ -131,6 +150,11 @@
 	}
 	defer func() { _ = far.Close() }()
 	p := &pair{near: near, far: far}
+	if l.pace > 0 {
+		// What waits in the kernel is not on the link.
+		_ = near.(*net.TCPConn).SetWriteBuffer(linkBuffer)
+		_ = far.(*net.TCPConn).SetReadBuffer(linkBuffer)
+	}
 	l.track(p)
 	defer l.untrack(p)
 	done := make(chan LinkFault, 2)
@@ -185,6 +209,9 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if way == DeafFrom {
+			l.carryBack(n)
+		}
 		if f := l.pass(p, way); f != Cut && n > 0 {
 			if f == Delayed {
 				time.Sleep(linkDelay)
--- a/soak/play.go
+++ b/soak/play.go
@@ -133,6 +133,8 @@
 		_ = w.join([]string{"llm", "api"}[s.Who%2])
 	case Publish:
 		w.publish()
+	case Grow:
+		w.grow(s.Many)
 	case Revoke:
 		g.store.set(Cut)
 		w.revoke()
--- a/soak/process.go
+++ b/soak/process.go
@@ -43,6 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
+	boot := standin.Boot{Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow}
+	if cfg.Play == Growing {
+		l.pace, boot.LinkMbps, boot.Change = slowLink, slowLink/bytesPerMegabit, changeBound
+	}
 	var addrs []string
 	for range 3 {
 		a, err := freeAddr()
@@ -52,11 +56,9 @@
 		addrs = append(addrs, a)
 	}
 	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l, number: i, rec: rec}
-	text := standin.BootText(standin.Boot{
-		Number: i, Seeds: seeds, Callers: addrs[0], Readiness: addrs[1], Peers: addrs[2], Store: l.addr(),
-		Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow,
-	})
-	if err := os.WriteFile(g.boot, []byte(text), 0o600); err != nil {
+	boot.Number, boot.Seeds, boot.Store = i, seeds, l.addr()
+	boot.Callers, boot.Readiness, boot.Peers = addrs[0], addrs[1], addrs[2]
+	if err := os.WriteFile(g.boot, []byte(standin.BootText(boot)), 0o600); err != nil {
 		return nil, err
 	}
 	g.logs, err = os.Create(strings.TrimSuffix(g.boot, ".toml") + ".log")
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -40,6 +40,8 @@
 	// good, without a reset, while new ones work.
 	SilentStore  Kind = "silent_store"
 	SilentEngine Kind = "silent_engine"
+	// Grow publishes more routes.
+	Grow Kind = "grow"
 )
 
 // Play says what is drawn from a seed and how long answers are.
@@ -52,12 +54,15 @@
 	Planned Play = "planned"
 	// Mixed has troubles of all kinds, and streams of very unequal length.
 	Mixed Play = "mixed"
+	// Growing has settings that grow to a megabyte and change often, over links to
+	// the store that are slow.
+	Growing Play = "growing"
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed}
+var Plays = []Play{Even, Planned, Mixed, Growing}
 
-func (p Play) uneven() bool { return p != Even }
+func (p Play) uneven() bool { return p == Planned || p == Mixed }
 
 // How the stops of a series lie to one another.
 const (
@@ -94,7 +99,7 @@
 // planned reports whether it is work that no promise is excused by.
 func (s Step) planned() bool {
 	switch s.Kind {
-	case Stop, Roll, Series, Reload, Leave, Join, Publish, Compact:
+	case Stop, Roll, Series, Reload, Leave, Join, Publish, Compact, Grow:
 		return true
 	}
 	return false
@@ -131,8 +136,11 @@
 // the run does, so that recovery can be judged.
 func newSchedule(seed uint64, length time.Duration, play Play) []Step {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	if play == Planned {
+	switch play {
+	case Planned:
 		return newPlanned(rng, length)
+	case Growing:
+		return newGrowing(rng, length)
 	}
 	from := kinds
 	if play == Mixed {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -89,6 +89,8 @@
 	links    []*link
 	version  int
 	revoked  bool
+	// idle is how many routes there are that nobody asks for.
+	idle int
 }
 
 // Run plays one schedule and judges it.
@@ -101,7 +103,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &world{cfg: cfg, store: standin.NewStore(3), ctx: ctx, rec: &record{left: map[string]time.Time{}, revoked: map[string]time.Time{}}}
+	w := &world{cfg: cfg, store: standin.NewStore(3), ctx: ctx, rec: &record{left: map[string]time.Time{}, revoked: map[string]time.Time{}, published: map[int]time.Time{}}}
 	if err := w.start(); err != nil {
 		return Report{}, err
 	}
@@ -157,6 +159,9 @@
 		for c := range callers {
 			w.wg.Go(func() { w.call(i, c) })
 		}
+		if w.cfg.Play == Growing {
+			w.wg.Go(func() { w.callVersions(i) })
+		}
 		if w.cfg.Play.uneven() {
 			for c := range longCallers {
 				w.wg.Go(func() { w.callLong(i, callers+c) })
@@ -220,7 +225,8 @@
 	if w.revoked {
 		keys = keys[:1]
 	}
-	w.store.PutConfig(w.version, host, workspace, keys)
+	w.store.PutConfig(standin.Published{Version: w.version, Host: host, Workspace: workspace, Keys: keys, Idle: w.idle})
+	w.rec.publish(w.version)
 }
 
 // behave returns how an engine answers: well, or in the given way now and then.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,8 @@
 		"store deaf while a key is revoked": {30007, soak.Even},
 		// The longest of a few answers stood for what the next might take.
 		"answers that outlast a stop": {916, soak.Planned},
+		// A whole answer of the store had 0.7 s, whatever its size.
+		"settings that grow over a slow link": {1, soak.Growing},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
 	} {
