--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/events"
 	"github.com/weldfall/weldfall/target"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
@@ -185,8 +186,8 @@
 	next, tries := 0, 0
 	body := res.Body
 	defer func() { _ = body.Close() }()
-	for events := target.NewEventReader(body); ; {
-		ev, err := events.Next()
+	for in := events.NewReader(body, target.MaxEvent); ; {
+		ev, err := in.Next()
 		if err != nil {
 			again, err := e.reconnect(a, next, &tries, err)
 			if err != nil {
@@ -194,14 +195,14 @@
 			}
 			_ = body.Close()
 			body = again.Body
-			events = target.NewEventReader(body)
+			in = events.NewReader(body, target.MaxEvent)
 			continue
 		}
-		if ev.ID >= 0 && ev.ID != next {
-			if ev.ID < next {
+		if ev.Number >= 0 && ev.Number != next {
+			if ev.Number < next {
 				continue
 			}
-			return e.lost(a, fmt.Errorf("event %d came where %d was due", ev.ID, next))
+			return e.lost(a, fmt.Errorf("event %d came where %d was due", ev.Number, next))
 		}
 		next, tries = next+1, 0
 		if bytes.Equal(ev.Data, doneMark) {
--- a/events/events.go
+++ b/events/events.go
@@ -1,15 +1,21 @@
 // Package events splits a stream of server-sent events into whole events, so
-// that a stream which breaks off can be taken up after the last whole one. It
-// is pure.
+// that a stream which breaks off can be taken up after the last whole one, and
+// reads what they say.
 package events
 
-import "bytes"
+import (
+	"bytes"
+	"cmp"
+)
 
-// maxPending bounds an event that is not yet whole, in bytes.
+// maxPending bounds an event that is not yet whole, in bytes, where no other bound
+// is given.
 const maxPending = 1 << 20
 
-// Splitter collects bytes until events are whole.
+// Splitter collects bytes until events are whole. The zero value is ready to use.
 type Splitter struct {
+	// most bounds an event that is not yet whole, in bytes; 0 stands for maxPending.
+	most    int
 	pending []byte
 	// lastID is the id of the latest whole event that had one.
 	lastID string
@@ -33,9 +39,11 @@
 	}
 	whole = bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	return whole, len(s.pending) <= maxPending
+	return whole, len(s.pending) <= s.bound()
 }
 
+func (s *Splitter) bound() int { return cmp.Or(s.most, maxPending) }
+
 // Pending returns the bytes that belong to no whole event yet.
 func (s *Splitter) Pending() []byte { return s.pending }
 
--- a/integration/cost_test.go
+++ b/integration/cost_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/events"
 	"github.com/weldfall/weldfall/internal/fleettest"
 	"github.com/weldfall/weldfall/target"
 )
@@ -48,8 +49,8 @@
 					return
 				}
 				first, got := int64(0), 0
-				for events := target.NewEventReader(res.Body); ; got++ {
-					ev, err := events.Next()
+				for in := events.NewReader(res.Body, target.MaxEvent); ; got++ {
+					ev, err := in.Next()
 					if err != nil || string(ev.Data) == "[DONE]" {
 						break
 					}
--- a/load/client.go
+++ b/load/client.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/events"
 	"github.com/weldfall/weldfall/target"
 )
 
@@ -102,10 +103,10 @@
 }
 
 func (r *reply) read(body io.Reader, clk *clock.Clock, start int64) {
-	events := target.NewEventReader(body)
+	in := events.NewReader(body, target.MaxEvent)
 	var last int64
 	for {
-		ev, err := events.Next()
+		ev, err := in.Next()
 		if err != nil {
 			r.err = fmt.Errorf("the stream ended without its end mark: %w", err)
 			break
--- a/target/target.go
+++ b/target/target.go
@@ -3,7 +3,6 @@
 package target
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -200,73 +199,5 @@
 	return nil
 }
 
-// Event is one event of a stream.
-type Event struct {
-	// ID is the event's number, -1 if the target gave none.
-	ID   int
-	Data []byte
-}
-
-// EventReader reads server-sent events.
-type EventReader struct{ r *bufio.Reader }
-
-// maxEvent bounds one event in bytes.
-const maxEvent = 4 << 20
-
-// NewEventReader returns a reader of the events in r.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 16<<10)}
-}
-
-// Buffered reports whether a further event may be read without waiting.
-func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
-
-// Next returns the next event. An event that is cut short is not returned.
-func (e *EventReader) Next() (Event, error) {
-	ev := Event{ID: -1}
-	for {
-		line, err := e.readLine()
-		if err != nil {
-			return Event{}, err
-		}
-		switch {
-		case len(line) == 0:
-			if ev.Data != nil {
-				return ev, nil
-			}
-		case bytes.HasPrefix(line, []byte("id:")):
-			n, err := strconv.Atoi(string(bytes.TrimSpace(line[3:])))
-			if err == nil {
-				ev.ID = n
-			}
-		case bytes.HasPrefix(line, []byte("data:")):
-			data := bytes.TrimPrefix(line[5:], []byte(" "))
-			if ev.Data != nil {
-				ev.Data = append(ev.Data, '\n')
-			}
-			ev.Data = append(ev.Data, data...)
-		}
-	}
-}
-
-func (e *EventReader) readLine() ([]byte, error) {
-	line, err := e.r.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		long := append([]byte(nil), line...)
-		for errors.Is(err, bufio.ErrBufferFull) {
-			line, err = e.r.ReadSlice('\n')
-			long = append(long, line...)
-			if len(long) > maxEvent {
-				return nil, fmt.Errorf("event exceeds %d bytes", maxEvent)
-			}
-		}
-		line = long
-	}
-	if err != nil {
-		if errors.Is(err, io.EOF) && len(line) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		return nil, err
-	}
-	return bytes.TrimRight(line, "\r\n"), nil
-}
+// MaxEvent bounds one event of a stream in bytes.
+const MaxEvent = 4 << 20
