--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -1,4 +1,18 @@
 package gate
 
+import (
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/weldfall/weldfall/verdict"
+)
+
 // ShareOf returns the gate's part of what all entries may do.
 func (g *Gate) ShareOf(whole int, key string) int { return g.shares.Of(whole, key) }
+
+// Failure returns what a caller gets for a failure.
+func (g *Gate) Failure(err *verdict.Error) *http.Response {
+	w := httptest.NewRecorder()
+	g.respond(&call{w: w, rc: http.NewResponseController(w), r: httptest.NewRequest(http.MethodGet, "/x", nil), id: "id-1"}, err)
+	return w.Result()
+}
