failure, gate, entry: Tell failures from values, one way for both paths

A failure's status, body and headers were code in two places; they are values of an interface of callers now, read by one package. A body that cannot be encoded is logged on both paths.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/failure"
 	"github.com/weldfall/weldfall/verdict"
 	"github.com/weldfall/weldfall/wire"
 )
@@ -105,27 +105,51 @@
 	RetryAfterMS clock.Millis `json:"retry_after_ms,omitempty"`
 }
 
-// statusOf maps a failure to its HTTP status.
-func statusOf(err *verdict.Error) int {
-	switch err.Reason() {
-	case verdict.BadRequest:
-		return http.StatusBadRequest
-	case verdict.Unauthorized:
-		return http.StatusUnauthorized
-	case verdict.UnknownModel:
-		return http.StatusNotFound
-	case verdict.TooLarge:
-		return http.StatusRequestEntityTooLarge
-	case verdict.RateLimited, verdict.Shed, verdict.Overloaded:
-		return http.StatusTooManyRequests
-	case verdict.Duplicate, verdict.UnknownHistory:
-		return http.StatusConflict
-	case verdict.Deadline:
-		return http.StatusGatewayTimeout
-	case verdict.NoEngine, verdict.NotReady, verdict.Leaving, verdict.Unreachable:
-		return http.StatusServiceUnavailable
-	default:
-		return http.StatusBadGateway
+// style is how failures are told: the protocol's own error, with the verdict.
+var style = failure.Style{
+	Statuses: failure.Statuses{
+		Always: map[verdict.Reason]int{
+			verdict.BadRequest:     http.StatusBadRequest,
+			verdict.Unauthorized:   http.StatusUnauthorized,
+			verdict.UnknownModel:   http.StatusNotFound,
+			verdict.TooLarge:       http.StatusRequestEntityTooLarge,
+			verdict.RateLimited:    http.StatusTooManyRequests,
+			verdict.Shed:           http.StatusTooManyRequests,
+			verdict.Overloaded:     http.StatusTooManyRequests,
+			verdict.Duplicate:      http.StatusConflict,
+			verdict.UnknownHistory: http.StatusConflict,
+			verdict.Deadline:       http.StatusGatewayTimeout,
+			verdict.NoEngine:       http.StatusServiceUnavailable,
+			verdict.NotReady:       http.StatusServiceUnavailable,
+			verdict.Leaving:        http.StatusServiceUnavailable,
+			verdict.Unreachable:    http.StatusServiceUnavailable,
+		},
+		NotRun: http.StatusBadGateway, Otherwise: http.StatusBadGateway,
+	},
+	Body: func(f failure.Failure) any {
+		return errorBody{errorDetail{
+			Message: f.Stage + ": " + f.Err.Message(), Type: "weldfall_error", Code: f.Err.Reason(),
+			Verdict: f.Err.Verdict(), Request: f.Request, RetryAfterMS: f.Err.RetryAfter(),
+		}}
+	},
+	Header: func(h http.Header, f failure.Failure) {
+		h.Set(HeaderRequest, f.Request)
+		h.Set(HeaderVerdict, string(f.Err.Verdict()))
+		if back := f.Err.RetryAfter(); back > 0 {
+			h.Set("Retry-After", strconv.FormatInt(int64(back+999)/1000, 10))
+			h.Set("Retry-After-Ms", strconv.FormatInt(int64(back), 10))
+		}
+		if f.Err.Verdict() == verdict.MayHaveRun && f.Once {
+			// Clients that retry on their own must not repeat this one.
+			h.Set("X-Should-Retry", "false")
+		}
+	},
+}
+
+// tellNotEncoded logs a failure whose body could not be written.
+func (e *Entry) tellNotEncoded(c *call, err error) {
+	if err != nil {
+		e.log.Error("problem_not_encoded", "request", c.id, "error", err)
 	}
 }
 
@@ -134,13 +158,11 @@
 func (e *Entry) respond(c *call, stage string, cause error) {
 	err := verdict.From(cause)
 	c.err = err
-	body := errorBody{errorDetail{
-		Message: stage + ": " + err.Message(), Type: "weldfall_error", Code: err.Reason(),
-		Verdict: err.Verdict(), Request: c.id, RetryAfterMS: err.RetryAfter(),
-	}}
-	text, _ := json.Marshal(body)
+	f := failure.Failure{Request: c.id, Stage: stage, Err: err, Once: c.once != nil}
 	if c.headSent {
 		if c.chat.Stream {
+			text, perr := style.Text(f)
+			e.tellNotEncoded(c, perr)
 			_, _ = c.w.Write([]byte("data: " + string(text) + "\n\n"))
 			_ = http.NewResponseController(c.w).Flush()
 		}
@@ -148,19 +170,9 @@
 		c.cut = true
 		return
 	}
-	h := c.w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderRequest, c.id)
-	h.Set(HeaderVerdict, string(err.Verdict()))
-	if err.RetryAfter() > 0 {
-		h.Set("Retry-After", strconv.FormatInt(int64(err.RetryAfter()+999)/1000, 10))
-		h.Set("Retry-After-Ms", strconv.FormatInt(int64(err.RetryAfter()), 10))
-	}
-	if err.Verdict() == verdict.MayHaveRun && c.once != nil {
-		// Clients that retry on their own must not repeat this one.
-		h.Set("X-Should-Retry", "false")
-	}
-	c.w.WriteHeader(statusOf(err))
+	status, text, perr := style.Prepare(c.w.Header(), f)
+	e.tellNotEncoded(c, perr)
+	c.w.WriteHeader(status)
 	c.headSent = true
 	_, _ = c.w.Write(text)
 }
--- /dev/null
+++ b/failure/failure_test.go
@@ -0,0 +1,32 @@
+package failure_test
+
+import (
+	"testing"
+
+	"github.com/weldfall/weldfall/failure"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+func TestAStatusFollowsFromReasonAndVerdict(t *testing.T) {
+	s := failure.Statuses{
+		Always:     map[verdict.Reason]int{verdict.BadRequest: 400},
+		MayHaveRun: map[verdict.Reason]int{verdict.Deadline: 504},
+		NotRun:     503, Otherwise: 502,
+	}
+	for _, tc := range []struct {
+		v    verdict.Verdict
+		r    verdict.Reason
+		want int
+	}{
+		{verdict.NotRun, verdict.BadRequest, 400},
+		{verdict.MayHaveRun, verdict.BadRequest, 400},
+		{verdict.NotRun, verdict.Deadline, 503},
+		{verdict.MayHaveRun, verdict.Deadline, 504},
+		{verdict.NotRun, verdict.NoEngine, 503},
+		{verdict.MayHaveRun, verdict.NoEngine, 502},
+	} {
+		if got := s.Of(verdict.New(tc.v, tc.r, "cause")); got != tc.want {
+			t.Errorf("%s %s: got %d, want %d", tc.r, tc.v, got, tc.want)
+		}
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/failure"
 	"github.com/weldfall/weldfall/fresh"
 	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/table"
@@ -100,6 +101,8 @@
 	clk  *clock.Clock
 	log  *slog.Logger
 	wire Dialect
+	// style is how failures are told.
+	style failure.Style
 	// reserved and internal are sets of canonical header names.
 	reserved  map[string]bool
 	internal  map[string]bool
@@ -155,7 +158,7 @@
 func New(cfg Config) *Gate {
 	d := cfg.Dialect
 	g := &Gate{
-		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d,
+		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d, style: style(d.RequestID),
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -1,11 +1,11 @@
 package gate
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/failure"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -17,30 +17,36 @@
 	Message string          `json:"message"`
 }
 
-// statusOf maps a failure to a status. 503 and 429 say that the request did
-// not run; 502 and 504 say nothing of the kind.
-func statusOf(err *verdict.Error) int {
-	notRun := err.Verdict() == verdict.NotRun
-	switch err.Reason() {
-	case verdict.BadRequest:
-		return http.StatusBadRequest
-	case verdict.Unauthorized:
-		return http.StatusUnauthorized
-	case verdict.NoRoute:
-		return http.StatusNotFound
-	case verdict.HeaderTooLarge:
-		return http.StatusRequestHeaderFieldsTooLarge
-	case verdict.TooLarge:
-		return http.StatusRequestEntityTooLarge
-	case verdict.Deadline:
-		if !notRun {
-			return http.StatusGatewayTimeout
-		}
-	}
-	if notRun {
-		return http.StatusServiceUnavailable
+// statuses are those of failures. 503 and 429 say that the request did not run; 502
+// and 504 say nothing of the kind.
+var statuses = failure.Statuses{
+	Always: map[verdict.Reason]int{
+		verdict.BadRequest:     http.StatusBadRequest,
+		verdict.Unauthorized:   http.StatusUnauthorized,
+		verdict.NoRoute:        http.StatusNotFound,
+		verdict.HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+		verdict.TooLarge:       http.StatusRequestEntityTooLarge,
+	},
+	MayHaveRun: map[verdict.Reason]int{verdict.Deadline: http.StatusGatewayTimeout},
+	NotRun:     http.StatusServiceUnavailable, Otherwise: http.StatusBadGateway,
+}
+
+// style returns how failures are told to callers that name requests by a header.
+func style(requestID string) failure.Style {
+	return failure.Style{
+		Statuses: statuses,
+		Body: func(f failure.Failure) any {
+			return problem{Request: f.Request, Verdict: f.Err.Verdict(), Reason: f.Err.Reason(), Message: f.Err.Message()}
+		},
+		Header: func(h http.Header, f failure.Failure) {
+			if f.Request != "" {
+				h.Set(requestID, f.Request)
+			}
+			if f.Err.RetryAfter() > 0 && f.Err.Verdict() == verdict.NotRun {
+				h.Set("Retry-After", seconds(f.Err.RetryAfter()))
+			}
+		},
 	}
-	return http.StatusBadGateway
 }
 
 // respond writes a failure, or breaks off an answer that has begun.
@@ -49,20 +55,12 @@
 		c.cut = true
 		return
 	}
-	status := statusOf(err)
-	body, jerr := json.Marshal(problem{Request: c.id, Verdict: err.Verdict(), Reason: err.Reason(), Message: err.Message()})
-	if jerr != nil {
-		g.log.Error("problem_not_encoded", "request", c.id, "error", jerr)
-	}
 	h := c.w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if c.id != "" {
-		h.Set(g.wire.RequestID, c.id)
-	}
-	if err.RetryAfter() > 0 && err.Verdict() == verdict.NotRun {
-		h.Set("Retry-After", seconds(err.RetryAfter()))
+	status, body, perr := g.style.Prepare(h, failure.Failure{Request: c.id, Err: err})
+	if perr != nil {
+		g.log.Error("problem_not_encoded", "request", c.id, "error", perr)
 	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	g.boundRest(c)
 	g.begin(c, status)
 	// A caller that is gone needs no answer.
