--- a/gate/news.go
+++ b/gate/news.go
@@ -15,10 +15,11 @@
 		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "cause", "older than the one in force")
 		return
 	}
+	newer := old == nil || old.Version() != t.Version()
 	g.table.Store(t)
 	g.mu.Lock()
 	g.published.Confirm(a.TrueAt)
-	if old == nil || old.Version() != t.Version() {
+	if newer {
 		g.announcedAt = 0
 	}
 	g.parts = map[string]int{}
@@ -26,7 +27,7 @@
 		g.boundConns(t, g.book.Get(id).Info())
 	}
 	g.mu.Unlock()
-	if old == nil || old.Version() != t.Version() {
+	if newer {
 		g.tellTable(t, a)
 	}
 }
