--- a/soak/grow.go
+++ b/soak/grow.go
@@ -29,8 +29,6 @@
 	// growEvery is the time between two versions at least, longer than one of a
 	// megabyte is on its way.
 	growEvery = 2 * time.Second
-	// versionPause is the time between two requests that tell the version in force.
-	versionPause = 80 * time.Millisecond
 )
 
 // growingKinds is what goes on besides versions that grow.
@@ -77,20 +75,17 @@
 // callVersions asks a gate for the routes of the newest version and the one before
 // until the run is over.
 func (w *world) callVersions(g int) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callerPatience}
-	defer client.CloseIdleConnections()
-	for n := 0; w.ctx.Err() == nil; n++ {
+	w.callWith(callerPatience, func(n int) asked {
 		w.mu.Lock()
 		version := max(1, w.version-n%2)
 		w.mu.Unlock()
-		a := asked{gate: g, id: fmt.Sprintf("v%dn%d", g, n), path: standin.VersionPath(version) + "x", key: keyKept, sent: time.Now()}
-		a = w.ask(client, w.gates[g].callers, a)
-		a.ended = time.Now()
-		w.rec.add(a)
-		time.Sleep(versionPause)
-	}
+		return asked{gate: g, id: fmt.Sprintf("v%dn%d", g, n), path: standin.VersionPath(version) + "x", key: keyKept, sent: time.Now()}
+	}, rand.New(rand.NewPCG(w.cfg.Seed, uint64(versionCallersFrom+g))))
 }
 
+// versionCallersFrom keeps the draws of these callers from those of the others.
+const versionCallersFrom = 1 << 33
+
 // version returns the version whose route a request asked for, or false.
 func (a asked) version() (int, bool) {
 	rest, ok := strings.CutPrefix(a.path, "/v/")
