--- a/soak/grow.go
+++ b/soak/grow.go
@@ -24,8 +24,8 @@
 	changeSlack = 500 * time.Millisecond
 	// mostIdle makes settings of a megabyte, and mostGrowth is what one version adds
 	// at most.
-	mostIdle   = 5000
-	mostGrowth = 2500
+	mostIdle   = 12_500
+	mostGrowth = 6250
 	// growEvery is the time between two versions at least, longer than one of a
 	// megabyte is on its way.
 	growEvery = 2 * time.Second
