attempt, gate: Give what an attempt came to a package of its own

Change: moved, with exported fields. A refusal carries its error in place of a status; the log says the same. No decision changes. Tests of gate and platform pass.

--- a/gate/account.go
+++ b/gate/account.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 )
@@ -95,20 +96,20 @@
 }
 
 // logAgain logs why a request goes to another engine, or why not.
-func (g *Gate) logAgain(c *call, o outcome, e engines.Info, allowed bool, left clock.Millis) {
+func (g *Gate) logAgain(c *call, o attempt.Outcome, e engines.Info, allowed bool, left clock.Millis) {
 	if allowed {
 		g.counts.repeats.Inc()
 	}
 	cause := ""
 	switch o := o.(type) {
-	case unsent:
-		cause = o.err.Error()
-	case refused:
-		cause = "status " + strconv.Itoa(o.status)
-	case broken:
-		cause = o.err.Error()
-	case failed:
-		cause = "status " + strconv.Itoa(o.answer.status)
+	case attempt.Unsent:
+		cause = o.Err.Error()
+	case attempt.Refused:
+		cause = o.Err.Error()
+	case attempt.Broken:
+		cause = o.Err.Error()
+	case attempt.Failed:
+		cause = "status " + strconv.Itoa(o.Answer.Status)
 	}
 	g.log.Info("attempt_ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
 		"again", allowed, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/engines"
@@ -35,13 +36,6 @@
 	resumePauses = 2.5
 )
 
-// held is a whole answer that is not yet passed on.
-type held struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // drain reads the rest of an answer, so that its connection can be kept.
 func drain(a *upstream.Answer) {
 	// An answer that cannot be read to its end costs its connection.
@@ -49,19 +43,19 @@
 }
 
 // relay passes the answer on to the caller.
-func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) outcome {
+func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
 	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
 	if a.StatusCode == http.StatusOK && c.route.Kind == table.Stream && strings.TrimSpace(mediaType) == "text/event-stream" {
 		return g.relayStream(ctx, c, e, a)
 	}
 	if c.began {
-		return broken{fmt.Errorf("status %d in place of the rest of a stream", a.StatusCode)}
+		return attempt.Broken{Err: fmt.Errorf("status %d in place of the rest of a stream", a.StatusCode)}
 	}
 	return g.relayPlain(ctx, c, a)
 }
 
 // relayPlain holds an answer until it is whole.
-func (g *Gate) relayPlain(ctx context.Context, c *call, a *upstream.Answer) outcome {
+func (g *Gate) relayPlain(ctx context.Context, c *call, a *upstream.Answer) attempt.Outcome {
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, a, plainLimit)
 	switch {
@@ -70,15 +64,15 @@
 	case !errors.Is(err, io.EOF):
 		return brokenOr(ctx, err)
 	}
-	h := &held{status: a.StatusCode, header: a.Header, body: body.Bytes()}
+	h := &attempt.Held{Status: a.StatusCode, Header: a.Header, Body: body.Bytes()}
 	switch {
 	case promises(a.StatusCode):
-		return broken{fmt.Errorf("status %d without word that the request did not run", a.StatusCode)}
+		return attempt.Broken{Err: fmt.Errorf("status %d without word that the request did not run", a.StatusCode)}
 	case a.StatusCode >= http.StatusInternalServerError:
-		return failed{h}
+		return attempt.Failed{Answer: h}
 	}
 	g.pass(c, h)
-	return answered{}
+	return attempt.Answered{}
 }
 
 // promises reports whether callers take a status for "has not run and never
@@ -92,24 +86,24 @@
 }
 
 // brokenOr is the outcome of a read that failed.
-func brokenOr(ctx context.Context, err error) outcome {
+func brokenOr(ctx context.Context, err error) attempt.Outcome {
 	if ctx.Err() != nil {
-		return callerGone{}
+		return attempt.CallerGone{}
 	}
-	return broken{err}
+	return attempt.Broken{Err: err}
 }
 
 // pass writes a whole answer to the caller.
-func (g *Gate) pass(c *call, h *held) {
-	g.copyHead(c, h.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
-	g.begin(c, h.status)
+func (g *Gate) pass(c *call, h *attempt.Held) {
+	g.copyHead(c, h.Header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.Body)))
+	g.begin(c, h.Status)
 	// A caller that is gone needs no answer; the account shows the bytes.
-	_ = c.write(h.body, g.clk.Now())
+	_ = c.write(h.Body, g.clk.Now())
 }
 
 // relayLong passes on an answer that is too long to be held.
-func (g *Gate) relayLong(ctx context.Context, c *call, a *upstream.Answer, first []byte) outcome {
+func (g *Gate) relayLong(ctx context.Context, c *call, a *upstream.Answer, first []byte) attempt.Outcome {
 	g.durations.Long(c.route.Name)
 	g.copyHead(c, a.Header)
 	if a.ContentLength >= 0 {
@@ -120,16 +114,16 @@
 	// the caller may be slow.
 	a.Limit(c.left(g.clk.Now()))
 	if err := c.write(first, g.clk.Now()); err != nil {
-		return callerGone{}
+		return attempt.CallerGone{}
 	}
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := a.Read(buf)
 		if werr := c.write(buf[:n], g.clk.Now()); werr != nil {
-			return callerGone{}
+			return attempt.CallerGone{}
 		}
 		if errors.Is(err, io.EOF) {
-			return answered{}
+			return attempt.Answered{}
 		}
 		if err != nil {
 			return brokenOr(ctx, err)
@@ -140,7 +134,7 @@
 // relayStream passes whole events on as they come. Nothing is written before
 // the first of them, so that a stream that breaks off before it can be
 // answered as a failure or taken elsewhere.
-func (g *Gate) relayStream(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) outcome {
+func (g *Gate) relayStream(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
 	buf := make([]byte, relayBuffer)
 	for {
 		a.Limit(g.streamLimit(c))
@@ -150,7 +144,7 @@
 		}
 		whole, ok := c.split.Add(buf[:n])
 		if !ok {
-			return broken{errors.New("an event without an end")}
+			return attempt.Broken{Err: errors.New("an event without an end")}
 		}
 		ended := errors.Is(err, io.EOF)
 		if ended && len(c.split.Pending()) > 0 {
@@ -159,12 +153,12 @@
 		}
 		if len(whole) > 0 || ended {
 			if !g.passEvents(c, a, whole, a.Buffered() == 0 || ended) {
-				return callerGone{}
+				return attempt.CallerGone{}
 			}
 		}
 		if ended {
 			g.learnRest(c)
-			return answered{}
+			return attempt.Answered{}
 		}
 		if err != nil {
 			c.split.Drop()
--- a/gate/send.go
+++ b/gate/send.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
+	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/table"
@@ -12,33 +14,6 @@
 	"github.com/weldfall/weldfall/verdict"
 )
 
-// outcome is what one attempt came to.
-type outcome interface{ outcome() }
-
-type (
-	// answered means that the caller has the whole answer.
-	answered struct{}
-	// unsent means that nothing of the request reached the engine.
-	unsent struct{ err error }
-	// refused means that the engine said that it did not run the request.
-	refused struct{ status int }
-	// broken means that the engine may have run the request and no whole
-	// answer came.
-	broken struct{ err error }
-	// failed means that the engine ran the request and answered with a failure
-	// of its own, which is held for the caller.
-	failed struct{ answer *held }
-	// callerGone means that the caller left or does not read.
-	callerGone struct{}
-)
-
-func (answered) outcome()   {}
-func (unsent) outcome()     {}
-func (refused) outcome()    {}
-func (broken) outcome()     {}
-func (failed) outcome()     {}
-func (callerGone) outcome() {}
-
 // Limits of the attempts of one request.
 const (
 	// mostUnsent is how many engines that cannot be reached are tried.
@@ -54,7 +29,7 @@
 	g.countRequest(c)
 	// own is the latest failure that an engine answered itself: it is the
 	// answer when no other engine gives a better one.
-	var own *held
+	var own *attempt.Held
 	for {
 		if err := g.stillFits(c); err != nil {
 			return err
@@ -69,9 +44,9 @@
 			return err
 		}
 		switch o := g.attempt(ctx, c, e).(type) {
-		case answered:
+		case attempt.Answered:
 			return nil
-		case callerGone:
+		case attempt.CallerGone:
 			if cause := context.Cause(ctx); errors.Is(cause, errGraceOver) {
 				// A caller whose answer has not begun is told, so that it need not
 				// guess from a closed connection.
@@ -79,14 +54,14 @@
 			}
 			c.cut = true
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
-		case failed:
-			own = o.answer
+		case attempt.Failed:
+			own = o.Answer
 			if err := g.again(c, o, e.Info); err != nil {
 				c.note = err.Error()
 				g.pass(c, own)
 				return nil
 			}
-		case unsent, refused, broken:
+		case attempt.Unsent, attempt.Refused, attempt.Broken:
 			if err := g.again(c, o, e.Info); err != nil {
 				return err
 			}
@@ -102,7 +77,7 @@
 }
 
 // attempt sends the request to an engine and relays the answer.
-func (g *Gate) attempt(ctx context.Context, c *call, e pick) outcome {
+func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
 	req := g.request(c, e, now)
 	a, err := g.pool.Do(ctx, e.Addr, req, g.headLimit(c, now))
@@ -121,7 +96,7 @@
 }
 
 // sendFailed judges an attempt that brought no head of an answer.
-func (g *Gate) sendFailed(ctx context.Context, c *call, e engines.Info, err error) outcome {
+func (g *Gate) sendFailed(ctx context.Context, c *call, e engines.Info, err error) attempt.Outcome {
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		result := engines.Unreachable
@@ -130,22 +105,22 @@
 		}
 		g.finish(e.ID, result)
 		if ctx.Err() != nil {
-			return callerGone{}
+			return attempt.CallerGone{}
 		}
-		return unsent{err}
+		return attempt.Unsent{Err: err}
 	case ctx.Err() != nil:
 		c.ran++
 		g.finish(e.ID, engines.Neutral)
-		return callerGone{}
+		return attempt.CallerGone{}
 	default:
 		c.ran++
 		g.finish(e.ID, engines.Failed)
-		return broken{err}
+		return attempt.Broken{Err: err}
 	}
 }
 
 // engineRefused judges an answer that says that the request did not run.
-func (g *Gate) engineRefused(c *call, e engines.Info, a *upstream.Answer) outcome {
+func (g *Gate) engineRefused(c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
 	result := engines.Refused
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		// Another engine has the address: whatever is kept of it is of no use.
@@ -153,20 +128,20 @@
 	}
 	drain(a)
 	g.finish(e.ID, result)
-	return refused{a.StatusCode}
+	return attempt.Refused{Err: fmt.Errorf("status %d", a.StatusCode)}
 }
 
 // judge says what an attempt tells about the engine.
-func judge(ctx context.Context, o outcome) engines.Outcome {
+func judge(ctx context.Context, o attempt.Outcome) engines.Outcome {
 	switch o.(type) {
-	case answered:
+	case attempt.Answered:
 		return engines.Good
-	case failed, broken:
+	case attempt.Failed, attempt.Broken:
 		if ctx.Err() != nil {
 			return engines.Neutral
 		}
 		return engines.Failed
-	case callerGone, unsent, refused:
+	case attempt.CallerGone, attempt.Unsent, attempt.Refused:
 	}
 	return engines.Neutral
 }
@@ -187,29 +162,29 @@
 
 // again decides whether the request may go to another engine. An error is the
 // final answer.
-func (g *Gate) again(c *call, o outcome, e engines.Info) *verdict.Error {
+func (g *Gate) again(c *call, o attempt.Outcome, e engines.Info) *verdict.Error {
 	now := g.clk.Now()
 	free := false
 	var final *verdict.Error
 	switch o := o.(type) {
-	case unsent:
+	case attempt.Unsent:
 		c.unsent++
 		free = c.unsent < mostUnsent
-		final = verdict.New(c.verdict(), verdict.Unreachable, "%d engines of %s could not be reached: %w", c.unsent, c.service, o.err)
-	case refused:
+		final = verdict.New(c.verdict(), verdict.Unreachable, "%d engines of %s could not be reached: %w", c.unsent, c.service, o.Err)
+	case attempt.Refused:
 		c.refused++
 		free = c.refused < mostRefused
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s refused", c.refused, c.service)
-	case broken:
+	case attempt.Broken:
 		// Of what has begun only a stream can go on elsewhere.
 		free = c.route.Repeatable() && c.ran < c.route.Attempts && (!c.began || c.route.Kind == table.Stream)
-		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.err)
-	case failed:
+		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.Err)
+	case attempt.Failed:
 		free = c.route.Repeatable() && c.ran < c.route.Attempts
-		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s answered %d", e.ID, o.answer.status)
+		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s answered %d", e.ID, o.Answer.Status)
 	}
 	left := c.left(now)
-	_, sentNothing := o.(unsent)
+	_, sentNothing := o.(attempt.Unsent)
 	allowed := free && left > leastLeft && (sentNothing || g.spend(c, now))
 	g.logAgain(c, o, e, allowed, left)
 	if allowed {
@@ -232,22 +207,22 @@
 }
 
 // kindOf names an outcome for logs and counters.
-func kindOf(o outcome) string {
+func kindOf(o attempt.Outcome) string {
 	switch o := o.(type) {
-	case answered:
+	case attempt.Answered:
 		return "answered"
-	case unsent:
+	case attempt.Unsent:
 		return "unsent"
-	case refused:
+	case attempt.Refused:
 		return "refused"
-	case broken:
-		if errors.Is(o.err, upstream.ErrSilent) {
+	case attempt.Broken:
+		if errors.Is(o.Err, upstream.ErrSilent) {
 			return "silent"
 		}
 		return "broken"
-	case failed:
+	case attempt.Failed:
 		return "failed"
-	case callerGone:
+	case attempt.CallerGone:
 		return "caller_gone"
 	}
 	return "unknown"
