offer, entry: Move the connection to daemons behind the outcomes of an attempt

Cause: sending over a daemon, with its inbox, resume and cancel, stood in entry's loop and ended in a result with flags and an error beside it; no test could reach it but by processes.

'Not run after the answer began' was by reading and is tested now. No decision changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/weldfall/weldfall/fleet"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/offer"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/verdict"
@@ -63,7 +64,7 @@
 	log      *slog.Logger
 	node     *fleet.Node
 	links    *link.Pool
-	inboxes  *inboxes
+	offers   *offer.Offers
 	limiters *limiters
 	budget   *retryBudget
 	burn     *burnRecorder
@@ -102,7 +103,7 @@
 	// NewLRU fails only for sizes that are not positive.
 	hints, _ := simplelru.NewLRU[uint64, string](maxHints, nil)
 	e := &Entry{
-		cfg: cfg, clk: cfg.Clock, log: cfg.Log, inboxes: newInboxes(), limiters: newLimiters(),
+		cfg: cfg, clk: cfg.Clock, log: cfg.Log, limiters: newLimiters(),
 		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints,
 	}
 	e.links = link.NewPool(cfg.Clock, e)
@@ -110,6 +111,7 @@
 		ID: cfg.ID, Role: member.Entry, Hall: cfg.Hall, Bootstrap: cfg.Bootstrap, Platform: cfg.Platform,
 		Clock: cfg.Clock, Log: cfg.Log, Pool: e.links,
 	})
+	e.offers = offer.New(e.links, e.node)
 	return e
 }
 
@@ -144,7 +146,7 @@
 }
 
 // Frame implements link.Handler.
-func (e *Entry) Frame(f wire.Frame) { e.inboxes.deliver(f) }
+func (e *Entry) Frame(f wire.Frame) { e.offers.Frame(f) }
 
 // Run serves callers on callers and peers on peers until ctx is done; then it
 // finishes what is in flight, within the drain time.
--- a/offer/inbox.go
+++ b/offer/inbox.go
@@ -1,4 +1,4 @@
-package entry
+package offer
 
 import (
 	"sync"
--- /dev/null
+++ b/offer/offer_test.go
@@ -0,0 +1,353 @@
+package offer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/attempt"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/offer"
+	"github.com/weldfall/weldfall/verdict"
+	"github.com/weldfall/weldfall/wire"
+)
+
+// daemon answers offers as its test says. A nil run never answers.
+type daemon struct {
+	run, resume func(c *link.Conn, attempt uint64) wire.Result
+	canceled    verdict.Verdict
+
+	mu sync.Mutex
+	// attempt is the number of the latest offer, cancels how many were given up.
+	attempt uint64
+	cancels int
+}
+
+// Call implements link.Handler.
+func (d *daemon) Call(ctx context.Context, c *link.Conn, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case wire.MethodRun:
+		r, err := wire.Decode[wire.Run](method, params)
+		if err != nil {
+			return nil, err
+		}
+		d.mu.Lock()
+		d.attempt = r.Attempt
+		d.mu.Unlock()
+		if d.run == nil {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return d.run(c, r.Attempt), nil
+	case wire.MethodResume:
+		r, err := wire.Decode[wire.Resume](method, params)
+		if err != nil {
+			return nil, err
+		}
+		return d.resume(c, r.Attempt), nil
+	case wire.MethodCancel:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.cancels++
+		return wire.Canceled{Verdict: d.canceled}, nil
+	}
+	return nil, errors.New("unknown method")
+}
+
+// Notify implements link.Handler.
+func (*daemon) Notify(*link.Conn, string, json.RawMessage) {}
+
+// Frame implements link.Handler.
+func (*daemon) Frame(wire.Frame) {}
+
+func (d *daemon) canceledTimes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cancels
+}
+
+// sender is the process that offers; it believes nothing.
+type sender struct{ offers *offer.Offers }
+
+func (s *sender) Call(context.Context, *link.Conn, string, json.RawMessage) (any, error) {
+	return nil, errors.New("nothing is asked of a sender")
+}
+func (s *sender) Notify(*link.Conn, string, json.RawMessage) {}
+func (s *sender) Frame(f wire.Frame)                         { s.offers.Frame(f) }
+func (s *sender) Reached(string)                             {}
+func (s *sender) Unreachable(string)                         {}
+func (s *sender) SampleLoads([]wire.Load)                    {}
+
+// caller keeps what comes.
+type caller struct {
+	mu    sync.Mutex
+	body  strings.Builder
+	begun bool
+	// err is what writing to it ends with.
+	err error
+	// came is called after each write; it may be nil.
+	came func()
+}
+
+// Frames implements offer.Answer.
+func (c *caller) Frames(frames []wire.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, f := range frames {
+		c.begun = true
+		c.body.Write(f.Data)
+	}
+	if len(frames) > 0 && c.came != nil {
+		c.came()
+	}
+	if len(frames) > 0 {
+		return c.err
+	}
+	return nil
+}
+
+// Begun implements offer.Answer.
+func (c *caller) Begun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
+// serve serves a daemon and returns offers that reach it.
+func serve(t *testing.T, d *daemon) (offers *offer.Offers, addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	clk := clock.System()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := link.Serve(ctx, ln, clk, d, 0); err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	}()
+	s := &sender{}
+	links := link.NewPool(clk, s)
+	s.offers = offer.New(links, s)
+	t.Cleanup(func() {
+		links.Close()
+		cancel()
+		<-done
+	})
+	return s.offers, ln.Addr().String()
+}
+
+// frame returns the piece of an answer with a number.
+func frame(attempt uint64, seq int, data string) wire.Frame {
+	f := wire.Frame{Attempt: attempt, Seq: seq, Data: []byte(data)}
+	if seq == 0 {
+		f.Head = &wire.Head{Status: 200}
+	}
+	return f
+}
+
+// sendAll sends two frames, of which the first may be left out.
+func sendAll(t *testing.T, c *link.Conn, attempt uint64, from int) {
+	t.Helper()
+	for seq, data := range []string{"a", "b"} {
+		if seq < from {
+			continue
+		}
+		if err := c.SendFrame(frame(attempt, seq, data)); err != nil {
+			t.Errorf("send frame %d: %v", seq, err)
+		}
+	}
+}
+
+// kind names an outcome and the verdict of its failure.
+func kind(o attempt.Outcome) (string, verdict.Verdict) {
+	switch o := o.(type) {
+	case attempt.Answered:
+		return "answered", verdict.Ran
+	case attempt.Unsent:
+		return "unsent", verdict.From(o.Err).Verdict()
+	case attempt.Refused:
+		return "refused", verdict.From(o.Err).Verdict()
+	case attempt.Broken:
+		return "broken", verdict.From(o.Err).Verdict()
+	case attempt.CallerGone:
+		return "caller gone", verdict.From(o.Err).Verdict()
+	}
+	return "unknown", ""
+}
+
+// Not run is said on the word of a daemon that nothing contradicts, and of what never
+// left this process; everything else may have run.
+func TestWhatAnOfferCameTo(t *testing.T) {
+	whole := func(t *testing.T) func(*link.Conn, uint64) wire.Result {
+		return func(c *link.Conn, attempt uint64) wire.Result {
+			sendAll(t, c, attempt, 0)
+			return wire.Result{Verdict: verdict.Ran, Frames: 2}
+		}
+	}
+	says := func(res wire.Result) func(*testing.T) func(*link.Conn, uint64) wire.Result {
+		return func(*testing.T) func(*link.Conn, uint64) wire.Result {
+			return func(*link.Conn, uint64) wire.Result { return res }
+		}
+	}
+	for name, tc := range map[string]struct {
+		run, resume func(t *testing.T) func(*link.Conn, uint64) wire.Result
+		canceled    verdict.Verdict
+		// gone is true for a caller who does not take what comes; deadline is the
+		// time of the request, 5 s if it is 0.
+		gone     bool
+		deadline time.Duration
+		kind     string
+		verdict  verdict.Verdict
+		body     string
+		cancels  int
+	}{
+		"a whole answer": {run: whole, kind: "answered", verdict: verdict.Ran, body: "ab"},
+		"the daemon refuses": {
+			run:  says(wire.Result{Verdict: verdict.NotRun, Refused: true, Reason: verdict.OverBound, Message: "full"}),
+			kind: "refused", verdict: verdict.NotRun,
+		},
+		"not run, and no other engine need be asked": {
+			run:  says(wire.Result{Verdict: verdict.NotRun, Reason: verdict.Deadline, Message: "late"}),
+			kind: "broken", verdict: verdict.NotRun,
+		},
+		"the engine failed": {
+			run:  says(wire.Result{Verdict: verdict.MayHaveRun, Reason: verdict.EngineFailed, Message: "500"}),
+			kind: "broken", verdict: verdict.MayHaveRun,
+		},
+		"a refusal that is not certain": {
+			run:  says(wire.Result{Verdict: verdict.MayHaveRun, Refused: true, Reason: verdict.OverBound, Message: "full"}),
+			kind: "broken", verdict: verdict.MayHaveRun,
+		},
+		"not run after the answer began": {
+			run: func(t *testing.T) func(*link.Conn, uint64) wire.Result {
+				return func(c *link.Conn, attempt uint64) wire.Result {
+					sendAll(t, c, attempt, 0)
+					return wire.Result{Verdict: verdict.NotRun, Refused: true, Reason: verdict.OverBound}
+				}
+			},
+			kind: "broken", verdict: verdict.MayHaveRun, body: "ab",
+		},
+		"frames are missing at the end": {
+			run: func(t *testing.T) func(*link.Conn, uint64) wire.Result {
+				return func(c *link.Conn, attempt uint64) wire.Result {
+					sendAll(t, c, attempt, 1)
+					return wire.Result{Verdict: verdict.Ran, Frames: 2}
+				}
+			},
+			resume: whole, kind: "answered", verdict: verdict.Ran, body: "ab",
+		},
+		"the deadline passes before it runs": {
+			canceled: verdict.NotRun, deadline: 50 * time.Millisecond,
+			kind: "broken", verdict: verdict.NotRun, cancels: 1,
+		},
+		"the deadline passes while it runs": {
+			canceled: verdict.MayHaveRun, deadline: 50 * time.Millisecond,
+			kind: "broken", verdict: verdict.MayHaveRun, cancels: 1,
+		},
+		"the caller does not take the answer": {
+			run: whole, canceled: verdict.NotRun, gone: true,
+			kind: "caller gone", verdict: verdict.MayHaveRun, body: "ab", cancels: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &daemon{canceled: tc.canceled}
+			if tc.run != nil {
+				d.run = tc.run(t)
+			}
+			if tc.resume != nil {
+				d.resume = tc.resume(t)
+			}
+			offers, addr := serve(t, d)
+			deadline := tc.deadline
+			if deadline == 0 {
+				deadline = 5 * time.Second
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			w := &caller{}
+			if tc.gone {
+				w.err = errors.New("gone")
+			}
+			o, _ := offers.Do(ctx, offer.Daemon{ID: "d", Addr: addr}, wire.Run{}, w)
+			if k, v := kind(o); k != tc.kind || v != tc.verdict {
+				t.Errorf("got %s, %s (%v), want %s, %s", k, v, o, tc.kind, tc.verdict)
+			}
+			// A caller who left may have had all of it at once, or the first piece.
+			if got := w.body.String(); got != tc.body && (!tc.gone || got != "a") {
+				t.Errorf("got %q, want %q", got, tc.body)
+			}
+			if got := d.canceledTimes(); got != tc.cancels {
+				t.Errorf("got %d attempts given up at the daemon, want %d", got, tc.cancels)
+			}
+		})
+	}
+}
+
+// A caller who leaves while nothing has come is told what the daemon promises.
+func TestACallerWhoLeavesBeforeTheAnswer(t *testing.T) {
+	for canceled, want := range map[verdict.Verdict]verdict.Verdict{
+		verdict.NotRun: verdict.NotRun, verdict.MayHaveRun: verdict.MayHaveRun,
+	} {
+		d := &daemon{canceled: canceled}
+		offers, addr := serve(t, d)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		o, _ := offers.Do(ctx, offer.Daemon{ID: "d", Addr: addr}, wire.Run{}, &caller{})
+		if k, v := kind(o); k != "caller gone" || v != want {
+			t.Errorf("got %s, %s, want caller gone, %s", k, v, want)
+		}
+	}
+}
+
+// What never left this process has not run.
+func TestADaemonThatIsNotThereIsCertain(t *testing.T) {
+	offers, _ := serve(t, &daemon{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	o, _ := offers.Do(t.Context(), offer.Daemon{ID: "d", Addr: addr}, wire.Run{}, &caller{})
+	if k, v := kind(o); k != "unsent" || v != verdict.NotRun {
+		t.Errorf("got %s, %s, want unsent, not_run", k, v)
+	}
+}
+
+// A lost connection is replaced, and the answer goes on from the piece that is due.
+func TestALostConnectionIsReplaced(t *testing.T) {
+	var w caller
+	d := &daemon{}
+	d.run = func(c *link.Conn, attempt uint64) wire.Result {
+		came := make(chan struct{})
+		w.mu.Lock()
+		w.came = sync.OnceFunc(func() { close(came) })
+		w.mu.Unlock()
+		if err := c.SendFrame(frame(attempt, 0, "a")); err != nil {
+			t.Errorf("send: %v", err)
+		}
+		<-came
+		c.Close()
+		return wire.Result{}
+	}
+	d.resume = func(c *link.Conn, attempt uint64) wire.Result {
+		// All of it again: what the caller has is not passed on twice.
+		sendAll(t, c, attempt, 0)
+		return wire.Result{Verdict: verdict.Ran, Frames: 2}
+	}
+	offers, addr := serve(t, d)
+	o, _ := offers.Do(t.Context(), offer.Daemon{ID: "d", Addr: addr}, wire.Run{}, &w)
+	if k, _ := kind(o); k != "answered" || w.body.String() != "ab" {
+		t.Errorf("got %s, %q, want answered, ab", k, w.body.String())
+	}
+}
