silence, platform: Count a wait from the sending, also where the library sends again

Ruled out: the pace of the link (an answer waits 54 ms behind the other at most). Cause, by the times in its log: the watch of the list was cut 0.9 s after it was sent, the library sent it again without word, and the store held it for its whole 3.5 s from there; the guard counted 3.5 and 0.7 s from the first sending.

Change: what is written tells the guard, and the wait begins anew. Calls of the store, of the own service and questions to peers have it.

--- a/common/silence/silence.go
+++ b/common/silence/silence.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -29,29 +30,43 @@
 	heard atomic.Int64
 	// begun is closed by Begin.
 	begun chan struct{}
+	// sent holds a token when a request was sent, for the first time or again.
+	sent chan struct{}
 }
 
 // ErrSilent is why a context ended whose Guard heard nothing.
 var ErrSilent = errors.New("no answer in time")
 
 // Context returns a context that ends with ErrSilent as its cause when no sign came
-// for the limit, counted as Wait does. cancel must be called.
-func (g *Guard) Context(ctx context.Context, wait, limit clock.Millis) (silent context.Context, cancel func()) {
+// for the limit, counted as Wait does, and what ends it, which must be called. A
+// request that net/http sends with it tells the guard: the library sends one again,
+// without word, if a connection that rested breaks under it. Counted from the first
+// sending, one that was sent again late in its wait was taken for silent.
+func (g *Guard) Context(ctx context.Context, wait, limit clock.Millis) (context.Context, func()) {
 	silent, end := context.WithCancelCause(ctx)
 	go func() {
 		if g.Wait(silent, wait, limit) {
 			end(ErrSilent)
 		}
 	}()
-	return silent, func() { end(nil) }
+	trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { g.Sent() }}
+	return httptrace.WithClientTrace(silent, trace), func() { end(nil) }
 }
 
 // New returns a guard of something that has given no sign.
-func New() *Guard { return &Guard{begun: make(chan struct{})} }
+func New() *Guard { return &Guard{begun: make(chan struct{}), sent: make(chan struct{}, 1)} }
 
 // Begin records the first sign, once: what was waited for has begun.
 func (g *Guard) Begin() { close(g.begun) }
 
+// Sent records that a request was sent: who holds it does so from now on.
+func (g *Guard) Sent() {
+	select {
+	case g.sent <- struct{}{}:
+	default:
+	}
+}
+
 // Heard records that bytes came.
 func (g *Guard) Heard(bytes int) { g.heard.Add(int64(bytes)) }
 
@@ -71,32 +86,64 @@
 }
 
 // Wait returns true when no sign came for the limit, counted from the first sign or
-// the end of the given wait, and false when ctx is done.
+// the end of the given wait, which begins anew with each sending, and false when ctx
+// is done.
 func (g *Guard) Wait(ctx context.Context, wait, limit clock.Millis) bool {
+	for {
+		if !g.hold(ctx, wait) {
+			return false
+		}
+		sent, silent := g.listen(ctx, limit)
+		if !sent {
+			return silent
+		}
+	}
+}
+
+// hold waits for the first sign, or the given wait after the latest sending. It
+// returns false when ctx is done.
+func (g *Guard) hold(ctx context.Context, wait clock.Millis) bool {
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-g.begun:
+			return true
+		case <-t.C:
+			return true
+		case <-g.sent:
+			t.Reset(wait.Duration())
+		}
+	}
+}
+
+// listen waits until no sign comes for the limit, until a request is sent again, or
+// until ctx is done, which is neither.
+func (g *Guard) listen(ctx context.Context, limit clock.Millis) (sent, silent bool) {
 	begun := g.begun
 	select {
-	case <-ctx.Done():
-		return false
 	case <-begun:
 		begun = nil
-	case <-t.C:
+	default:
 	}
 	heard := g.heard.Load()
 	for missed := 0; missed < parts; {
 		if !clock.Sleep(ctx, limit/parts) {
-			return false
+			return false, false
 		}
 		missed++
 		select {
 		case <-begun:
 			begun, missed = nil, 0
+		case <-g.sent:
+			return true, false
 		default:
 		}
 		if now := g.heard.Load(); now-heard >= least {
 			heard, missed = now, 0
 		}
 	}
-	return true
+	return false, true
 }
