callers, gate, entry: Serve callers of both ways in one package

Cause: two servers stood side by side. Entry's was the library's, whose end at a stop closes connections whose next request is arriving or has been read but not begun; the gate's closes only what rests. Shown by TestARequestThatIsArrivingAtAStopIsAnswered, which failed on the code before with EOF.

Change: the gate's connections, reading ahead and drain are package callers; entry uses them.

No decision of the gate changes.

--- a/gate/ahead.go
+++ b/callers/ahead.go
@@ -1,4 +1,4 @@
-package gate
+package callers
 
 import (
 	"errors"
@@ -42,7 +42,7 @@
 var errCallerLeft = errors.New("the caller left")
 
 // follow has left called once if the caller leaves, or has left.
-func (c *callerConn) follow(left func(cause error)) {
+func (c *conn) follow(left func(cause error)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead.left = left
@@ -52,7 +52,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	c.ahead.deadline = t
 	c.mu.Unlock()
@@ -61,12 +61,12 @@
 
 // readAhead reads on until it is interrupted, the caller leaves or the bound is
 // reached.
-func (c *callerConn) readAhead(done chan struct{}) {
+func (c *conn) readAhead(done chan struct{}) {
 	defer close(done)
 	buf := make([]byte, aheadPiece)
 	for {
 		n, err := c.Conn.Read(buf)
-		c.list.link.Came(n)
+		c.list.cfg.Link.Came(n)
 		if !c.keepAhead(buf[:n], err) {
 			return
 		}
@@ -74,7 +74,7 @@
 }
 
 // keepAhead takes what was read ahead and reports whether to read on.
-func (c *callerConn) keepAhead(p []byte, err error) bool {
+func (c *conn) keepAhead(p []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead.bytes = append(c.ahead.bytes, p...)
@@ -93,7 +93,7 @@
 
 // takeAhead ends the reading ahead and hands out what it brought; 0 and nil mean
 // that the connection is to be read.
-func (c *callerConn) takeAhead(p []byte) (int, error) {
+func (c *conn) takeAhead(p []byte) (int, error) {
 	c.mu.Lock()
 	done := c.ahead.done
 	c.ahead.done = nil
--- a/gate/conns.go
+++ b/callers/conns.go
@@ -1,41 +1,17 @@
-package gate
+package callers
 
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/sock"
 )
 
-// callerConns knows the connections of callers, so that a stopping process
-// can close those on which nothing is under way. The library's own way to do
-// so closes a connection whose next request has been read but not yet begun.
-type callerConns struct {
-	net.Listener
-	clk    *clock.Clock
-	log    *slog.Logger
-	silent *metrics.Counter
-	link   *downlink.Downlink
-	mu     sync.Mutex
-	open   map[*callerConn]bool
-}
-
-func newCallerConns(ln net.Listener, clk *clock.Clock, link *downlink.Downlink, log *slog.Logger) *callerConns {
-	return &callerConns{
-		Listener: ln, clk: clk, log: log, link: link, open: map[*callerConn]bool{},
-		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`),
-	}
-}
-
 // stalled is what a caller did when it fell silent.
 type stalled string
 
@@ -55,54 +31,69 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
-// callerConnOf returns the connection of a request, nil if it is not known.
-func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(connKey{}).(*callerConn)
+// connOf returns the connection of a request, nil if it is not known.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
 	return c
 }
 
-// tellSilent counts and logs a caller that fell silent.
-func (l *callerConns) tellSilent(addr string, s stalled) {
-	l.silent.Inc()
-	l.log.Warn("connection_silent", "to", "caller", "state", s, "addr", addr)
+// Follow has left called once if the caller of a request leaves, or has left, until
+// done is called. The context is that of the request.
+func Follow(ctx context.Context, left func(cause error)) (done func()) {
+	c := connOf(ctx)
+	if c == nil {
+		return func() {}
+	}
+	c.follow(left)
+	return func() { c.follow(nil) }
 }
 
-// Accept implements net.Listener.
-func (l *callerConns) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// TellSilentBody says that a part of the body of a request never came.
+func TellSilentBody(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.list.tellSilent(c.RemoteAddr().String(), inBody)
 	}
-	c := &callerConn{Conn: nc, list: l, since: l.clk.Now()}
-	l.mu.Lock()
-	l.open[c] = true
-	l.mu.Unlock()
-	return c, nil
+}
+
+// tellSilent counts and logs a caller that fell silent.
+func (s *Server) tellSilent(addr string, what stalled) {
+	s.silent.Inc()
+	s.cfg.Log.Warn("connection_silent", "to", "caller", "state", what, "addr", addr)
+}
+
+// add returns a connection that the server knows from now on.
+func (s *Server) add(nc net.Conn) *conn {
+	c := &conn{Conn: nc, list: s, since: s.cfg.Clock.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+	return c
 }
 
 // state is the server's word on what a connection does.
-func (l *callerConns) state(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*callerConn)
+func (s *Server) state(nc net.Conn, now http.ConnState) {
+	c, ok := nc.(*conn)
 	if !ok {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch s {
+	switch now {
 	case http.StateActive:
 		// A request that came with the one before needs no further read.
 		c.busy, c.headRead = true, true
 		c.keep()
 	case http.StateIdle:
-		c.busy, c.headRead, c.since = false, false, l.clk.Now()
+		c.busy, c.headRead, c.since = false, false, s.cfg.Clock.Now()
 	}
 }
 
-// sweep closes the connections that have rested for longer than idle, and
-// those whose head has taken longer than head to arrive.
-func (l *callerConns) sweep(idle, head clock.Millis) {
-	now := l.clk.Now()
-	for _, c := range l.list() {
+// sweep closes the connections that have rested for too long, and those whose head
+// has taken too long to arrive.
+func (s *Server) sweep() {
+	idle, head := s.cfg.Timeouts()
+	now := s.cfg.Clock.Now()
+	for _, c := range s.list() {
 		c.mu.Lock()
 		age, busy, headRead := now-c.since, c.busy, c.headRead
 		c.mu.Unlock()
@@ -111,27 +102,27 @@
 			c.closeIfIdle()
 		case busy && !headRead && age > head:
 			// The caller sent half a head and stalled: it gets no answer.
-			l.tellSilent(c.RemoteAddr().String(), inHead)
+			s.tellSilent(c.RemoteAddr().String(), inHead)
 			_ = c.Close()
 		}
 	}
 }
 
-func (l *callerConns) list() []*callerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	open := make([]*callerConn, 0, len(l.open))
-	for c := range l.open {
+func (s *Server) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := make([]*conn, 0, len(s.open))
+	for c := range s.open {
 		open = append(open, c)
 	}
 	return open
 }
 
-// closeIdle closes the connections on which nothing is under way and returns
+// CloseIdle closes the connections on which nothing is under way and returns
 // how many.
-func (l *callerConns) closeIdle() int {
+func (s *Server) CloseIdle() int {
 	n := 0
-	for _, c := range l.list() {
+	for _, c := range s.list() {
 		if c.closeIfIdle() {
 			n++
 		}
@@ -139,13 +130,13 @@
 	return n
 }
 
-// underWay returns on how many connections a request is under way, or may be: it
+// UnderWay returns on how many connections a request is under way, or may be: it
 // is on its way to a new connection, or the reader of one that is to be closed has
 // not looked yet. The library writes the end of an answer after the handler has
 // returned, so that no handler runs does not say so.
-func (l *callerConns) underWay() int {
+func (s *Server) UnderWay() int {
 	n := 0
-	for _, c := range l.list() {
+	for _, c := range s.list() {
 		c.mu.Lock()
 		if c.busy || c.closing || c.isNew() {
 			n++
@@ -155,10 +146,10 @@
 	return n
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// conn is a connection of a caller.
+type conn struct {
 	net.Conn
-	list *callerConns
+	list *Server
 
 	mu sync.Mutex
 	// busy is true from when a request is known to have come until its answer is
@@ -178,11 +169,11 @@
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.takeAhead(p)
 	for n == 0 && err == nil {
 		n, err = c.Conn.Read(p)
-		c.list.link.Came(n)
+		c.list.cfg.Link.Came(n)
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.hasMore() {
 			err = nil
 		}
@@ -201,7 +192,7 @@
 }
 
 // Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.list.tellSilent(c.RemoteAddr().String(), inAnswer)
@@ -210,7 +201,7 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	c.list.mu.Lock()
 	delete(c.list.open, c)
 	c.list.mu.Unlock()
@@ -222,7 +213,7 @@
 // it knows what it has read: closed from here, a starved process dropped requests
 // that it had read, or that its kernel held, 1 to 8 of them when 18 of 30 entries
 // were stopped.
-func (c *callerConn) closeIfIdle() bool {
+func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.isNew() {
@@ -238,12 +229,12 @@
 // may be on its way. Nobody has had the time to let it rest: with one round trip
 // between connection and request, a stopping process that looks each drainPeriod
 // reset one of five callers at 10 ms, and all from 50 ms on. The caller holds mu.
-func (c *callerConn) isNew() bool {
-	return !c.used && c.list.clk.Now()-c.since < drainQuiet
+func (c *conn) isNew() bool {
+	return !c.used && c.list.cfg.Clock.Now()-c.since < Quiet
 }
 
 // keep takes back that the connection is to be closed. The caller holds mu.
-func (c *callerConn) keep() {
+func (c *conn) keep() {
 	if c.closing {
 		c.closing = false
 		_ = c.Conn.SetReadDeadline(c.ahead.deadline)
@@ -252,7 +243,7 @@
 
 // hasMore reports whether a read that was interrupted to close the connection
 // has something to read after all.
-func (c *callerConn) hasMore() bool {
+func (c *conn) hasMore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing {
@@ -267,9 +258,9 @@
 }
 
 // come records that a request has come. The caller holds mu.
-func (c *callerConn) come() {
+func (c *conn) come() {
 	c.keep()
 	if !c.busy {
-		c.busy, c.used, c.since = true, true, c.list.clk.Now()
+		c.busy, c.used, c.since = true, true, c.list.cfg.Clock.Now()
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -20,6 +19,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/weldfall/weldfall/burn"
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/filter"
 	"github.com/weldfall/weldfall/fleet"
@@ -71,6 +71,8 @@
 	seq      atomic.Int64
 	draining atomic.Bool
 	active   atomic.Int64
+	// tookAt is when a request was last taken.
+	tookAt atomic.Int64
 
 	mu    sync.Mutex
 	hints *simplelru.LRU[uint64, string]
@@ -148,9 +150,9 @@
 // Frame implements link.Handler.
 func (e *Entry) Frame(f wire.Frame) { e.offers.Frame(f) }
 
-// Run serves callers on callers and peers on peers until ctx is done; then it
+// Run serves callers on ln and peers on peers until ctx is done; then it
 // finishes what is in flight, within the drain time.
-func (e *Entry) Run(ctx context.Context, callers, peers net.Listener) error {
+func (e *Entry) Run(ctx context.Context, ln, peers net.Listener) error {
 	nodeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -161,20 +163,18 @@
 			e.log.Error("peers", "error", err)
 		}
 	})
-	srv := &http.Server{
-		Handler: e.handler(), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout.Duration(),
-		IdleTimeout: idleTimeout.Duration(),
-		ErrorLog:    slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
-	}
+	srv := callers.New(callers.Config{
+		Handler: e.handler(), MaxHeader: maxHeader, Clock: e.clk, Log: e.log,
+		Timeouts: func() (idle, head clock.Millis) { return idleTimeout, headerTimeout },
+	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		<-ctx.Done()
 		e.drain(srv)
 	}()
-	err := srv.Serve(callers)
-	if !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers on %s: %w", callers.Addr(), err)
+	if err := srv.Serve(ln); err != nil {
+		return err
 	}
 	<-done
 	e.links.Close()
@@ -183,19 +183,15 @@
 
 // drain finishes what is in flight: ready turns false first, so that the
 // balancer sends no more.
-func (e *Entry) drain(srv *http.Server) {
+func (e *Entry) drain(srv *callers.Server) {
 	e.draining.Store(true)
 	e.log.Info("leaving", "cause", "stop", "active", e.active.Load())
 	e.node.AnnounceLeaving()
 	wait := e.node.Effective(settings.FleetPath).Leave.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), wait.Duration())
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		e.log.Warn("drained", "cut_off", e.active.Load())
-		_ = srv.Close()
-		return
-	}
-	e.log.Info("drained", "cut_off", 0)
+	busy := func() bool { return e.active.Load() > 0 }
+	srv.Drain(e.clk.Now()+wait, busy, func() clock.Millis { return clock.Millis(e.tookAt.Load()) })
+	e.log.Info("drained", "cut_off", e.active.Load())
+	srv.Close()
 }
 
 func (e *Entry) handler() http.Handler {
@@ -208,6 +204,10 @@
 }
 
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, service string) *call {
+	if e.draining.Load() {
+		// The next request of this caller is for another entry.
+		w.Header().Set("Connection", "close")
+	}
 	return &call{
 		w: w, r: r, service: service, startMicros: e.clk.Micros(), start: e.clk.Now(),
 		id: fmt.Sprintf("%s-%x-%d", e.cfg.ID, link.Boot()&0xffffff, e.seq.Add(1)),
@@ -220,12 +220,16 @@
 		e.active.Add(1)
 		defer e.active.Add(-1)
 		c := e.newCall(w, r, service(r))
+		e.tookAt.Store(int64(c.start))
 		if !e.node.Ready() && !e.draining.Load() {
 			e.respond(c, "ready", verdict.New(unserved(r), verdict.NotReady, "this entry does not yet know the settings").WithRetryAfter(1000))
 			e.account(c)
 			return
 		}
-		e.serve(r.Context(), c)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer callers.Follow(ctx, cancel)()
+		e.serve(ctx, c)
 		if c.cut {
 			panic(http.ErrAbortHandler)
 		}
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/peers"
@@ -14,12 +14,6 @@
 
 // Stopping.
 const (
-	// drainPeriod is how often a stopping process looks whether it may end.
-	drainPeriod clock.Millis = 50
-	// drainQuiet is how long nothing must have been taken before a stopping
-	// process ends, once it has closed its idle connections: a few round trips
-	// to callers.
-	drainQuiet clock.Millis = 300
 	// graceMargin is left of the grace for the end of the process itself: for
 	// word to the callers whose answers have not begun, and for the last lines
 	// of the log.
@@ -129,14 +123,14 @@
 		return peers.Stop{}
 	}
 	busy := g.leave.last(func(e duration.Estimate) clock.Millis { return e.Usual })
-	end := max(busy, since+g.bounds().BalancerLag+drainQuiet)
+	end := max(busy, since+g.bounds().BalancerLag+callers.Quiet)
 	return peers.Stop{Since: since, End: min(end, clock.Millis(g.leave.by.Load()))}
 }
 
 // drain turns unready at once and answers what comes in nevertheless, since
 // the balancer needs a while to notice. Then it closes idle connections, and
 // ends when all answers are out.
-func (g *Gate) drain(srv *http.Server, conns *callerConns) {
+func (g *Gate) drain(srv *callers.Server) {
 	start := g.clk.Now()
 	b := g.bounds()
 	end := start + b.Grace - graceMargin
@@ -144,24 +138,17 @@
 	g.leave.by.Store(int64(end))
 	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", b.Grace)
 	clock.Sleep(context.Background(), min(b.BalancerLag, end-start))
-	g.log.Info("idle_closed", "connections", conns.closeIdle())
+	g.log.Info("idle_closed", "connections", srv.CloseIdle())
 	g.leave.idleClosed.Store(true)
-	closed := g.clk.Now()
-	for g.clk.Now() < end {
-		quiet := g.clk.Now() - max(closed, clock.Millis(g.leave.tookAt.Load()))
-		if g.active.Load() == 0 && conns.underWay() == 0 && quiet >= drainQuiet {
-			break
-		}
-		conns.closeIdle()
-		clock.Sleep(context.Background(), drainPeriod)
-	}
+	busy := func() bool { return g.active.Load() > 0 }
+	srv.Drain(end, busy, func() clock.Millis { return clock.Millis(g.leave.tookAt.Load()) })
 	left := g.active.Load()
 	g.leave.cutOff()
-	for said := g.clk.Now() + lastWords; (g.active.Load() > 0 || conns.underWay() > 0) && g.clk.Now() < said; {
+	for said := g.clk.Now() + lastWords; (busy() || srv.UnderWay() > 0) && g.clk.Now() < said; {
 		clock.Sleep(context.Background(), lastWords/10)
 	}
 	g.counts.cutAtStop.Add(int(left))
 	// What is still open is closed with the process.
-	_ = srv.Close()
+	srv.Close()
 	g.log.Info("left", "cut_off", left, "took_ms", g.clk.Now()-start)
 }
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/duration"
@@ -177,9 +178,7 @@
 	case errors.Is(err, whole.ErrTooLarge):
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		if cc := callerConnOf(ctx); cc != nil {
-			cc.list.tellSilent(cc.RemoteAddr().String(), inBody)
-		}
+		callers.TellSilentBody(ctx)
 		return verdict.New(verdict.NotRun, verdict.Deadline, "the body did not arrive in time: %w", err)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body did not arrive whole: %w", err)
--- a/gate/server.go
+++ b/gate/server.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 )
 
@@ -30,10 +28,7 @@
 	defer cancel(nil)
 	c := &call{w: w, rc: http.NewResponseController(w), r: r, cancel: cancel, start: now, until: now + longestHold}
 	defer g.leave.done(c)
-	if cc := callerConnOf(ctx); cc != nil {
-		cc.follow(cancel)
-		defer cc.follow(nil)
-	}
+	defer callers.Follow(ctx, cancel)()
 	g.serve(ctx, c)
 	if c.cut {
 		// The library closes the connection in mid-answer, so that it cannot
@@ -45,25 +40,20 @@
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
-	conns := newCallerConns(ln, g.clk, g.cfg.Link, g.log)
-	srv := &http.Server{
-		ConnState: conns.state, ConnContext: withConn, Handler: g, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
+	srv := callers.New(callers.Config{
+		Handler: g, MaxHeader: maxHeader, Timeouts: g.callerTimeouts, Link: g.cfg.Link, Clock: g.clk, Log: g.log,
+	})
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSweep()
-	go clock.Every(sweepCtx, sweepPeriod, func() {
-		g.pool.Sweep()
-		conns.sweep(g.callerTimeouts())
-	})
+	go clock.Every(sweepCtx, sweepPeriod, g.pool.Sweep)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		<-ctx.Done()
-		g.drain(srv, conns)
+		g.drain(srv)
 	}()
-	if err := srv.Serve(conns); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
+	if err := srv.Serve(ln); err != nil {
+		return err
 	}
 	<-done
 	return nil
@@ -79,5 +69,5 @@
 	return idle, head
 }
 
-// sweepPeriod is how often the connections are looked through.
+// sweepPeriod is how often the connections to engines are looked through.
 const sweepPeriod clock.Millis = 1000
--- a/integration/leave_test.go
+++ b/integration/leave_test.go
@@ -1,6 +1,10 @@
 package integration_test
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -144,3 +148,48 @@
 		t.Errorf("got %d of %d returning chats cold after %d were on the engine that left, want none", cold, len(turns), had)
 	}
 }
+
+// A caller whose next request has begun to arrive when its entry is stopped gets its
+// answer: nothing told the caller that the connection would end.
+func TestARequestThatIsArrivingAtAStopIsAnswered(t *testing.T) {
+	f := fleettest.Start(t, leaveSpec)
+	e := f.Entries[1]
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	// It keeps the entry from ending.
+	wg.Go(func() {
+		if a := chat(e, chatBody(true, 150, "long")).send(); !a.whole {
+			t.Errorf("got status %d %s, want the stream whole", a.status, a.reason)
+		}
+	})
+	nc, err := net.Dial("tcp", e.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	r := bufio.NewReader(nc)
+	request := "GET /v1/models HTTP/1.1\r\nHost: weldfall\r\nAuthorization: Bearer " + fleettest.Key("planning", "ws0") + "\r\n\r\n"
+	ask := func(text string) {
+		t.Helper()
+		if _, err := nc.Write([]byte(text)); err != nil {
+			t.Fatalf("write: %v", err)
+		}
+	}
+	answer := func(what string) {
+		t.Helper()
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("got %v for %s, want an answer", err, what)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+	ask(request)
+	answer("a request before the stop")
+	ask(request[:20])
+	wait(100)
+	e.Terminate()
+	f.Eventually("not ready first", func() bool { return e.Ended() || !e.Ready() })
+	wait(100)
+	ask(request[20:])
+	answer("a request that was arriving at the stop")
+}
