replay, engines: Replay the choice of entries alone beside that of offers

Change: a policy of replay runs engines.Book, with the bounds of the gate, which moved to engines for that.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -41,6 +41,29 @@
 	Random float64
 }
 
+const (
+	// boundPart is how much of the way from the mean to the operators' bound
+	// a request may fill; the rest is for what other entries send at the same
+	// time, and for engines that tell no load while they read their first prompts.
+	// With 0.75, and three requests over, 1.5 to 5.1% of the requests of the first
+	// seconds met an engine over the bound (27 entries, 50 engines, five draws of
+	// traffic), with this 1.2 to 2.8%.
+	boundPart = 0.5
+	// boundSlack is the number of requests over the bound that are always
+	// allowed, so that a small mean does not scatter chats.
+	boundSlack = 2.0
+)
+
+// PromptBound returns the multiple of the mean load up to which a chat stays at the
+// engine that remembers it, and what is added to it, where operators set a bound for
+// the load of engines.
+func PromptBound(operators float64) (bound, slack float64) {
+	if operators <= 1 {
+		return 1 + boundPart, boundSlack
+	}
+	return 1 + (operators-1)*boundPart, boundSlack
+}
+
 // How says by what an engine was chosen.
 type How string
 
--- a/gate/place.go
+++ b/gate/place.go
@@ -19,8 +19,9 @@
 	if !g.knowsEvacuations(now) {
 		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's word of evacuations is %d ms old", g.published.Age(now)).WithRetryAfter(g.retryElsewhere(now))
 	}
+	bound, slack := engines.PromptBound(g.bounds().LoadBound)
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: keyBound(g.bounds().LoadBound), Slack: boundSlack,
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: bound, Slack: slack,
 		Silence: silence(c.route), Cold: g.cold(c), Tried: c.tried, Random: random(),
 	}, now)
 	if !ok {
@@ -46,19 +47,6 @@
 	source string
 }
 
-const (
-	// boundPart is how much of the way from the mean to the operators' bound
-	// a request may fill; the rest is for what other entries send at the same
-	// time, and for engines that tell no load while they read their first prompts.
-	// With 0.75, and three requests over, 1.5 to 5.1% of the requests of the first
-	// seconds met an engine over the bound (27 entries, 50 engines, five draws of
-	// traffic), with this 1.2 to 2.8%.
-	boundPart = 0.5
-	// boundSlack is the number of requests over the bound that are always
-	// allowed, so that a small mean does not scatter chats.
-	boundSlack = 2.0
-)
-
 // silenceGoals is how many times its goal a request allows for the silence of the
 // engine that it goes to.
 const silenceGoals = 2
@@ -67,15 +55,6 @@
 // request of a route goes elsewhere.
 func silence(r *table.Route) clock.Millis { return silenceGoals * r.GoalOrUsual() }
 
-// keyBound is the multiple of the mean load up to which a chat stays at the
-// engine that remembers it.
-func keyBound(bound float64) float64 {
-	if bound <= 1 {
-		return 1 + boundPart
-	}
-	return 1 + (bound-1)*boundPart
-}
-
 // heard records a sign of life, with the load that it told, if any.
 func (g *Gate) heard(id, load string) {
 	now := g.clk.Now()
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -60,7 +60,7 @@
 
 func policies() []replay.Policy {
 	return []replay.Policy{
-		&replay.Weldfall{}, replay.AllKnowing{}, replay.PlainHash{}, &replay.RoundRobin{}, replay.LeastReported{}, replay.TwoChoices{},
+		&replay.Weldfall{}, &replay.Alone{}, &replay.Alone{Moves: true}, replay.AllKnowing{}, replay.PlainHash{}, &replay.RoundRobin{}, replay.LeastReported{}, replay.TwoChoices{},
 	}
 }
 
