--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,322 @@
+// Package proxy has a link between processes for tests and for the soak: it carries
+// connections to an address, and can be late, lose what goes one way or both, reset,
+// carry only so many bytes a second, or let the connections that are open fall silent
+// for good while new ones work.
+package proxy
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Way is the way that bytes go on a connection.
+type Way string
+
+const (
+	// There is from the end that dialed, Back is to it.
+	There Way = "there"
+	Back  Way = "back"
+	Both  Way = "both"
+)
+
+// covers reports whether w is one way or both of which the other is one.
+func (w Way) covers(one Way) bool { return w == Both || w == one }
+
+// back returns the opposite of There or Back.
+func (w Way) back() Way {
+	if w == There {
+		return Back
+	}
+	return There
+}
+
+// Fault is what a link does to all that it carries, for as long as it lasts.
+type Fault string
+
+const (
+	// Sound passes everything on.
+	Sound Fault = "sound"
+	// Delayed passes everything on late.
+	Delayed Fault = "delayed"
+	// Cut drops what goes either way, DeafTo what goes to the dialed end, and
+	// DeafFrom what comes back. Connections stay open and silent.
+	Cut      Fault = "cut"
+	DeafTo   Fault = "deaf_to"
+	DeafFrom Fault = "deaf_from"
+	// Resets closes all connections, and new ones as they come.
+	Resets Fault = "resets"
+)
+
+// Drops returns the way on which a fault drops what goes, "" if it drops nothing.
+func (f Fault) Drops() Way {
+	switch f {
+	case Cut:
+		return Both
+	case DeafTo:
+		return There
+	case DeafFrom:
+		return Back
+	}
+	return ""
+}
+
+const (
+	// delay is what a delayed link adds to each piece.
+	delay = 150 * time.Millisecond
+	// pieceBytes is what is copied at once.
+	pieceBytes = 8 << 10
+	// bufferBytes is what waits in the kernel on either side at most; with less
+	// than a segment of loopback it deals out bytes by timers.
+	bufferBytes = 128 << 10
+)
+
+// Link carries connections to an address. It is safe for concurrent use.
+type Link struct {
+	ln     net.Listener
+	target string
+
+	mu    sync.Mutex
+	fault Fault
+	open  map[*pair]bool
+	// dials counts the connections that were carried, lost the pieces on their way
+	// there that were dropped.
+	dials int
+	lost  int
+	// pace is how many bytes a second all connections together carry back, 0 if
+	// there is no bound; back counts those that they carried.
+	pace int
+	back int64
+
+	// turn is held while a piece is on its way back: connections share the link.
+	turn sync.Mutex
+}
+
+// pair is a connection that is carried. Both ends are acknowledged by the kernel, so
+// that only a time-out of a process's own tells that it is silent. What changes is
+// guarded by the link's mu.
+type pair struct {
+	near, far *net.TCPConn
+	// silent is the way on which bytes and the end are dropped for good, "" for
+	// none.
+	silent Way
+	// ended has the ways on which the sending end has closed.
+	ended map[Way]bool
+	// lost is true once a fault dropped bytes.
+	lost bool
+}
+
+// New returns a link to target.
+func New(target string) (*Link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{ln: ln, target: target, fault: Sound, open: map[*pair]bool{}}
+	go l.accept()
+	return l, nil
+}
+
+// Addr returns host:port of the near end.
+func (l *Link) Addr() string { return l.ln.Addr().String() }
+
+// Set changes what the link does. Connections that lost bytes are closed when it is
+// sound again.
+func (l *Link) Set(f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+	for p := range l.open {
+		if f == Resets || (f == Sound && p.lost) {
+			p.close()
+		}
+	}
+}
+
+// Silence makes up to so many of the open connections that are not silent so on a way.
+func (l *Link) Silence(w Way, most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		if most == 0 {
+			return
+		}
+		if p.silent == "" {
+			p.silent = w
+			most--
+		}
+	}
+}
+
+// Pace bounds how many bytes a second the link carries back, over all its
+// connections.
+func (l *Link) Pace(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace = bytes
+}
+
+// Back returns how many bytes the link carried back.
+func (l *Link) Back() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.back
+}
+
+// Open returns how many connections are open at either end.
+func (l *Link) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// Dials returns how many connections were carried.
+func (l *Link) Dials() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dials
+}
+
+// Lost returns how many pieces were dropped on their way there.
+func (l *Link) Lost() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+// Kept returns how many silent connections the far end still keeps open.
+func (l *Link) Kept() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for p := range l.open {
+		if p.silent.covers(There) && !p.ended[Back] {
+			n++
+		}
+	}
+	return n
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() {
+	_ = l.ln.Close()
+	l.Set(Resets)
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go l.carry(near.(*net.TCPConn))
+		}
+	}
+}
+
+func (l *Link) carry(near *net.TCPConn) {
+	far, err := net.Dial("tcp", l.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	p := &pair{near: near, far: far.(*net.TCPConn), ended: map[Way]bool{}}
+	// What waits in the kernel is not on the link: a slow link holds little.
+	_ = p.near.SetWriteBuffer(bufferBytes)
+	_ = p.far.SetReadBuffer(bufferBytes)
+	l.mu.Lock()
+	if l.fault == Resets {
+		l.mu.Unlock()
+		p.close()
+		return
+	}
+	l.open[p] = true
+	l.dials++
+	l.mu.Unlock()
+	go l.pump(p, There, p.near, p.far)
+	go l.pump(p, Back, p.far, p.near)
+}
+
+func (p *pair) close() { _, _ = p.near.Close(), p.far.Close() }
+
+// pump copies one way until the sending end closes, and then tells the other end
+// unless the way is silent.
+func (l *Link) pump(p *pair, w Way, from, to *net.TCPConn) {
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buf)
+		if w == Back {
+			l.carryBack(n)
+		}
+		drop, late := l.took(p, w, n)
+		if late {
+			time.Sleep(delay)
+		}
+		if n > 0 && !drop {
+			// Where the other end's close is not heard, what goes there is lost.
+			if _, werr := to.Write(buf[:n]); werr != nil && !l.isSilent(p, w.back()) {
+				_ = from.Close()
+			}
+		}
+		if err != nil {
+			l.end(p, w, to)
+			return
+		}
+	}
+}
+
+// carryBack takes the time that n bytes need on their way back.
+func (l *Link) carryBack(n int) {
+	l.mu.Lock()
+	pace := l.pace
+	l.back += int64(n)
+	l.mu.Unlock()
+	if pace == 0 {
+		return
+	}
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(pace))
+}
+
+// took counts a piece of n bytes and reports whether it is dropped, or late.
+func (l *Link) took(p *pair, w Way, n int) (drop, late bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n == 0 {
+		return false, false
+	}
+	if l.fault.Drops().covers(w) {
+		p.lost, drop = true, true
+	}
+	drop = drop || p.silent.covers(w)
+	if drop && w == There {
+		l.lost++
+	}
+	return drop, l.fault == Delayed && !drop
+}
+
+func (l *Link) isSilent(p *pair, w Way) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return p.silent.covers(w)
+}
+
+// end takes the end of what is sent one way.
+func (l *Link) end(p *pair, w Way, to *net.TCPConn) {
+	l.mu.Lock()
+	p.ended[w] = true
+	silent, both := p.silent.covers(w), p.ended[There] && p.ended[Back]
+	if both {
+		delete(l.open, p)
+	}
+	l.mu.Unlock()
+	if !silent {
+		_ = to.CloseWrite()
+	}
+	if both {
+		p.close()
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,169 @@
+package proxy_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/internal/proxy"
+)
+
+// echo answers each connection with what came, until the test is over.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// checkSound fails the test unless a byte comes back.
+func checkSound(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("got %v on a sound connection, want a byte back", err)
+	}
+}
+
+// echoed reports whether a byte comes back within a while, and whether the
+// connection was seen to end.
+func echoed(c net.Conn) (back, ended bool) {
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	ne, ok := err.(net.Error)
+	return err == nil, err != nil && (!ok || !ne.Timeout())
+}
+
+func TestSilentConnectionsStaySilentAndNewOnesWork(t *testing.T) {
+	for _, way := range []proxy.Way{proxy.Both, proxy.There, proxy.Back} {
+		t.Run(string(way), func(t *testing.T) {
+			t.Parallel()
+			l, err := proxy.New(echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(l.Close)
+			dial := func() net.Conn {
+				c, err := net.Dial("tcp", l.Addr())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = c.Close() })
+				checkSound(t, c)
+				return c
+			}
+			silent := dial()
+			l.Silence(way, 1)
+			for range 2 {
+				if back, ended := echoed(silent); back || ended {
+					t.Errorf("got back %v, ended %v on a silent connection, want neither", back, ended)
+				}
+			}
+			sound := dial()
+			checkSound(t, sound)
+			_ = sound.Close()
+			_ = silent.Close()
+			left := 0
+			if way != proxy.Back {
+				// The end that was dialled does not hear of the close.
+				left = 1
+			}
+			for end := time.Now().Add(2 * time.Second); l.Open() != left; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("got %d connections open at the link, want %d", l.Open(), left)
+				}
+			}
+		})
+	}
+}
+
+// newLink returns a link to an echo, and a connection through it that works.
+func newLink(t *testing.T) (*proxy.Link, net.Conn) {
+	t.Helper()
+	l, err := proxy.New(echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	checkSound(t, c)
+	return l, c
+}
+
+// What a fault drops is lost, and the connection ends with the fault: a link that
+// carried the rest would make another stream of it.
+func TestAFaultEndsTheConnectionsThatLostBytes(t *testing.T) {
+	for _, f := range []proxy.Fault{proxy.Cut, proxy.DeafTo, proxy.DeafFrom} {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			l, c := newLink(t)
+			l.Set(f)
+			if back, ended := echoed(c); back || ended {
+				t.Errorf("got back %v, ended %v, want neither", back, ended)
+			}
+			l.Set(proxy.Sound)
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if _, err := c.Read(make([]byte, 1)); err == nil {
+				t.Error("got a byte after bytes were lost, want the end")
+			}
+		})
+	}
+}
+
+func TestAFaultThatDropsNothingKeepsConnections(t *testing.T) {
+	l, c := newLink(t)
+	l.Set(proxy.Cut)
+	l.Set(proxy.Sound)
+	checkSound(t, c)
+}
+
+func TestAResetEndsOpenConnectionsAndNewOnes(t *testing.T) {
+	l, c := newLink(t)
+	l.Set(proxy.Resets)
+	if _, ended := echoed(c); !ended {
+		t.Error("got an open connection, want its end")
+	}
+	again, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = again.Close() }()
+	_ = again.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := again.Read(make([]byte, 1)); err == nil {
+		t.Error("got a byte on a new connection, want its end")
+	}
+}
+
+// An end that closes its sending side still hears the rest.
+func TestWhatComesBackAfterAnEndIsCarried(t *testing.T) {
+	_, c := newLink(t)
+	if _, err := c.Write(make([]byte, 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if n, err := io.Copy(io.Discard, c); n != 100_000 || err != nil {
+		t.Errorf("got %d bytes back (%v), want 100000", n, err)
+	}
+}
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -13,31 +13,6 @@
 // LongTokens is the most that callers tell.
 const LongTokens = longTokens
 
-// Link is a link for tests.
-type Link struct{ l *link }
-
-// NewLink returns a link to an address.
-func NewLink(target string) (Link, error) {
-	l, err := newLink(target)
-	return Link{l}, err
-}
-
-// Addr returns where the link listens.
-func (l Link) Addr() string { return l.l.addr() }
-
-// Silence makes open connections silent.
-func (l Link) Silence(f LinkFault, most int) { l.l.silence(f, most) }
-
-// Open returns how many connections are open.
-func (l Link) Open() int {
-	l.l.mu.Lock()
-	defer l.l.mu.Unlock()
-	return len(l.l.open)
-}
-
-// Close ends the link.
-func (l Link) Close() { l.l.close() }
-
 // CutAnswer is an answer that broke off around a stop at a start.
 type CutAnswer struct {
 	Path           string
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -106,80 +104,3 @@
 		}
 	}
 }
-
-// echo answers each connection with what came, until the test is over.
-func echo(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// echoed reports whether a byte comes back within a while, and whether the
-// connection was seen to end.
-func echoed(c net.Conn) (back, ended bool) {
-	_, _ = c.Write([]byte("x"))
-	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-	_, err := c.Read(make([]byte, 1))
-	ne, ok := err.(net.Error)
-	return err == nil, err != nil && (!ok || !ne.Timeout())
-}
-
-func TestSilentConnectionsStaySilentAndNewOnesWork(t *testing.T) {
-	for _, way := range []soak.LinkFault{soak.Cut, soak.DeafTo, soak.DeafFrom} {
-		t.Run(string(way), func(t *testing.T) {
-			t.Parallel()
-			l, err := soak.NewLink(echo(t))
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(l.Close)
-			dial := func() net.Conn {
-				c, err := net.Dial("tcp", l.Addr())
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() { _ = c.Close() })
-				if back, _ := echoed(c); !back {
-					t.Fatal("got nothing back on a sound connection")
-				}
-				return c
-			}
-			silent := dial()
-			l.Silence(way, 1)
-			for range 2 {
-				if back, ended := echoed(silent); back || ended {
-					t.Errorf("got back %v, ended %v on a silent connection, want neither", back, ended)
-				}
-			}
-			sound := dial()
-			if back, _ := echoed(sound); !back {
-				t.Error("got nothing back on a new connection")
-			}
-			_ = sound.Close()
-			_ = silent.Close()
-			left := 0
-			if way != soak.DeafFrom {
-				// The end that was dialled does not hear of the close.
-				left = 1
-			}
-			for end := time.Now().Add(2 * time.Second); l.Open() != left; time.Sleep(10 * time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatalf("got %d connections open at the link, want %d", l.Open(), left)
-				}
-			}
-		})
-	}
-}
--- a/soak/play.go
+++ b/soak/play.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -95,9 +96,9 @@
 	case Series:
 		w.stopSeries(s)
 	case SilentStore:
-		g.store.silence(LinkFault(s.How), s.Many)
+		g.store.Silence(proxy.Fault(s.How).Drops(), s.Many)
 	case SilentEngine:
-		l.silence(LinkFault(s.How), s.Many)
+		l.Silence(proxy.Fault(s.How).Drops(), s.Many)
 	case Pause:
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(s.For)
@@ -111,13 +112,13 @@
 	case Compact:
 		w.store.Compact()
 	case StoreLink:
-		g.store.set(LinkFault(s.How))
+		g.store.Set(proxy.Fault(s.How))
 		time.Sleep(s.For)
-		g.store.set(Sound)
+		g.store.Set(proxy.Sound)
 	case EngineLink:
-		l.set(LinkFault(s.How))
+		l.Set(proxy.Fault(s.How))
 		time.Sleep(s.For)
-		l.set(Sound)
+		l.Set(proxy.Sound)
 	case Engine:
 		e.SetReply(behave(s.How))
 		time.Sleep(s.For)
@@ -136,10 +137,10 @@
 	case Grow:
 		w.grow(s.Many)
 	case Revoke:
-		g.store.set(Cut)
+		g.store.Set(proxy.Cut)
 		w.revoke()
 		time.Sleep(s.For)
-		g.store.set(Sound)
+		g.store.Set(proxy.Sound)
 	}
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/platform/standin"
 )
@@ -22,7 +23,7 @@
 	boot    string
 	callers string
 	peers   string
-	store   *link
+	store   *proxy.Link
 	logs    *os.File
 	number  int
 	rec     *record
@@ -39,13 +40,14 @@
 }
 
 func newGate(cfg Config, i int, store string, seeds []string, rec *record) (*gate, error) {
-	l, err := newLink(store)
+	l, err := proxy.New(store)
 	if err != nil {
 		return nil, err
 	}
 	boot := standin.Boot{Revocation: revocation, RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow}
 	if cfg.Play == Growing {
-		l.pace, boot.LinkMbps, boot.Change = slowLink, slowLink/bytesPerMegabit, changeBound
+		l.Pace(slowLink)
+		boot.LinkMbps, boot.Change = slowLink/bytesPerMegabit, changeBound
 	}
 	var addrs []string
 	for range 3 {
@@ -56,7 +58,7 @@
 		addrs = append(addrs, a)
 	}
 	g := &gate{cfg: cfg, boot: filepath.Join(cfg.Dir, fmt.Sprintf("gate-%d.toml", i)), callers: addrs[0], peers: addrs[2], store: l, number: i, rec: rec}
-	boot.Number, boot.Seeds, boot.Store = i, seeds, l.addr()
+	boot.Number, boot.Seeds, boot.Store = i, seeds, l.Addr()
 	boot.Callers, boot.Readiness, boot.Peers = addrs[0], addrs[1], addrs[2]
 	if err := os.WriteFile(g.boot, []byte(standin.BootText(boot)), 0o600); err != nil {
 		return nil, err
@@ -173,7 +175,7 @@
 	if done != nil {
 		<-done
 	}
-	g.store.close()
+	g.store.Close()
 	// The log has been written by the process.
 	_ = g.logs.Close()
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -125,9 +126,9 @@
 
 var (
 	storeFaults = []standin.Fault{standin.Busy, standin.Limited, standin.Reset, standin.Silent, standin.Nonsense, standin.Deaf, standin.Mute}
-	linkFaults  = []LinkFault{Delayed, Cut, DeafTo, DeafFrom, Resets}
+	linkFaults  = []proxy.Fault{proxy.Delayed, proxy.Cut, proxy.DeafTo, proxy.DeafFrom, proxy.Resets}
 	commonWays  = []string{"refuse", "reset", "error"}
-	silences    = []LinkFault{Cut, DeafTo, DeafFrom}
+	silences    = []proxy.Fault{proxy.Cut, proxy.DeafTo, proxy.DeafFrom}
 	seriesWays  = []string{together, together, overlapping, inTurn}
 	engineWays  = []string{"refuse", "reset", "cut", "extra", "older", "unframed", "garbage", "slow", "error"}
 )
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -86,7 +87,7 @@
 	engines []*standin.Engine
 	// services has the service of each engine, links the way to it.
 	services []string
-	links    []*link
+	links    []*proxy.Link
 	version  int
 	revoked  bool
 	// idle is how many routes there are that nobody asks for.
@@ -190,7 +191,7 @@
 		e.Close()
 	}
 	for _, l := range w.links {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -202,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	l, err := newLink(e.Addr())
+	l, err := proxy.New(e.Addr())
 	if err != nil {
 		return err
 	}
@@ -213,7 +214,7 @@
 
 // list publishes an engine's state. The caller holds mu.
 func (w *world) list(i int, state string) {
-	w.store.PutEngine(w.engines[i], w.services[i], state, w.links[i].addr())
+	w.store.PutEngine(w.engines[i], w.services[i], state, w.links[i].Addr())
 }
 
 // publish writes the next version of the config.
