--- a/failure/failure_test.go
+++ b/callers/failure/failure_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/weldfall/weldfall/failure"
+	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/filter/filter_test.go
+++ b/callers/filter/filter_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"github.com/weldfall/weldfall/filter"
+	"github.com/weldfall/weldfall/callers/filter"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/commands/account.go
+++ b/commands/account.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"github.com/weldfall/weldfall/account"
+	"github.com/weldfall/weldfall/report/account"
 )
 
 type accountCmd struct {
--- a/commands/burn.go
+++ b/commands/burn.go
@@ -8,7 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/weldfall/weldfall/burn"
+	"github.com/weldfall/weldfall/report/burn"
 )
 
 type burnCmd struct {
--- a/commands/load.go
+++ b/commands/load.go
@@ -11,8 +11,8 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/load"
-	"github.com/weldfall/weldfall/trace"
+	"github.com/weldfall/weldfall/measure/load"
+	"github.com/weldfall/weldfall/measure/trace"
 )
 
 type loadCmd struct {
--- a/commands/process.go
+++ b/commands/process.go
@@ -13,13 +13,13 @@
 	"regexp"
 	"syscall"
 
-	"github.com/weldfall/weldfall/admin"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/common/strict"
 	"github.com/weldfall/weldfall/daemon"
 	"github.com/weldfall/weldfall/entry"
-	"github.com/weldfall/weldfall/source"
+	"github.com/weldfall/weldfall/fleet/source"
+	"github.com/weldfall/weldfall/report/admin"
 )
 
 // processFile is the small settings file of an entry or a daemon: what a
--- a/fresh/fresh_test.go
+++ b/common/fresh/fresh_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/fresh"
+	"github.com/weldfall/weldfall/common/fresh"
 )
 
 func TestABeliefIsAsOldAsItsRead(t *testing.T) {
--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -6,8 +6,8 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // phase is how far an attempt has come.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,16 +15,16 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/daemon/fair"
 	"github.com/weldfall/weldfall/fleet"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/once"
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
-	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Engine is an engine that the daemon fronts.
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -11,11 +11,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/daemon/fair"
+	"github.com/weldfall/weldfall/daemon/target"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/target"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // engine is one engine, or one instance of a plain service, behind this
--- a/fair/bench_test.go
+++ b/daemon/fair/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/daemon/fair"
 )
 
 func BenchmarkQueue(b *testing.B) {
--- a/fair/queue_test.go
+++ b/daemon/fair/queue_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/daemon/fair"
 )
 
 func item(id uint64, partner, workspace string, cost int) fair.Item {
--- a/fair/surge_test.go
+++ b/daemon/fair/surge_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/fair"
+	"github.com/weldfall/weldfall/daemon/fair"
 )
 
 // slots is the number of requests that the engine of these tests runs at once.
--- a/daemon/leave.go
+++ b/daemon/leave.go
@@ -10,7 +10,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // startLeaving refuses new work from now on, whatever routers believe, and
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -11,10 +11,10 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/events"
-	"github.com/weldfall/weldfall/target"
+	"github.com/weldfall/weldfall/daemon/target"
+	"github.com/weldfall/weldfall/engines/events"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 const (
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/daemon"
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/source"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/standin/engine"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // sink counts the frames that an entry would get.
--- a/daemon/verdict_test.go
+++ b/daemon/verdict_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/standin/engine"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 func call[T any](t *testing.T, c *link.Conn, method string, params any) T {
--- a/budget/budget_test.go
+++ b/engines/budget/budget_test.go
@@ -5,8 +5,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/weldfall/weldfall/budget"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/budget"
 )
 
 // In every window the repeats stay within the ratio of the requests of that
--- a/duration/duration_test.go
+++ b/engines/duration/duration_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
+	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/table"
 )
 
--- a/duration/stops_test.go
+++ b/engines/duration/stops_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
+	"github.com/weldfall/weldfall/engines/duration"
 )
 
 // drawn is a stream whose length and pace were drawn.
--- a/events/events_test.go
+++ b/engines/events/events_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/weldfall/weldfall/events"
+	"github.com/weldfall/weldfall/engines/events"
 )
 
 // However a stream is cut into pieces, whole events come out in order, and
--- a/events/reader_test.go
+++ b/engines/events/reader_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/weldfall/weldfall/events"
+	"github.com/weldfall/weldfall/engines/events"
 )
 
 // byLines reads events line by line, in the plainest way.
--- a/offer/inbox.go
+++ b/engines/offer/inbox.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // maxInbox bounds the bytes of an answer that wait for a slow caller.
--- a/offer/offer.go
+++ b/engines/offer/offer.go
@@ -11,11 +11,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/link"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 const (
--- a/offer/offer_test.go
+++ b/engines/offer/offer_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/offer"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/offer"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // daemon answers offers as its test says. A nil run never answers.
--- a/upstream/silent_test.go
+++ b/engines/upstream/silent_test.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/internal/linktest"
 	"github.com/weldfall/weldfall/platform"
 	"github.com/weldfall/weldfall/platform/standin"
-	"github.com/weldfall/weldfall/upstream"
 )
 
 const (
--- a/entry/account.go
+++ b/entry/account.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/burn"
+	"github.com/weldfall/weldfall/report/burn"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,10 +4,10 @@
 	"net/http"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/fleet/once"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // call is one caller's request on its way through the filters.
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,10 +9,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // claimTimeout bounds the question to one witness.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,18 +18,18 @@
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/weldfall/weldfall/burn"
 	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/callers/filter"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/filter"
+	"github.com/weldfall/weldfall/engines/offer"
 	"github.com/weldfall/weldfall/fleet"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/offer"
+	"github.com/weldfall/weldfall/link/wire"
+	"github.com/weldfall/weldfall/report/burn"
 	"github.com/weldfall/weldfall/settings"
-	"github.com/weldfall/weldfall/source"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Bounds towards callers.
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"net/http/httptest"
 
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Failure returns what a caller gets for a failure; once is true for a request that
--- a/entry/filters.go
+++ b/entry/filters.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/weldfall/weldfall/filter"
+	"github.com/weldfall/weldfall/callers/filter"
 )
 
 // filters is the way of every request, in order.
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -13,11 +13,11 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/fleet/once"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Headers that callers may send and get.
--- a/entry/send.go
+++ b/entry/send.go
@@ -8,13 +8,13 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/offer"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/offer"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // send offers the request to engines until one takes it, and streams the
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -5,10 +5,10 @@
 	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/failure"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // writeTimeout bounds one write to a slow caller.
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -8,9 +8,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // tickLoop notices pauses of this process and looks after what ends by time.
--- a/fleet/handle.go
+++ b/fleet/handle.go
@@ -5,9 +5,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/settings"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Handle answers the control messages that every process takes. It reports
--- a/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/internal/heaptest"
-	"github.com/weldfall/weldfall/member"
 )
 
 func instance(id string) member.Instance {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -13,14 +13,14 @@
 	"golang.org/x/time/rate"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/once"
+	"github.com/weldfall/weldfall/fleet/source"
+	"github.com/weldfall/weldfall/fleet/spread"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/member"
-	"github.com/weldfall/weldfall/once"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
-	"github.com/weldfall/weldfall/source"
-	"github.com/weldfall/weldfall/spread"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Periods and bounds of the control traffic.
--- a/once/bench_test.go
+++ b/fleet/once/bench_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
+	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/internal/heaptest"
-	"github.com/weldfall/weldfall/once"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // fillWitness makes a witness remember n keys and returns its bytes a key.
--- a/once/claim.go
+++ b/fleet/once/claim.go
@@ -7,8 +7,8 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // Witnesses is how many daemons are asked for a promise.
--- a/once/once_test.go
+++ b/fleet/once/once_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/once"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/fleet/once"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 func TestTwoSetsOfPromisesShareAWitness(t *testing.T) {
--- a/once/witness.go
+++ b/fleet/once/witness.go
@@ -12,7 +12,7 @@
 
 import (
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // Skew is the allowance for the difference of wall clocks, in milliseconds.
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -2,9 +2,9 @@
 
 import (
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // poolTargets is what is cached of a pool.
--- a/fleet/read.go
+++ b/fleet/read.go
@@ -7,11 +7,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/source"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
 	"github.com/weldfall/weldfall/settings"
-	"github.com/weldfall/weldfall/source"
-	"github.com/weldfall/weldfall/wire"
 )
 
 // readersPerHall is how many processes of a data hall read the platform.
--- a/source/client_test.go
+++ b/fleet/source/client_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/internal/linktest"
-	"github.com/weldfall/weldfall/source"
 )
 
 // A batch may take longer than a silent service is waited for, as long as it comes.
--- a/spread/spread.go
+++ b/fleet/spread/spread.go
@@ -15,7 +15,7 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // topicState is the latest items of one topic.
--- a/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/spread"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/fleet/spread"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 func item(key string, rev, prev int64, value string) wire.Item {
--- a/gate/account.go
+++ b/gate/account.go
@@ -7,9 +7,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/engines/attempt"
 )
 
 // counts are the gate's counters and histograms.
--- a/gate/call.go
+++ b/gate/call.go
@@ -6,9 +6,9 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/engines"
-	"github.com/weldfall/weldfall/events"
+	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
--- a/gate/filters.go
+++ b/gate/filters.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/weldfall/weldfall/filter"
+	"github.com/weldfall/weldfall/callers/filter"
 )
 
 // filters is the way of every request, in order.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,16 +14,16 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/weldfall/weldfall/budget"
+	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/downlink"
-	"github.com/weldfall/weldfall/duration"
+	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
-	"github.com/weldfall/weldfall/failure"
-	"github.com/weldfall/weldfall/fresh"
+	"github.com/weldfall/weldfall/engines/budget"
+	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/table"
-	"github.com/weldfall/weldfall/upstream"
 )
 
 // Dialect gives the names on the wire between callers, this process and the
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -8,7 +8,7 @@
 
 	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
+	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/peers"
 )
 
--- a/prompt/prompt_test.go
+++ b/gate/prompt/prompt_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"testing"
 
-	"github.com/weldfall/weldfall/prompt"
+	"github.com/weldfall/weldfall/gate/prompt"
 )
 
 func TestPromptsThatBeginAlikeShareKeys(t *testing.T) {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -10,12 +10,12 @@
 	"strconv"
 	"strings"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/table"
-	"github.com/weldfall/weldfall/upstream"
 )
 
 const (
--- a/gate/request.go
+++ b/gate/request.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/table"
-	"github.com/weldfall/weldfall/upstream"
 )
 
 // hopByHop are headers that concern one connection only, or that this process
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -11,8 +11,8 @@
 	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/whole"
-	"github.com/weldfall/weldfall/duration"
-	"github.com/weldfall/weldfall/prompt"
+	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/gate/prompt"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/failure"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/gate/send.go
+++ b/gate/send.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"net/http"
 
-	"github.com/weldfall/weldfall/attempt"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/table"
-	"github.com/weldfall/weldfall/upstream"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/gate/stay.go
+++ b/gate/stay.go
@@ -5,8 +5,8 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/duration"
-	"github.com/weldfall/weldfall/prompt"
+	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/gate/prompt"
 	"github.com/weldfall/weldfall/verdict"
 )
 
--- a/integration/cost_test.go
+++ b/integration/cost_test.go
@@ -10,9 +10,9 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/events"
+	"github.com/weldfall/weldfall/daemon/target"
+	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/internal/fleettest"
-	"github.com/weldfall/weldfall/target"
 )
 
 // flow is what a number of streams cost.
--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/internal/fleettest"
-	"github.com/weldfall/weldfall/member"
 	"github.com/weldfall/weldfall/standin/engine"
 )
 
--- a/integration/leave_test.go
+++ b/integration/leave_test.go
@@ -9,8 +9,8 @@
 	"sync"
 	"testing"
 
+	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/internal/fleettest"
-	"github.com/weldfall/weldfall/member"
 )
 
 // underLoad runs chats through the given entries until f returns, and then
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -21,7 +21,7 @@
 
 	"github.com/weldfall/weldfall/commands"
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/standin/engine"
 )
--- a/link/codec.go
+++ b/link/codec.go
@@ -15,7 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // MaxMessage bounds one message in bytes: a configuration value of a megabyte
--- a/link/link.go
+++ b/link/link.go
@@ -18,7 +18,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // Class separates connections that carry requests from those for control.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // peer answers "echo" and keeps what else it gets, in order.
--- a/load/client.go
+++ b/measure/load/client.go
@@ -10,8 +10,8 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/events"
-	"github.com/weldfall/weldfall/target"
+	"github.com/weldfall/weldfall/daemon/target"
+	"github.com/weldfall/weldfall/engines/events"
 )
 
 // message is one message of a chat.
--- a/load/load.go
+++ b/measure/load/load.go
@@ -15,7 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/trace"
+	"github.com/weldfall/weldfall/measure/trace"
 )
 
 // Config sets up a load. Rate and Duration bound it.
--- a/replay/alone.go
+++ b/measure/replay/alone.go
@@ -6,7 +6,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
-	"github.com/weldfall/weldfall/trace"
+	"github.com/weldfall/weldfall/measure/trace"
 )
 
 // Alone runs the choice of package engines: each entry sends by what it believes, no
--- a/replay/policy.go
+++ b/measure/replay/policy.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/measure/trace"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/trace"
 )
 
 // Weldfall runs the decisions of package route: each entry with its own view,
--- a/replay/replay.go
+++ b/measure/replay/replay.go
@@ -12,9 +12,9 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/member"
+	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/measure/trace"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/trace"
 )
 
 // Config is the pool and its troubles.
--- a/replay/replay_test.go
+++ b/measure/replay/replay_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"testing"
 
-	"github.com/weldfall/weldfall/replay"
-	"github.com/weldfall/weldfall/trace"
+	"github.com/weldfall/weldfall/measure/replay"
+	"github.com/weldfall/weldfall/measure/trace"
 )
 
 // update rewrites the stated outcomes from this run.
--- a/soak/parts_test.go
+++ b/measure/soak/parts_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/weldfall/weldfall/soak"
+	"github.com/weldfall/weldfall/measure/soak"
 )
 
 // The seeds that are kept stay worth keeping only while they draw the same.
--- a/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/weldfall/weldfall/internal/fleettest"
-	"github.com/weldfall/weldfall/soak"
+	"github.com/weldfall/weldfall/measure/soak"
 )
 
 func TestMain(m *testing.M) { fleettest.Main(m) }
--- a/soak/weldsoak/main.go
+++ b/measure/soak/weldsoak/main.go
@@ -19,7 +19,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/weldfall/weldfall/commands"
-	"github.com/weldfall/weldfall/soak"
+	"github.com/weldfall/weldfall/measure/soak"
 )
 
 // mainEnv makes this program run as weldfall.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -15,7 +15,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/silence"
 	"github.com/weldfall/weldfall/link"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 const (
--- a/account/account_test.go
+++ b/report/account/account_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/weldfall/weldfall/account"
+	"github.com/weldfall/weldfall/report/account"
 )
 
 // line returns a final line with the usual fields.
--- a/admin/admin.go
+++ b/report/admin/admin.go
@@ -9,8 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
-	"github.com/weldfall/weldfall/burn"
 	"github.com/weldfall/weldfall/fleet"
+	"github.com/weldfall/weldfall/report/burn"
 )
 
 // Process is what the pages show.
--- a/burn/burn_test.go
+++ b/report/burn/burn_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"testing"
 
-	"github.com/weldfall/weldfall/burn"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/report/burn"
 )
 
 var targets = burn.Targets{Latency: 0.95, Whole: 0.99, Served: 0.9}
--- a/route/admit.go
+++ b/route/admit.go
@@ -1,6 +1,6 @@
 package route
 
-import "github.com/weldfall/weldfall/wire"
+import "github.com/weldfall/weldfall/link/wire"
 
 // Offer is a request at the daemon of the engine it was sent to.
 type Offer struct {
--- a/route/choose.go
+++ b/route/choose.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // Depth is how many ranked engines are asked whether they hold a chat.
--- a/route/load.go
+++ b/route/load.go
@@ -8,7 +8,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/wire"
+	"github.com/weldfall/weldfall/link/wire"
 )
 
 // Report is the latest known load of an engine.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/weldfall/weldfall/internal/heaptest"
+	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/route"
-	"github.com/weldfall/weldfall/wire"
 )
 
 func targets(n int) []route.Target {
