--- a/callers/ahead.go
+++ b/callers/ahead.go
@@ -66,7 +66,7 @@
 	buf := make([]byte, aheadPiece)
 	for {
 		n, err := c.Conn.Read(buf)
-		c.list.cfg.Link.Came(n)
+		c.server.cfg.Link.Came(n)
 		if !c.keepAhead(buf[:n], err) {
 			return
 		}
--- a/callers/conns.go
+++ b/callers/conns.go
@@ -51,7 +51,7 @@
 // TellSilentBody says that a part of the body of a request never came.
 func TellSilentBody(ctx context.Context) {
 	if c := connOf(ctx); c != nil {
-		c.list.tellSilent(c.RemoteAddr().String(), inBody)
+		c.server.tellSilent(c.RemoteAddr().String(), inBody)
 	}
 }
 
@@ -63,7 +63,7 @@
 
 // add returns a connection that the server knows from now on.
 func (s *Server) add(nc net.Conn) *conn {
-	c := &conn{Conn: nc, list: s, since: s.cfg.Clock.Now()}
+	c := &conn{Conn: nc, server: s, since: s.cfg.Clock.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
@@ -149,7 +149,7 @@
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
-	list *Server
+	server *Server
 
 	mu sync.Mutex
 	// busy is true from when a request is known to have come until its answer is
@@ -173,7 +173,7 @@
 	n, err := c.takeAhead(p)
 	for n == 0 && err == nil {
 		n, err = c.Conn.Read(p)
-		c.list.cfg.Link.Came(n)
+		c.server.cfg.Link.Came(n)
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.hasMore() {
 			err = nil
 		}
@@ -195,16 +195,16 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.list.tellSilent(c.RemoteAddr().String(), inAnswer)
+		c.server.tellSilent(c.RemoteAddr().String(), inAnswer)
 	}
 	return n, err
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.list.mu.Lock()
-	delete(c.list.open, c)
-	c.list.mu.Unlock()
+	c.server.mu.Lock()
+	delete(c.server.open, c)
+	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -230,7 +230,7 @@
 // between connection and request, a stopping process that looks each drainPeriod
 // reset one of five callers at 10 ms, and all from 50 ms on. The caller holds mu.
 func (c *conn) isNew() bool {
-	return !c.used && c.list.cfg.Clock.Now()-c.since < Quiet
+	return !c.used && c.server.cfg.Clock.Now()-c.since < Quiet
 }
 
 // keep takes back that the connection is to be closed. The caller holds mu.
@@ -261,6 +261,6 @@
 func (c *conn) come() {
 	c.keep()
 	if !c.busy {
-		c.busy, c.used, c.since = true, true, c.list.cfg.Clock.Now()
+		c.busy, c.used, c.since = true, true, c.server.cfg.Clock.Now()
 	}
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -1,7 +1,6 @@
 // Package callers is the side of a process that its callers see: the server, their
-// connections, and how these end when the process stops. It takes no request from
-// anybody that had reason to send it: a connection is closed when nothing of a request
-// is on its way, and who leaves is noticed at once.
+// connections, and how these end when the process stops. A connection is closed only
+// while nothing of a request is on its way, and a caller who leaves is noticed at once.
 package callers
 
 import (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,7 +190,12 @@
 	wait := e.node.Effective(settings.FleetPath).Leave.Drain()
 	busy := func() bool { return e.active.Load() > 0 }
 	srv.Drain(e.clk.Now()+wait, busy, func() clock.Millis { return clock.Millis(e.tookAt.Load()) })
-	e.log.Info("drained", "cut_off", e.active.Load())
+	level := slog.LevelInfo
+	cut := e.active.Load()
+	if cut > 0 {
+		level = slog.LevelWarn
+	}
+	e.log.Log(context.Background(), level, "drained", "cut_off", cut)
 	srv.Close()
 }
 
--- a/entry/send.go
+++ b/entry/send.go
@@ -42,27 +42,18 @@
 		c.offered = s.Engine
 		o, res := e.offers.Do(ctx, offer.Daemon{ID: to.ID, Addr: to.Addr}, e.runOf(c, s, mean), answer{c, e.clk})
 		e.node.Ended(s.Engine)
-		switch o := o.(type) {
-		case attempt.Answered:
+		if _, ok := o.(attempt.Answered); ok {
 			e.node.SampleLoads(res.Loads)
 			c.engine, c.result = s.Engine, res
 			e.afterAnswer(c, s.Engine, homeKnows(c, s.Engine, tries))
 			return nil
-		case attempt.Unsent:
-			last = verdict.From(o.Err)
-		case attempt.Refused:
-			e.node.RefusedLoads(res.Loads)
-			last = verdict.From(o.Err)
-		case attempt.Broken:
-			e.node.SampleLoads(res.Loads)
-			return e.failed(c, verdict.From(o.Err))
-		case attempt.CallerGone:
-			return e.failed(c, verdict.From(o.Err))
-		case attempt.Failed:
-			// Daemons tell the failures of engines as results.
-			return e.failed(c, verdict.New(verdict.MayHaveRun, verdict.EngineFailed, "engine %s answered %d", s.Engine, o.Answer.Status))
 		}
-		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_refused_offers_total{reason=%q}`, last.Reason())).Inc()
+		refusal, final := e.refusal(s, o, res)
+		if final != nil {
+			return e.failed(c, final)
+		}
+		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_refused_offers_total{reason=%q}`, refusal.Reason())).Inc()
+		last = refusal
 		tries = append(tries, route.Try{
 			Engine: s.Engine, Mode: s.Mode, Redirect: res.Redirect,
 			NotCached: last.Reason() == verdict.NotCached, Cached: res.Cached, OverBound: last.Reason() == verdict.OverBound,
@@ -74,6 +65,25 @@
 	}
 }
 
+// refusal takes an attempt that brought no answer: it returns the refusal after which
+// another engine may be asked, or else the final failure.
+func (e *Entry) refusal(s route.Send, o attempt.Outcome, res wire.Result) (refusal, final *verdict.Error) {
+	switch o := o.(type) {
+	case attempt.Unsent:
+		return verdict.From(o.Err), nil
+	case attempt.Refused:
+		e.node.RefusedLoads(res.Loads)
+		return verdict.From(o.Err), nil
+	case attempt.Broken:
+		e.node.SampleLoads(res.Loads)
+		return nil, verdict.From(o.Err)
+	case attempt.CallerGone:
+		return nil, verdict.From(o.Err)
+	}
+	// Daemons tell the failures of engines as results, so nothing else comes.
+	return nil, verdict.New(verdict.MayHaveRun, verdict.EngineFailed, "engine %s: %T", s.Engine, o)
+}
+
 // answer passes what comes back of a call on to its caller.
 type answer struct {
 	c   *call
