chats, entry: Give the own interface of callers a package

Hypothesis: what the own interface is (headers, the chat's body, which chat it is, what may run again, how failures are told) stood in methods of entry and its call, so it could neither be told from the way of a request nor be tested without processes.

Change: callers/chats, pure; identify, read and classify ask it. No decision changes.

--- /dev/null
+++ b/callers/chats/failures.go
@@ -0,0 +1,67 @@
+package chats
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/weldfall/weldfall/callers/failure"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/verdict"
+)
+
+// errorBody is the protocol's own error body, with the verdict in it.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Code    verdict.Reason  `json:"code"`
+	Param   *string         `json:"param"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Request string          `json:"request"`
+	// RetryAfterMS is zero where coming back does not help.
+	RetryAfterMS clock.Millis `json:"retry_after_ms,omitempty"`
+}
+
+// Style is how failures are told: the protocol's own error, with the verdict.
+var Style = failure.Style{
+	Statuses: failure.Statuses{
+		Always: map[verdict.Reason]int{
+			verdict.BadRequest:     http.StatusBadRequest,
+			verdict.Unauthorized:   http.StatusUnauthorized,
+			verdict.UnknownModel:   http.StatusNotFound,
+			verdict.TooLarge:       http.StatusRequestEntityTooLarge,
+			verdict.RateLimited:    http.StatusTooManyRequests,
+			verdict.Shed:           http.StatusTooManyRequests,
+			verdict.Overloaded:     http.StatusTooManyRequests,
+			verdict.Duplicate:      http.StatusConflict,
+			verdict.UnknownHistory: http.StatusConflict,
+			verdict.Deadline:       http.StatusGatewayTimeout,
+			verdict.NoEngine:       http.StatusServiceUnavailable,
+			verdict.NotReady:       http.StatusServiceUnavailable,
+			verdict.Leaving:        http.StatusServiceUnavailable,
+			verdict.Unreachable:    http.StatusServiceUnavailable,
+		},
+		NotRun: http.StatusBadGateway, Otherwise: http.StatusBadGateway,
+	},
+	Body: func(f failure.Failure) any {
+		return errorBody{errorDetail{
+			Message: f.Stage + ": " + f.Err.Message(), Type: "weldfall_error", Code: f.Err.Reason(),
+			Verdict: f.Err.Verdict(), Request: f.Request, RetryAfterMS: f.Err.RetryAfter(),
+		}}
+	},
+	Header: func(h http.Header, f failure.Failure) {
+		h.Set(HeaderRequest, f.Request)
+		h.Set(HeaderVerdict, string(f.Err.Verdict()))
+		if back := f.Err.RetryAfter(); back > 0 {
+			h.Set("Retry-After", strconv.FormatInt(int64(back+999)/1000, 10))
+			h.Set("Retry-After-Ms", strconv.FormatInt(int64(back), 10))
+		}
+		if f.Err.Verdict() == verdict.MayHaveRun && f.Once {
+			// Clients that retry on their own must not repeat this one.
+			h.Set("X-Should-Retry", "false")
+		}
+	},
+}
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -50,7 +50,7 @@
 	if l.TokensPerSecond == 0 {
 		return nil
 	}
-	wait, ok := e.limiters.take(c.workspacePath(), l.TokensPerSecond, l.BurstTokens, c.cost())
+	wait, ok := e.limiters.take(c.workspacePath(), l.TokensPerSecond, l.BurstTokens, c.chat.Cost(len(c.body)))
 	if ok {
 		return nil
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/link/wire"
@@ -28,7 +29,7 @@
 
 	// Set by read.
 	body []byte
-	chat chatBody
+	chat chats.Turn
 
 	// Set by resolve.
 	values settings.Values
@@ -68,7 +69,7 @@
 
 // isChat reports whether the request is a chat turn rather than a call of a
 // plain service.
-func (c *call) isChat() bool { return c.service == chatService }
+func (c *call) isChat() bool { return c.service == chats.Service }
 
 // left returns the time to the deadline.
 func (c *call) left(now clock.Millis) clock.Millis {
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/link"
@@ -75,11 +76,11 @@
 func claimError(c *call, o once.Outcome) *verdict.Error {
 	switch o := o.(type) {
 	case once.Taken:
-		return verdict.New(verdict.MayHaveRun, verdict.Duplicate, "an earlier attempt has the %s", HeaderKey)
+		return verdict.New(verdict.MayHaveRun, verdict.Duplicate, "an earlier attempt has the %s", chats.HeaderKey)
 	case once.Unknown:
 		return verdict.New(verdict.MayHaveRun, verdict.UnknownHistory,
 			"%d of %d needed witnesses promised the %s, %d were replaced within once.window_ms: this attempt has not run, an earlier one may have",
-			o.Granted, o.Need, HeaderKey, o.Changed).WithRetryAfter(1000)
+			o.Granted, o.Need, chats.HeaderKey, o.Changed).WithRetryAfter(1000)
 	default:
 		return verdict.New(verdict.MayHaveRun, verdict.UnknownHistory, "the claim ended as %T", o)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/callers/filter"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/offer"
@@ -201,7 +202,7 @@
 
 func (e *Entry) handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/v1/chat/completions", e.take(func(*http.Request) string { return chatService })).Methods(http.MethodPost)
+	r.HandleFunc(chats.Path, e.take(func(*http.Request) string { return chats.Service })).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", e.models).Methods(http.MethodGet)
 	serviceOf := func(r *http.Request) string { return mux.Vars(r)["service"] }
 	r.PathPrefix("/services/{service}").HandlerFunc(e.take(serviceOf))
@@ -247,7 +248,7 @@
 // unserved is the verdict for a request that no filter has seen. One with a
 // key may repeat another that has run.
 func unserved(r *http.Request) verdict.Verdict {
-	if r.Header.Get(HeaderKey) != "" {
+	if r.Header.Get(chats.HeaderKey) != "" {
 		return verdict.MayHaveRun
 	}
 	return verdict.NotRun
@@ -267,7 +268,7 @@
 
 // models lists the models that the caller's workspace may use.
 func (e *Entry) models(w http.ResponseWriter, r *http.Request) {
-	c := e.newCall(w, r, chatService)
+	c := e.newCall(w, r, chats.Service)
 	way := filter.List[*call]{{Name: "identify", Run: e.identify}, {Name: "resolve", Run: e.resolve}}
 	if name, err := way.Run(r.Context(), c); err != nil {
 		e.respond(c, name, err)
--- a/entry/send.go
+++ b/entry/send.go
@@ -131,8 +131,8 @@
 		PartnerShare: v.Fairness.PartnerShare, WorkspaceShare: v.Fairness.WorkspaceShare, Priority: v.Fairness.Priority,
 		Chat:   c.chatKey,
 		Method: c.r.Method, Path: targetPath(c), Header: targetHeader(c.r), Body: c.body,
-		Stream: c.chat.Stream, WantUsage: c.chat.StreamOptions.IncludeUsage,
-		Cost: c.cost(), Left: c.left(e.clk.Now()), Once: c.once,
+		Stream: c.chat.Stream(), WantUsage: c.chat.WantUsage(),
+		Cost: c.chat.Cost(len(c.body)), Left: c.left(e.clk.Now()), Once: c.once,
 		Mean: mean, LoadBound: v.Routing.LoadBound, LoadFloor: v.Routing.LoadFloor, QueueLimit: v.Limits.QueuePerEngine, Loads: e.node.FreshLoads(),
 	}
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/link/wire"
@@ -17,13 +17,13 @@
 // targetPath is the path of the request at the target.
 func targetPath(c *call) string {
 	if c.isChat() {
-		return "/v1/chat/completions"
+		return chats.Path
 	}
 	return "/" + strings.TrimPrefix(strings.TrimPrefix(c.r.URL.RequestURI(), "/services/"+c.service), "/")
 }
 
 // passedHeaders go from the caller to the target.
-var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", HeaderKey}
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", chats.HeaderKey}
 
 func targetHeader(r *http.Request) map[string]string {
 	out := map[string]string{}
@@ -66,86 +66,25 @@
 	for k, v := range h.Header {
 		header.Set(k, v)
 	}
-	header.Set(HeaderRequest, c.id)
+	header.Set(chats.HeaderRequest, c.id)
 	if c.chatKey != 0 {
-		header.Set(HeaderHint, c.offered)
+		header.Set(chats.HeaderHint, c.offered)
 	}
 	c.w.WriteHeader(h.Status)
 	c.headSent = true
 }
 
-// doneEvent ends a stream that is whole; a client that misses it knows that
-// the answer was cut.
-const doneEvent = "data: [DONE]\n\n"
-
 // finishStream writes the end mark of a whole stream.
 func (c *call) finishStream() {
-	if !c.chat.Stream || !c.headSent {
+	if !c.chat.Stream() || !c.headSent {
 		return
 	}
 	if strings.HasPrefix(c.w.Header().Get("Content-Type"), "text/event-stream") {
-		_, _ = c.w.Write([]byte(doneEvent))
+		_, _ = c.w.Write([]byte(chats.DoneEvent))
 		_ = http.NewResponseController(c.w).Flush()
 	}
 }
 
-// errorBody is the protocol's own error body, with the verdict in it.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string          `json:"message"`
-	Type    string          `json:"type"`
-	Code    verdict.Reason  `json:"code"`
-	Param   *string         `json:"param"`
-	Verdict verdict.Verdict `json:"verdict"`
-	Request string          `json:"request"`
-	// RetryAfterMS is zero where coming back does not help.
-	RetryAfterMS clock.Millis `json:"retry_after_ms,omitempty"`
-}
-
-// style is how failures are told: the protocol's own error, with the verdict.
-var style = failure.Style{
-	Statuses: failure.Statuses{
-		Always: map[verdict.Reason]int{
-			verdict.BadRequest:     http.StatusBadRequest,
-			verdict.Unauthorized:   http.StatusUnauthorized,
-			verdict.UnknownModel:   http.StatusNotFound,
-			verdict.TooLarge:       http.StatusRequestEntityTooLarge,
-			verdict.RateLimited:    http.StatusTooManyRequests,
-			verdict.Shed:           http.StatusTooManyRequests,
-			verdict.Overloaded:     http.StatusTooManyRequests,
-			verdict.Duplicate:      http.StatusConflict,
-			verdict.UnknownHistory: http.StatusConflict,
-			verdict.Deadline:       http.StatusGatewayTimeout,
-			verdict.NoEngine:       http.StatusServiceUnavailable,
-			verdict.NotReady:       http.StatusServiceUnavailable,
-			verdict.Leaving:        http.StatusServiceUnavailable,
-			verdict.Unreachable:    http.StatusServiceUnavailable,
-		},
-		NotRun: http.StatusBadGateway, Otherwise: http.StatusBadGateway,
-	},
-	Body: func(f failure.Failure) any {
-		return errorBody{errorDetail{
-			Message: f.Stage + ": " + f.Err.Message(), Type: "weldfall_error", Code: f.Err.Reason(),
-			Verdict: f.Err.Verdict(), Request: f.Request, RetryAfterMS: f.Err.RetryAfter(),
-		}}
-	},
-	Header: func(h http.Header, f failure.Failure) {
-		h.Set(HeaderRequest, f.Request)
-		h.Set(HeaderVerdict, string(f.Err.Verdict()))
-		if back := f.Err.RetryAfter(); back > 0 {
-			h.Set("Retry-After", strconv.FormatInt(int64(back+999)/1000, 10))
-			h.Set("Retry-After-Ms", strconv.FormatInt(int64(back), 10))
-		}
-		if f.Err.Verdict() == verdict.MayHaveRun && f.Once {
-			// Clients that retry on their own must not repeat this one.
-			h.Set("X-Should-Retry", "false")
-		}
-	},
-}
-
 // tellNotEncoded logs a failure whose body could not be written.
 func (e *Entry) tellNotEncoded(c *call, err error) {
 	if err != nil {
@@ -160,8 +99,8 @@
 	c.err = err
 	f := failure.Failure{Request: c.id, Stage: stage, Err: err, Once: c.once != nil}
 	if c.headSent {
-		if c.chat.Stream {
-			text, perr := style.Text(f)
+		if c.chat.Stream() {
+			text, perr := chats.Style.Text(f)
 			e.tellNotEncoded(c, perr)
 			_, _ = c.w.Write([]byte("data: " + string(text) + "\n\n"))
 			_ = http.NewResponseController(c.w).Flush()
@@ -170,7 +109,7 @@
 		c.cut = true
 		return
 	}
-	status, text, perr := style.Prepare(c.w.Header(), f)
+	status, text, perr := chats.Style.Prepare(c.w.Header(), f)
 	e.tellNotEncoded(c, perr)
 	c.w.WriteHeader(status)
 	c.headSent = true
