daemon: Ask nothing of plain services but what callers ask

Traced: the two others had no attempt, since they were the daemon's questions for load and cache events, which it asks each second of whatever stands behind it; a service runs them as requests. A test that lasted longer than the first second saw them; load only made it last. Ruled out: a request that was sent again (it would have an attempt), a stranger on the port (the questions come by themselves, on a quiet machine, two a second).

Change: only a target to which a chat was offered or brought is asked. An engine is asked from its first chat on; until then its slots are those of the daemon's settings, as they were until the first answer.

Test: TestAPlainServiceGetsOnlyWhatCallersAsk, failed before with 6 requests for 2. ./daemon with the race detector passes; the test that failed passes six times on one core.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -365,6 +365,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.keepsChats = true
 	e.book.Ran(r.Chat, r.Tokens, d.clk.Now())
 	return nil
 }
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -30,6 +30,10 @@
 	queued  map[uint64]*attempt
 	granted map[uint64]chan fair.Item
 	book    *route.Book
+	// keepsChats is true once a chat was offered or brought here: only then is there
+	// an engine that reports load and memory. A plain service would run the
+	// questions, two a second, as requests of callers.
+	keepsChats bool
 	// serviceTime is a moving mean of the time a request runs, in
 	// milliseconds, for telling a shed caller when to come back.
 	serviceTime float64
@@ -86,6 +90,7 @@
 	defer e.mu.Unlock()
 	s.Engine, s.Requests, s.Slots = e.id, e.requests(), e.queue.Slots()
 	s.Owed = e.queue.Owed(r.Partner, share(r.PartnerShare), e.clk.Now())
+	e.keepsChats = e.keepsChats || r.Chat != 0
 	offer := route.Offer{Chat: r.Chat, Mode: r.Mode}
 	res := wire.Result{Verdict: verdict.NotRun, Refused: true, Loads: []wire.Load{{Engine: e.id, Requests: e.requests()}}}
 	switch ans := route.Decide(offer, s, e.book).(type) {
@@ -207,22 +212,12 @@
 // keeps slots and reserve up to date.
 func (e *engine) poll(ctx context.Context, reserveRatio func() float64) {
 	for clock.Sleep(ctx, pollPeriod*9/10+clock.Millis(rand.Int64N(int64(pollPeriod)/5))) {
-		callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
-		report, err := e.client.Load(callCtx)
-		ratio := reserveRatio()
-		if err == nil {
-			e.mu.Lock()
-			e.book.SetCapacity(report.CacheCapacity)
-			if report.Slots > 0 {
-				e.queue.SetSlots(report.Slots, int(ratio*float64(report.Slots)))
-			}
-			after := e.eventSeq
-			e.mu.Unlock()
-			if events, err := e.client.Events(callCtx, after); err == nil {
-				e.learn(events)
-			}
+		e.mu.Lock()
+		asked := e.keepsChats
+		e.mu.Unlock()
+		if asked {
+			e.readReports(ctx, reserveRatio())
 		}
-		cancel()
 		e.mu.Lock()
 		e.queue.Forget(e.clk.Now())
 		// A reserve that is no longer needed is given out.
@@ -231,6 +226,26 @@
 	}
 }
 
+// readReports asks the engine for its load report and its cache events.
+func (e *engine) readReports(ctx context.Context, reserve float64) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+	defer cancel()
+	report, err := e.client.Load(ctx)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.book.SetCapacity(report.CacheCapacity)
+	if report.Slots > 0 {
+		e.queue.SetSlots(report.Slots, int(reserve*float64(report.Slots)))
+	}
+	after := e.eventSeq
+	e.mu.Unlock()
+	if events, err := e.client.Events(ctx, after); err == nil {
+		e.learn(events)
+	}
+}
+
 func (e *engine) learn(events []target.CacheEvent) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -144,3 +144,23 @@
 		t.Errorf("wrong key: got %d runs, want %d", after, before)
 	}
 }
+
+// What a plain service gets is what callers ask: a daemon's questions about memory and
+// load are for engines that keep chats, and a service would run them as requests.
+func TestAPlainServiceGetsOnlyWhatCallersAsk(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Spec{Engines: 1, Services: 1, Entries: 1})
+	ask := func() {
+		t.Helper()
+		a := request{entry: f.Entries[0], path: "/services/desk/fees", key: fleettest.Key("vigia", "ws1"), body: "pay"}.send()
+		if a.status != http.StatusOK {
+			t.Errorf("got %d %s, want 200", a.status, a.body)
+		}
+	}
+	ask()
+	// Longer than a daemon waits between two questions.
+	wait(2500)
+	ask()
+	if runs := f.RunsOf(f.Services[0]); len(runs) != 2 {
+		t.Errorf("got %d requests at the service, want the 2 of callers: %+v", len(runs), runs)
+	}
+}
