engines, platform, gate: Tell lives of an engine apart, refuse entries of other writers

Cause: an engine was its id, so one that starts again under it kept what was believed of the start before (leaving for ever, health, load, prompts); and entries of the list were decoded leniently, so fields that were missing or of another type read as zero and an entry that could not be read left the one before in force.

A life is (id, start). Ruled out: deciding by the time of the start which life is later, since the clock of a machine may be set back; the order of the store's revisions decides, and only a life that was seen to be followed has ended. Items older than the one that is known are passed over, since a reading and the watch after it may tell of the same changes. Of two engines at one address the one that answers is used.

--- a/engines/book.go
+++ b/engines/book.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/route"
 )
@@ -12,7 +14,15 @@
 type Book struct {
 	byID      map[string]*Engine
 	byService map[string]*pool
-	memory    *memory
+	// byAddr has the engines that are listed with an address, mostly one.
+	byAddr map[string][]*Engine
+	memory *memory
+	// ended are the lives of engines that later ones have followed, the latest of
+	// them: word of one that comes late is about nobody.
+	ended *simplelru.LRU[Incarnation, struct{}]
+	// met has when lives that are no longer listed were first listed, the latest of
+	// them.
+	met *simplelru.LRU[Incarnation, clock.Millis]
 	// evacuated are the data halls whose engines take nothing new, with the time
 	// since when.
 	evacuated map[string]clock.Millis
@@ -24,9 +34,17 @@
 	engines []*Engine
 }
 
+// livesMost bounds the lives that are remembered after they ended or left the list,
+// of some 150 bytes each: a fleet of 10,000 engines that all start again within
+// minutes outruns it, and word of a start is late by seconds.
+const livesMost = 4096
+
 // NewBook returns a book without engines.
 func NewBook() *Book {
-	return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}, memory: newMemory()}
+	// NewLRU fails only for sizes that are not positive.
+	ended, _ := simplelru.NewLRU[Incarnation, struct{}](livesMost, nil)
+	met, _ := simplelru.NewLRU[Incarnation, clock.Millis](livesMost, nil)
+	return &Book{byID: map[string]*Engine{}, byService: map[string]*pool{}, byAddr: map[string][]*Engine{}, memory: newMemory(), ended: ended, met: met}
 }
 
 // Change is what a new word about an engine came to.
@@ -43,23 +61,48 @@
 	Gone    Change = "gone"
 	// TurnedCold engines bear few requests for a while.
 	TurnedCold Change = "cold"
+	// Restarted engines began a new life under the id that they had.
+	Restarted Change = "restarted"
+	// Late is word of a life that a later one has followed. It changes nothing.
+	Late Change = "late"
+	// Unreadable engines have an entry that cannot be used; Back ones have a good
+	// one again.
+	Unreadable Change = "unreadable"
 )
 
-// Put records an engine as listed. An engine that was leaving stays so.
+// Put records an engine as listed. An engine that was leaving stays so for the rest
+// of its life; a later one begins with nothing that was believed of it before.
+//
+// Which of two lives is the later one follows from the order in which the store took
+// their words, not from the time of their starts: the clock of a machine may be set
+// back. Only a life that was seen to be followed by another is known to have ended.
 func (b *Book) Put(in Info, now clock.Millis) Change {
 	in.Slots = max(1, in.Slots)
 	coldUntil := now + in.ColdFor
 	in.ColdFor = 0
+	if b.ended.Contains(in.Incarnation()) {
+		return Late
+	}
 	e, ok := b.byID[in.ID]
+	if ok && in.Born == 0 {
+		// An entry that does not tell is about the life that is known.
+		in.Born = e.info.Born
+	}
+	if ok && in.Born != e.info.Born {
+		b.drop(e)
+		b.ended.Add(e.info.Incarnation(), struct{}{})
+		b.begin(in, coldUntil, now)
+		return Restarted
+	}
 	if !ok {
-		b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, health: health{at: now}, warmth: warmth{toldUntil: coldUntil}})
+		b.begin(in, coldUntil, now)
 		return Joined
 	}
 	turnedCold := now >= e.warmth.toldUntil && coldUntil > now
 	e.warmth.toldUntil = coldUntil
 	in.Leaving = in.Leaving || e.info.Leaving
-	was := e.doubtful
-	e.doubtful = false
+	was := e.doubtful || e.unreadable
+	e.doubtful, e.unreadable = false, false
 	if e.info == in && was {
 		return Back
 	}
@@ -70,7 +113,7 @@
 		return Same
 	}
 	left := in.Leaving && !e.info.Leaving
-	moved := in.Service != e.info.Service
+	moved := in.Service != e.info.Service || in.Addr != e.info.Addr
 	if moved {
 		b.drop(e)
 	}
@@ -84,8 +127,18 @@
 	return Changed
 }
 
+// begin adds an engine of which nothing is believed yet.
+func (b *Book) begin(in Info, coldUntil, now clock.Millis) {
+	metAt, ok := b.met.Get(in.Incarnation())
+	if !ok {
+		metAt = now
+	}
+	b.add(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), seenAt: now, metAt: metAt, health: health{at: now}, warmth: warmth{toldUntil: coldUntil}})
+}
+
 func (b *Book) add(e *Engine) {
 	b.byID[e.info.ID] = e
+	b.settle(e)
 	p := b.byService[e.info.Service]
 	if p == nil {
 		p = &pool{}
@@ -101,6 +154,19 @@
 	delete(b.byID, e.info.ID)
 	p := b.byService[e.info.Service]
 	p.engines = slices.DeleteFunc(p.engines, func(x *Engine) bool { return x == e })
+	b.leave(e)
+}
+
+// Mask records that the entry of an engine cannot be used: it takes nothing new, and
+// what is believed of it is kept until it has a good entry again or none. It reports
+// whether that is news.
+func (b *Book) Mask(id string) bool {
+	e, ok := b.byID[id]
+	if !ok || e.unreadable {
+		return false
+	}
+	e.unreadable = true
+	return true
 }
 
 // Doubt records that the list lacks an engine that may come back: it is chosen
@@ -123,6 +189,7 @@
 		return Info{}, false
 	}
 	b.drop(e)
+	b.met.Add(e.info.Incarnation(), e.metAt)
 	return e.info, true
 }
 
@@ -137,6 +204,15 @@
 // Get returns an engine by id, or nil.
 func (b *Book) Get(id string) *Engine { return b.byID[id] }
 
+// Find returns an engine if it still lives the given life, or nil.
+func (b *Book) Find(n Incarnation) *Engine {
+	e := b.byID[n.ID]
+	if e == nil || e.info.Born != n.Born {
+		return nil
+	}
+	return e
+}
+
 // IDs returns the ids of all engines, sorted.
 func (b *Book) IDs() []string {
 	ids := make([]string, 0, len(b.byID))
@@ -149,7 +225,7 @@
 
 // KnownLoad is what an engine said of its load.
 type KnownLoad struct {
-	ID       string
+	Incarnation
 	Requests int
 	Age      clock.Millis
 }
@@ -157,9 +233,9 @@
 // Loads returns the n freshest loads that are at most limit old.
 func (b *Book) Loads(limit clock.Millis, n int, now clock.Millis) []KnownLoad {
 	var out []KnownLoad
-	for id, e := range b.byID {
+	for _, e := range b.byID {
 		if age := now - e.othersAt; e.told && age <= limit {
-			out = append(out, KnownLoad{ID: id, Requests: e.all, Age: age})
+			out = append(out, KnownLoad{Incarnation: e.info.Incarnation(), Requests: e.all, Age: age})
 		}
 	}
 	slices.SortFunc(out, func(a, b KnownLoad) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID)) })
--- a/engines/choose.go
+++ b/engines/choose.go
@@ -116,20 +116,21 @@
 		c.byLoad(q, usable, others, now)
 	}
 	if len(q.Keys) > 0 {
-		c.Kept = b.memory.holds(q.Keys[len(q.Keys)-1], c.Engine.info.ID)
+		c.Kept = b.memory.holds(q.Keys[len(q.Keys)-1], c.Engine.info.Incarnation())
 		c.Source = b.source(q, p, c.Engine, now)
-		b.memory.note(q.Keys, c.Engine.info.ID)
+		b.memory.note(q.Keys, c.Engine.info.Incarnation())
 	}
 	return c, true
 }
 
-// usable returns the engines that can be chosen: those that are not leaving, not
-// in an evacuated data hall, not cold with this entry's share sent, not tried and
-// not under suspicion, unless most of the pool is.
+// usable returns the engines that can be chosen: those that have a good entry and
+// their address to themselves, are not leaving, not in an evacuated data hall, not
+// cold with this entry's share sent, not tried and not under suspicion, unless most
+// of the pool is.
 func (b *Book) usable(p *pool, q Query, now clock.Millis) []*Engine {
 	live := make([]*Engine, 0, len(p.engines))
 	for _, e := range p.engines {
-		if !e.info.Leaving && !b.isEvacuated(e) && !e.full(q.Cold, now) {
+		if e.TakesNew() && !b.isEvacuated(e) && !e.full(q.Cold, now) {
 			live = append(live, e)
 		}
 	}
@@ -152,6 +153,10 @@
 	return untried(live)
 }
 
+// TakesNew reports whether an engine may be sent anything new by what the list says
+// of it and of its address.
+func (e *Engine) TakesNew() bool { return !e.info.Leaving && !e.unreadable && !e.ousted() }
+
 // suspect reports whether new requests had better go elsewhere.
 func (e *Engine) suspect(rate float64, silence, now clock.Millis) bool {
 	if e.doubtful || e.health.held(now) || e.silence(now) > silence {
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -22,11 +22,31 @@
 	Slots int
 	// Leaving engines finish what they have and take nothing new.
 	Leaving bool
+	// Born is when the engine started by the clock of its machine, in Unix
+	// milliseconds; zero if the list does not tell.
+	Born int64
 	// ColdFor is how much longer the engine was cold when the list said so. It is
 	// word of a moment: a Book does not keep it here.
 	ColdFor clock.Millis
 }
 
+// Incarnation is one life of an engine. An engine may start again under the id
+// that it had, and then knows and holds nothing of before.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the life of the engine that is listed.
+func (in Info) Incarnation() Incarnation { return Incarnation{ID: in.ID, Born: in.Born} }
+
+// mostMarks is how many marks there are: few enough for a byte, and two lives of
+// an engine that follow one another seldom share one.
+const mostMarks = 251
+
+// Mark tells the lives of one engine apart in messages, where a byte must do.
+func (n Incarnation) Mark() uint8 { return uint8(uint64(n.Born) % mostMarks) }
+
 // Load is what an engine said of itself in an answer.
 type Load struct {
 	Running int
@@ -56,8 +76,17 @@
 	health       health
 	// doubtful is true while the list lacks the engine and it may come back.
 	doubtful bool
-	// seenAt is when the engine was first listed here.
-	seenAt clock.Millis
+	// unreadable is true while its entry on the list cannot be used. What is
+	// believed of it is kept for its return.
+	unreadable bool
+	// rivals are the other engines that are listed with its address.
+	rivals []*Engine
+	// provedAt is when an answer last came under its id, deniedAt when another
+	// engine last answered at its address; zero if none did.
+	provedAt, deniedAt clock.Millis
+	// seenAt is when the engine was listed here, metAt when it was for the first time
+	// if it was off the list meanwhile.
+	seenAt, metAt clock.Millis
 	// backAt is when its data hall was last taken back from an evacuation, zero if
 	// it never was.
 	backAt clock.Millis
@@ -102,6 +131,7 @@
 // Heard records that the engine sent something.
 func (e *Engine) Heard(now clock.Millis) {
 	e.heardAt = now
+	e.provedAt = now
 	e.waitingSince = now
 }
 
@@ -124,6 +154,9 @@
 	if e.inflight == 0 {
 		e.waitingSince = 0
 	}
+	if o == Departed {
+		e.deniedAt = now
+	}
 	return e.health.note(o, now)
 }
 
--- a/engines/source.go
+++ b/engines/source.go
@@ -26,8 +26,8 @@
 		if b.keeps(chosen, q.Keys[i], now) {
 			return nil
 		}
-		for _, id := range b.memory.holders(q.Keys[i]) {
-			if e := b.byID[id]; e != nil && e != chosen && e.info.Service == q.Service && b.sound(e, q.Silence, now) {
+		for _, n := range b.memory.holders(q.Keys[i]) {
+			if e := b.Find(n); e != nil && e != chosen && e.info.Service == q.Service && b.sound(e, q.Silence, now) {
 				return e
 			}
 		}
@@ -65,10 +65,11 @@
 // keeps reports whether an engine most likely keeps a beginning that this entry
 // sent it. One that was evacuated meanwhile may not, if another had it later.
 func (b *Book) keeps(e *Engine, key uint64, now clock.Millis) bool {
-	if !b.memory.holds(key, e.info.ID) {
+	n := e.info.Incarnation()
+	if !b.memory.holds(key, n) {
 		return false
 	}
-	return !e.returned(now) || b.memory.holders(key)[0] == e.info.ID
+	return !e.returned(now) || b.memory.holders(key)[0] == n
 }
 
 // young reports whether an engine lacks what its place in the rankings would make
@@ -80,7 +81,7 @@
 
 // sound reports whether an engine answers, as far as is known.
 func (b *Book) sound(e *Engine, silence, now clock.Millis) bool {
-	if e.health.held(now) || e.silence(now) > silence {
+	if e.unreadable || e.ousted() || e.health.held(now) || e.silence(now) > silence {
 		return false
 	}
 	heard := e.heardAt
@@ -92,8 +93,8 @@
 
 // vouched reports whether an evacuated engine is there though nothing is sent to
 // it that could bring a sign: the list says so. It is worth asking while the
-// chats that it had return.
+// chats that it had return, unless it started since and had none.
 func (b *Book) vouched(e *Engine, now clock.Millis) bool {
 	since, ok := b.evacuated[e.info.Hall]
-	return ok && now-since < youth
+	return ok && now-since < youth && e.seenAt <= since
 }
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -89,7 +89,7 @@
 		k.Table, k.TableAge, k.Evacuated = t.Version(), g.published.Age(now), sumOf(g.evacuated)
 	}
 	for _, l := range g.book.Loads(loadFresh, n, now) {
-		k.Loads = append(k.Loads, peers.Load{Engine: l.ID, Requests: l.Requests, Age: l.Age})
+		k.Loads = append(k.Loads, peers.Load{Engine: l.ID, Life: l.Mark(), Requests: l.Requests, Age: l.Age})
 	}
 	return k
 }
@@ -128,12 +128,13 @@
 	return retryStale
 }
 
-// HearLoads implements peers.Facts.
+// HearLoads implements peers.Facts. A load is of the life of an engine that told it:
+// a peer may not know yet that a later one began.
 func (g *Gate) HearLoads(loads []peers.Load, at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range loads {
-		if e := g.book.Get(l.Engine); e != nil && l.Age >= 0 && l.Requests >= 0 {
+		if e := g.book.Get(l.Engine); e != nil && l.Age >= 0 && l.Requests >= 0 && l.Life == e.Info().Incarnation().Mark() {
 			e.Told(engines.Load{Running: l.Requests}, at-l.Age)
 		}
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -235,44 +235,6 @@
 	}
 }
 
-// PutEngine records an engine as listed.
-func (g *Gate) PutEngine(in engines.Info) {
-	g.mu.Lock()
-	change := g.book.Put(in, g.clk.Now())
-	g.boundConns(g.table.Load(), in)
-	g.mu.Unlock()
-	switch change {
-	case engines.Same:
-	case engines.TurnedCold:
-		g.log.Info("engine_cold", "engine", in.ID, "service", in.Service, "for_ms", in.ColdFor)
-	default:
-		g.log.Info("engine", "change", string(change), "engine", in.ID, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
-	}
-}
-
-// RemoveEngine records that an engine is no longer listed.
-func (g *Gate) RemoveEngine(id, cause string) {
-	g.mu.Lock()
-	in, ok := g.book.Remove(id)
-	delete(g.parts, id)
-	g.mu.Unlock()
-	if !ok {
-		return
-	}
-	g.pool.Forget(in.Addr)
-	g.log.Info("engine", "change", string(engines.Gone), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
-}
-
-// DoubtEngine records that the list lacks an engine that may come back.
-func (g *Gate) DoubtEngine(id string) {
-	g.mu.Lock()
-	news := g.book.Doubt(id)
-	g.mu.Unlock()
-	if news {
-		g.log.Info("engine", "change", string(engines.Missing), "engine", id, "cause", "missing from the list after the store was away")
-	}
-}
-
 // EngineIDs returns the ids of all engines, sorted.
 func (g *Gate) EngineIDs() []string {
 	g.mu.Lock()
--- /dev/null
+++ b/gate/list.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"github.com/weldfall/weldfall/engines"
+)
+
+// PutEngine records an engine as listed.
+func (g *Gate) PutEngine(in engines.Info) {
+	g.mu.Lock()
+	before := g.book.Get(in.ID)
+	change := g.book.Put(in, g.clk.Now())
+	g.boundConns(g.table.Load(), in)
+	rivals := g.book.Rivals(in.ID)
+	g.mu.Unlock()
+	switch change {
+	case engines.Same:
+		return
+	case engines.TurnedCold:
+		g.log.Info("engine_cold", "engine", in.ID, "service", in.Service, "for_ms", in.ColdFor)
+		return
+	case engines.Restarted:
+		// Its earlier life has answered the last on these.
+		g.pool.Forget(before.Info().Addr)
+	}
+	g.log.Info("engine", "change", string(change), "engine", in.ID, "born", in.Born, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
+	for _, o := range rivals {
+		g.log.Warn("engine_address_shared", "addr", in.Addr, "engine", in.ID, "born", in.Born, "other", o.ID, "other_born", o.Born)
+	}
+}
+
+// RemoveEngine records that an engine is no longer listed.
+func (g *Gate) RemoveEngine(id, cause string) {
+	g.mu.Lock()
+	in, ok := g.book.Remove(id)
+	delete(g.parts, id)
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	g.pool.Forget(in.Addr)
+	g.log.Info("engine", "change", string(engines.Gone), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
+}
+
+// DoubtEngine records that the list lacks an engine that may come back.
+func (g *Gate) DoubtEngine(id string) {
+	g.mu.Lock()
+	news := g.book.Doubt(id)
+	g.mu.Unlock()
+	if news {
+		g.log.Info("engine", "change", string(engines.Missing), "engine", id, "cause", "missing from the list after the store was away")
+	}
+}
+
+// MaskEngine records that the entry of an engine names no engine to use.
+func (g *Gate) MaskEngine(id, cause string) {
+	g.mu.Lock()
+	news := g.book.Mask(id)
+	g.mu.Unlock()
+	if news {
+		g.log.Warn("engine", "change", string(engines.Unreadable), "engine", id, "cause", cause)
+	}
+}
--- a/gate/place.go
+++ b/gate/place.go
@@ -56,11 +56,11 @@
 func silence(r *table.Route) clock.Millis { return silenceGoals * r.GoalOrUsual() }
 
 // heard records a sign of life, with the load that it told, if any.
-func (g *Gate) heard(id, load string) {
+func (g *Gate) heard(n engines.Incarnation, load string) {
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := g.book.Get(id)
+	e := g.book.Find(n)
 	if e == nil {
 		return
 	}
@@ -70,20 +70,21 @@
 	}
 }
 
-// finish counts the end of a request at an engine.
-func (g *Gate) finish(id string, o engines.Outcome) {
+// finish counts the end of a request at an engine. What it tells is of the life that
+// the request was sent to.
+func (g *Gate) finish(n engines.Incarnation, o engines.Outcome) {
 	now := g.clk.Now()
 	g.mu.Lock()
-	e := g.book.Get(id)
+	e := g.book.Find(n)
 	if e == nil {
 		g.mu.Unlock()
 		return
 	}
 	trust := e.Finish(o, now)
 	g.mu.Unlock()
-	g.logTrust(id, trust, string(o))
+	g.logTrust(n.ID, trust, string(o))
 	if trust == engines.Suspected {
-		go g.seek(id)
+		go g.seek(n)
 	}
 }
 
@@ -99,22 +100,24 @@
 // seek opens connections to an engine that could not be reached until one comes
 // up or the list has lost it, so that no request is spent to find out: at a dark
 // engine each would wait for as long as a connection may take.
-func (g *Gate) seek(id string) {
+func (g *Gate) seek(n engines.Incarnation) {
 	for !g.leave.over.Load() {
 		clock.Sleep(context.Background(), seekPeriod)
 		g.mu.Lock()
-		e := g.book.Get(id)
-		g.mu.Unlock()
+		e := g.book.Find(n)
 		if e == nil {
+			g.mu.Unlock()
 			return
 		}
-		if err := g.pool.Open(e.Info().Addr); err != nil {
+		addr, sought := e.Info().Addr, e.TakesNew()
+		g.mu.Unlock()
+		if !sought || g.pool.Open(addr) != nil {
 			continue
 		}
 		g.mu.Lock()
 		trust := e.Reached(g.clk.Now())
 		g.mu.Unlock()
-		g.logTrust(id, trust, "connected")
+		g.logTrust(n.ID, trust, "connected")
 		return
 	}
 }
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -140,7 +140,7 @@
 		a.Limit(g.streamLimit(c))
 		n, err := a.Read(buf)
 		if n > 0 {
-			g.heard(e.ID, "")
+			g.heard(e.Incarnation(), "")
 		}
 		whole, ok := c.split.Add(buf[:n])
 		if !ok {
--- a/gate/send.go
+++ b/gate/send.go
@@ -85,13 +85,16 @@
 		return g.sendFailed(ctx, c, e.Info, err)
 	}
 	defer a.Close()
-	g.heard(e.ID, a.Header.Get(g.wire.Load))
+	if a.StatusCode == http.StatusMisdirectedRequest {
+		return g.misdirected(e.Info, a)
+	}
+	g.heard(e.Incarnation(), a.Header.Get(g.wire.Load))
 	if a.NotRun() {
-		return g.engineRefused(c, e.Info, a)
+		return g.engineRefused(e.Info, a)
 	}
 	c.ran++
 	o := g.relay(ctx, c, e.Info, a)
-	g.finish(e.ID, judge(ctx, o))
+	g.finish(e.Incarnation(), judge(ctx, o))
 	return o
 }
 
@@ -103,34 +106,37 @@
 		if ctx.Err() != nil || errors.Is(err, upstream.ErrFull) {
 			result = engines.Neutral
 		}
-		g.finish(e.ID, result)
+		g.finish(e.Incarnation(), result)
 		if ctx.Err() != nil {
 			return attempt.CallerGone{}
 		}
 		return attempt.Unsent{Err: err}
 	case ctx.Err() != nil:
 		c.ran++
-		g.finish(e.ID, engines.Neutral)
+		g.finish(e.Incarnation(), engines.Neutral)
 		return attempt.CallerGone{}
 	default:
 		c.ran++
-		g.finish(e.ID, engines.Failed)
+		g.finish(e.Incarnation(), engines.Failed)
 		return attempt.Broken{Err: err}
 	}
 }
 
 // engineRefused judges an answer that says that the request did not run.
-func (g *Gate) engineRefused(c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
-	result := engines.Refused
-	if a.StatusCode == http.StatusMisdirectedRequest {
-		// Another engine has the address: whatever is kept of it is of no use.
-		result = engines.Departed
-	}
+func (g *Gate) engineRefused(e engines.Info, a *upstream.Answer) attempt.Outcome {
 	drain(a)
-	g.finish(e.ID, result)
+	g.finish(e.Incarnation(), engines.Refused)
 	return attempt.Refused{Err: fmt.Errorf("status %d", a.StatusCode)}
 }
 
+// misdirected judges an answer of another engine that has the address, which is no
+// sign of the one that was asked.
+func (g *Gate) misdirected(e engines.Info, a *upstream.Answer) attempt.Outcome {
+	drain(a)
+	g.finish(e.Incarnation(), engines.Departed)
+	return attempt.Refused{Err: fmt.Errorf("status %d: another engine is at %s", a.StatusCode, e.Addr)}
+}
+
 // judge says what an attempt tells about the engine.
 func judge(ctx context.Context, o attempt.Outcome) engines.Outcome {
 	switch o.(type) {
--- a/measure/replay/alone.go
+++ b/measure/replay/alone.go
@@ -52,7 +52,7 @@
 	for i, b := range a.books {
 		for _, e := range p.seen[i] {
 			if b.Get(e.id) == nil {
-				b.Put(engines.Info{ID: e.id, Service: poolName, Slots: e.slots}, p.now)
+				b.Put(engines.Info{ID: e.id, Addr: e.id, Service: poolName, Slots: e.slots}, p.now)
 			}
 		}
 		for _, id := range b.IDs() {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -39,8 +39,10 @@
 
 // Load is the load of an engine, as the engine told it.
 type Load struct {
-	Engine   string `json:"e"`
-	Requests int    `json:"n"`
+	Engine string `json:"e"`
+	// Life tells the lives of the engine apart.
+	Life     uint8 `json:"b,omitempty"`
+	Requests int   `json:"n"`
 	// Age is how old the figure is, in milliseconds.
 	Age clock.Millis `json:"g,omitempty"`
 }
