soak: Draw engines that start again and entries of other writers

A play of its own (restarting): troubles of all kinds, and engines that start again under their ids one, two or all at a time, with their clock on or back, after they said that they leave, or with the last word of the earlier life after the first of the later; and entries of another writer, new and in place of good ones. It holds that no request reaches an engine that only such entries name, and that an engine which started again is used. Other plays draw what they drew.

--- /dev/null
+++ b/measure/soak/again.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/weldfall/weldfall/platform/standin"
+)
+
+// Ways of an engine that starts again.
+const (
+	// clockOn and clockBack are what its clock did meanwhile.
+	clockOn   = "clock_on"
+	clockBack = "clock_back"
+	// lateWord has the last word of its earlier life, that it leaves, come after the
+	// first of the later one.
+	lateWord = "late_word"
+	// leavesAgain has it say that it leaves before it starts again.
+	leavesAgain = "left_before"
+)
+
+var (
+	againWays = []string{clockOn, clockBack, lateWord, lateWord, leavesAgain}
+	// againGroups is how many engines start again: one, two or all.
+	againGroups = []int{1, 2, whoMost}
+	foreignWays = []string{"nothing", "no_json", "no_base64", "seq", "state", "capacity", "born"}
+	// restartingKinds is drawn from in a restarting play.
+	restartingKinds = slices.Concat(mixedKinds, []Kind{Again, Again, Again, Again, Again, Foreign, Foreign, Foreign})
+)
+
+const (
+	// lateBy is how long after the first word of a later life one of the earlier life
+	// may come.
+	lateBy = 100 * time.Millisecond
+	// backBy is how far the clock of an engine is set back.
+	backBy = time.Hour
+)
+
+// startAgain makes engines crash and start again, one after the other.
+func (w *world) startAgain(s Step) {
+	w.mu.Lock()
+	n := len(w.engines)
+	w.mu.Unlock()
+	var wg sync.WaitGroup
+	for k := range min(s.Many, n) {
+		wg.Go(func() { w.startOneAgain((s.Who+k)%n, s.How) })
+		time.Sleep(min(s.For/time.Duration(n), lateBy))
+	}
+	wg.Wait()
+}
+
+func (w *world) startOneAgain(i int, how string) {
+	w.mu.Lock()
+	e := w.engines[i]
+	earlier := e.Entry(w.services[i], "draining")
+	earlier["address"] = w.links[i].Addr()
+	by := time.Second
+	if how == clockBack {
+		by = -backBy
+	}
+	if how == leavesAgain {
+		w.list(i, "draining")
+		w.mu.Unlock()
+		time.Sleep(lateBy)
+		w.mu.Lock()
+	}
+	e.StartAgain(by)
+	w.list(i, "ready")
+	w.rec.again(e.ID())
+	w.mu.Unlock()
+	if how != lateWord {
+		return
+	}
+	time.Sleep(lateBy)
+	w.store.Put("servers/"+e.ID(), earlier)
+	time.Sleep(lateBy)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list(i, "ready")
+}
+
+// again forgets that an engine left: that was its earlier life.
+func (r *record) again(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.left, id)
+	r.restarted[id] = true
+}
+
+const (
+	// usedWithin is the end of a run in which an engine that started again must be
+	// used, if its service has at least usedOf runs then: by chance one of twelve
+	// engines is left out by as many once in 4,000,000 runs.
+	usedWithin = 5 * time.Second
+	usedOf     = 175
+)
+
+// judgeRestarted holds that engines that started again are used. Only where requests
+// go by load, which leaves none out.
+func (r *record) judgeRestarted(engines []*standin.Engine, services []string) {
+	from := r.ended.Add(-usedWithin)
+	runs, all := map[string]int{}, 0
+	for i, e := range engines {
+		if services[i] != "api" {
+			continue
+		}
+		for _, run := range e.Runs() {
+			if run.At.After(from) {
+				runs[e.ID()]++
+				all++
+			}
+		}
+	}
+	for i, e := range engines {
+		if services[i] == "api" && r.restarted[e.ID()] && runs[e.ID()] == 0 && all >= usedOf {
+			r.breaks("%s started again and got none of the last %d requests of its service", e.ID(), all)
+		}
+	}
+}
+
+// foreign lists an engine that nobody may use, and has such an entry stand in place
+// of another engine's for a while.
+func (w *world) foreign(i int, s Step) {
+	decoy, err := standin.NewEngine(fmt.Sprintf("i-decoy-%d-%d", s.At, s.Who), behave(""))
+	if err != nil {
+		// Without it the run goes on.
+		return
+	}
+	w.rec.mu.Lock()
+	w.rec.decoys = append(w.rec.decoys, decoy)
+	w.rec.mu.Unlock()
+	w.mu.Lock()
+	service := w.services[i]
+	w.damage(decoy.ID(), decoy.Entry(service, "ready"), s.How)
+	entry := w.engines[i].Entry(service, "ready")
+	entry["address"] = w.links[i].Addr()
+	w.damage(w.engines[i].ID(), entry, s.How)
+	w.mu.Unlock()
+	time.Sleep(s.For)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list(i, w.rec.state(w.engines[i].ID()))
+}
+
+// state returns what an engine was last published as.
+func (r *record) state(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, left := r.left[id]; left {
+		return "draining"
+	}
+	return "ready"
+}
+
+// damage writes an entry as another writer does.
+func (w *world) damage(id string, entry map[string]any, how string) {
+	key := "servers/" + id
+	switch how {
+	case "nothing":
+		w.store.Put(key, []byte{})
+	case "no_json":
+		w.store.Put(key, []byte("\xff\x00"))
+	case "no_base64":
+		w.store.PutText(key, "%%%")
+	case "seq":
+		delete(entry, how)
+		w.store.Put(key, entry)
+	default:
+		entry[how] = []string{"x"}
+		w.store.Put(key, entry)
+	}
+}
--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -85,6 +85,10 @@
 	// stops has when gates were told to stop, troubles what may excuse a cut.
 	stops    []stopped
 	troubles []trouble
+	// restarted are the engines that started again, and still serve.
+	restarted map[string]bool
+	// decoys are engines that only entries of another writer named.
+	decoys []*standin.Engine
 	// excused counts cuts around a planned stop that break no promise.
 	excused int
 	broken  []string
@@ -167,6 +171,12 @@
 	for _, e := range engines {
 		r.judgeLeaving(e)
 	}
+	r.judgeRestarted(engines, services)
+	for _, e := range r.decoys {
+		if n := len(e.Runs()); n > 0 {
+			r.breaks("%d requests reached %s, which only entries of another writer named", n, e.ID())
+		}
+	}
 }
 
 func (r *record) judgeOne(a asked, runs []*standin.Run) {
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -136,6 +136,10 @@
 		w.publish()
 	case Grow:
 		w.grow(s.Many)
+	case Again:
+		w.startAgain(s)
+	case Foreign:
+		w.foreign(i, s)
 	case Revoke:
 		g.store.Set(proxy.Cut)
 		w.revoke()
@@ -176,6 +180,7 @@
 	w.list(i, "draining")
 	w.rec.mu.Lock()
 	defer w.rec.mu.Unlock()
+	delete(w.rec.restarted, w.engines[i].ID())
 	if _, again := w.rec.left[w.engines[i].ID()]; !again {
 		w.rec.left[w.engines[i].ID()] = time.Now()
 	}
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -43,6 +43,11 @@
 	SilentEngine Kind = "silent_engine"
 	// Grow publishes more routes.
 	Grow Kind = "grow"
+	// Again makes engines crash and start again under the ids that they have.
+	Again Kind = "again"
+	// Foreign puts an entry of another writer on the list, new and in place of an
+	// engine's.
+	Foreign Kind = "foreign"
 )
 
 // Play says what is drawn from a seed and how long answers are.
@@ -58,10 +63,13 @@
 	// Growing has settings that grow to a megabyte and change often, over links to
 	// the store that are slow.
 	Growing Play = "growing"
+	// Restarting has troubles of all kinds, and engines that start again under their
+	// ids beside entries of other writers.
+	Restarting Play = "restarting"
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting}
 
 func (p Play) uneven() bool { return p == Planned || p == Mixed }
 
@@ -144,8 +152,11 @@
 		return newGrowing(rng, length)
 	}
 	from := kinds
-	if play == Mixed {
+	switch play {
+	case Mixed:
 		from = mixedKinds
+	case Restarting:
+		from = restartingKinds
 	}
 	n := int(length/time.Second)*stepsPerSecond/10 + 1
 	var steps []Step
@@ -169,6 +180,10 @@
 			s.How = commonWays[rng.IntN(len(commonWays))]
 		case Series:
 			s = newSeries(rng, at)
+		case Again:
+			s.How, s.Many = againWays[rng.IntN(len(againWays))], againGroups[rng.IntN(len(againGroups))]
+		case Foreign:
+			s.How = foreignWays[rng.IntN(len(foreignWays))]
 		case SilentStore, SilentEngine:
 			s.How, s.Many = string(silences[rng.IntN(len(silences))]), 1+rng.IntN(mostSilent)
 		}
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &world{cfg: cfg, store: standin.NewStore(3), ctx: ctx, rec: &record{left: map[string]time.Time{}, revoked: map[string]time.Time{}, published: map[int]time.Time{}}}
+	w := &world{cfg: cfg, store: standin.NewStore(3), ctx: ctx, rec: &record{left: map[string]time.Time{}, restarted: map[string]bool{}, revoked: map[string]time.Time{}, published: map[int]time.Time{}}}
 	if err := w.start(); err != nil {
 		return Report{}, err
 	}
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -34,6 +34,8 @@
 		"answers that outlast a stop": {916, soak.Planned},
 		// A whole answer of the store had 0.7 s, whatever its size.
 		"settings that grow over a slow link": {1, soak.Growing},
+		// Lives of an engine were not told apart.
+		"engines that start again and foreign entries": {7, soak.Restarting},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
 	} {
