soak: End restarting plays with engines that all leave and start again

Traced: with few requests each gate stays at the one engine that told it that it is idle (load 0, mean 0.7), and what it knows nothing of counts as the mean; nothing was believed of these engines. The check rests on requests that go by load evenly, so engines of plain services tell no load in this play now, and it is no narrower.

--- a/measure/soak/again.go
+++ b/measure/soak/again.go
@@ -97,8 +97,25 @@
 	usedOf     = 175
 )
 
-// judgeRestarted holds that engines that started again are used. Only where requests
-// go by load, which leaves none out.
+// behave returns how an engine answers. In a restarting play engines of plain services
+// tell no load: with few requests an entry stays at the one that told it that it is idle,
+// and leaves others out that are idle too.
+func (w *world) behave(way string) func(standin.Run) standin.Reply {
+	reply := behave(way)
+	if w.cfg.Play != Restarting {
+		return reply
+	}
+	return func(run standin.Run) standin.Reply {
+		p := reply(run)
+		if p.Events == 0 {
+			p.Load = ""
+		}
+		return p
+	}
+}
+
+// judgeRestarted holds that engines of plain services that started again are used:
+// requests go by load there, and none is left out where none tells its own.
 func (r *record) judgeRestarted(engines []*standin.Engine, services []string) {
 	from := r.ended.Add(-usedWithin)
 	runs, all := map[string]int{}, 0
@@ -123,7 +140,7 @@
 // foreign lists an engine that nobody may use, and has such an entry stand in place
 // of another engine's for a while.
 func (w *world) foreign(i int, s Step) {
-	decoy, err := standin.NewEngine(fmt.Sprintf("i-decoy-%d-%d", s.At, s.Who), behave(""))
+	decoy, err := standin.NewEngine(fmt.Sprintf("i-decoy-%d-%d", s.At, s.Who), w.behave(""))
 	if err != nil {
 		// Without it the run goes on.
 		return
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -120,13 +120,13 @@
 		time.Sleep(s.For)
 		l.Set(proxy.Sound)
 	case Engine:
-		e.SetReply(behave(s.How))
+		e.SetReply(w.behave(s.How))
 		time.Sleep(s.For)
-		e.SetReply(behave(""))
+		e.SetReply(w.behave(""))
 	case Engines:
-		w.setAll(behave(s.How))
+		w.setAll(w.behave(s.How))
 		time.Sleep(s.For)
-		w.setAll(behave(""))
+		w.setAll(w.behave(""))
 	case Leave:
 		w.leave(i)
 	case Join:
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -193,6 +193,11 @@
 		roll := Step{At: time.Duration(rng.Int64N(int64(length - quiet))), Kind: Roll, For: shortestStep + time.Duration(rng.Int64N(int64(longestGap)))}
 		steps = append(steps, roll)
 	}
+	if play == Restarting {
+		// After the last restart of a gate, so that the gates that were told that all
+		// engines leave go on to the end.
+		steps = append(steps, Step{At: length - lastAgain, Kind: Again, For: shortestStep, How: leavesAgain, Many: whoMost})
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
@@ -245,7 +250,10 @@
 	// longestCut is longer than the bound for revoked keys.
 	longestCut = 9 * time.Second
 	// quiet is the end of a run in which no trouble is begun.
-	quiet        = 9 * time.Second
+	quiet = 9 * time.Second
+	// lastAgain is before the end: gates take news of the list a second later, twice,
+	// and requests must be served in the last of it.
+	lastAgain    = 5200 * time.Millisecond
 	shortestStep = 300 * time.Millisecond
 	longestStep  = 4 * time.Second
 	// firstEngines is how many engines each service has at the start.
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -199,7 +199,7 @@
 func (w *world) join(service string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e, err := standin.NewEngine(fmt.Sprintf("i-%d", len(w.engines)), behave(""))
+	e, err := standin.NewEngine(fmt.Sprintf("i-%d", len(w.engines)), w.behave(""))
 	if err != nil {
 		return err
 	}
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -36,6 +36,8 @@
 		"settings that grow over a slow link": {1, soak.Growing},
 		// Lives of an engine were not told apart.
 		"engines that start again and foreign entries": {7, soak.Restarting},
+		// The soak took it that a light load leaves no engine out.
+		"engines that start again under a light load": {91003, soak.Restarting},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
 	} {
