--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -12,13 +12,14 @@
 	"github.com/weldfall/weldfall/peers"
 )
 
+// simRound is the time between two questions of an entry.
+const simRound clock.Millis = 400
+
 const (
-	// simRound is the time between two questions of an entry, simSeeds how many of all
-	// the settings name, and simSeedEvery how many rounds lie between two questions to
-	// one of these.
-	simRound     clock.Millis = 400
-	simSeeds                  = 3
-	simSeedEvery              = 15
+	// simSeeds is how many of all entries the settings name, and simSeedEvery how many
+	// rounds lie between two questions to one of these.
+	simSeeds     = 3
+	simSeedEvery = 15
 )
 
 // simFleet is entries that talk without a network, in time that is handed in.
