--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -43,8 +43,11 @@
 	hands Hands
 	// suspended is how long the steady time stood still so far, in nanoseconds.
 	suspended atomic.Int64
+	// woke is when the end of the latest suspension was noticed, in nanoseconds.
+	woke atomic.Int64
 	// apart is what the time of day was ahead of the steady time by when that was last
-	// looked at, in nanoseconds.
+	// looked at, in nanoseconds. It is stored after suspended and woke, so that whoever
+	// reads a new value reads theirs, too.
 	apart atomic.Int64
 
 	mu sync.Mutex
@@ -140,13 +143,14 @@
 		return
 	}
 	steady, day := c.hands.Read()
-	c.apart.Store(int64(day - steady))
+	defer c.apart.Store(int64(day - steady))
 	ahead, ok := c.boot()
 	gap := ahead - c.ahead - time.Duration(c.suspended.Load())
 	if !ok || gap <= notice {
 		return
 	}
-	c.suspended.Add(int64(gap))
+	now, _ := c.hands.Read()
+	c.woke.Store(int64(now) + c.suspended.Add(int64(gap)))
 	close(c.ended)
 	c.ended = make(chan struct{})
 	for _, f := range c.tell {
@@ -154,6 +158,13 @@
 	}
 }
 
+// Woke returns when the end of the latest suspension was noticed, 0 if there was none. It
+// looks for one first.
+func (c *Clock) Woke() Millis {
+	c.now()
+	return FromDuration(time.Duration(c.woke.Load()))
+}
+
 // OnSuspend has f told how long the instance was suspended, each time, in a goroutine of
 // its own.
 func (c *Clock) OnSuspend(f func(gap Millis)) {
--- a/common/clock/clock_test.go
+++ b/common/clock/clock_test.go
@@ -86,6 +86,69 @@
 	})
 }
 
+// lookedAt are hands that call look before they tell the time since the boot, once.
+type lookedAt struct {
+	*clocktest.Hands
+	look func()
+}
+
+// Boot implements clock.Hands.
+func (h *lookedAt) Boot() (time.Duration, bool) {
+	if look := h.look; look != nil {
+		h.look = nil
+		look()
+	}
+	return h.Hands.Boot()
+}
+
+// Who reads the clock while another is about to find out how long a suspension lasted waits
+// for that, and does not take the time of before for now.
+func TestNobodyReadsTheTimeOfBeforeASuspension(t *testing.T) {
+	h := &lookedAt{Hands: clocktest.New()}
+	c := clock.WithHands(h)
+	before := c.Now()
+	other := make(chan [2]clock.Millis, 1)
+	h.look = func() {
+		read := make(chan bool)
+		go func() {
+			now := c.Now()
+			other <- [2]clock.Millis{now, c.Woke()}
+			close(read)
+		}()
+		select {
+		case <-read:
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	h.Suspend(5 * time.Second)
+	c.Now()
+	if got := <-other; got[0] < before+5000 || got[1] < before+5000 {
+		t.Errorf("got the time %d and the end of a suspension at %d beside the one who notices it, want 5000 ms after %d", got[0], got[1], before)
+	}
+}
+
+func TestWokeTellsTheLatestSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := clocktest.New()
+		c := clock.WithHands(h)
+		if got := c.Woke(); got != 0 {
+			t.Errorf("got a suspension that ended at %d, want none", got)
+		}
+		for range 2 {
+			time.Sleep(time.Second)
+			before := c.Now()
+			h.Suspend(3 * time.Second)
+			if got := c.Woke(); got != before+3000 {
+				t.Errorf("got a suspension that ended at %d, want %d", got, before+3000)
+			}
+			h.Set(time.Hour)
+			if got := c.Woke(); got != before+3000 {
+				t.Errorf("got a suspension that ended at %d after the time of day was set, want %d", got, before+3000)
+			}
+		}
+	})
+}
+
 // Who waits until a time hears of a suspension that goes beyond it, and who asked for it
 // is told of each.
 func TestWaitsEndWithASuspension(t *testing.T) {
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -155,8 +155,8 @@
 	addr string
 	// until is when an idle connection is no longer used.
 	until clock.Millis
-	// opened is when the connection came up.
-	opened clock.Millis
+	// dialed is when its dial began, opened when it came up.
+	dialed, opened clock.Millis
 	// got counts the bytes read in the present exchange.
 	got int64
 	// heard is when the connection came up or bytes last came.
@@ -203,20 +203,28 @@
 	return err == nil && quiet
 }
 
+// stale reports whether this instance was suspended since the engine last proved that it
+// holds the connection. It may have given it up meanwhile, and the word of that is lost. An
+// answer proves it as of the sending of its request: it may have come before a suspension
+// and been read after.
+func (c *conn) stale() bool { return max(c.dialed, c.sent) < c.clk.Woke() }
+
 // acquire returns a kept connection or a new one.
 func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
-	for {
-		c := p.take(addr)
-		if c == nil {
-			break
-		}
-		if c.until > p.clk.Now() && c.clean() {
+	for c := p.take(addr); c != nil; c = p.take(addr) {
+		if c.until > p.clk.Now() && c.clean() && !c.stale() {
 			c.got = 0
 			return c, nil
 		}
 		p.drop(c)
 	}
-	return p.dial(ctx, addr)
+	for {
+		c, err := p.dial(ctx, addr)
+		if err != nil || !c.stale() {
+			return c, err
+		}
+		p.drop(c)
+	}
 }
 
 // dial opens a connection, within the share that this process may take.
@@ -229,12 +237,13 @@
 	p.open[addr]++
 	p.mu.Unlock()
 	p.dials.Inc()
+	dialed := p.clk.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.closed(addr)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{nc: nc, addr: addr, opened: p.clk.Now(), clk: p.clk, link: p.link}
+	c := &conn{nc: nc, addr: addr, dialed: dialed, opened: p.clk.Now(), clk: p.clk, link: p.link}
 	c.heard.Store(int64(c.opened))
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
--- a/engines/upstream/silent_test.go
+++ b/engines/upstream/silent_test.go
@@ -38,7 +38,10 @@
 	doubt clock.Millis
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigOn(t, clock.System()) }
+
+// newRigOn returns a rig whose pool goes by a clock of the test's.
+func newRigOn(t *testing.T, clk *clock.Clock) *rig {
 	t.Helper()
 	t.Parallel()
 	e, err := standin.NewEngine("i-1", func(standin.Run) standin.Reply { return standin.Reply{Body: "x"} })
@@ -47,7 +50,7 @@
 	}
 	t.Cleanup(e.Close)
 	names := upstream.Names{RequestID: dialect.RequestID, NotRun: dialect.NotRun}
-	return &rig{pool: upstream.NewPool(clock.System(), names, nil, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
+	return &rig{pool: upstream.NewPool(clk, names, nil, slog.New(slog.DiscardHandler)), link: linktest.New(t, e.Addr()), engine: e, doubt: soon}
 }
 
 func (b *rig) request(id string) *upstream.Request {
--- a/link/link.go
+++ b/link/link.go
@@ -223,14 +223,21 @@
 	return &Pool{clk: clk, h: h, conns: map[poolKey]*poolEntry{}}
 }
 
-// Get returns the live connection to addr, or dials one.
+// Get returns the live connection to addr, or dials one. One on which nothing was heard
+// since this instance was suspended may have died meanwhile, and is closed.
 func (p *Pool) Get(addr string, class Class) (*Conn, error) {
 	key := poolKey{addr, class}
 	for {
 		e := p.entry(key)
 		e.once.Do(func() { p.fill(key, e) })
-		if e.err != nil || !e.conn.ended() {
-			return e.conn, e.err
+		if e.err != nil {
+			return nil, e.err
+		}
+		if e.conn.unheard(p.clk.Woke()) {
+			e.conn.Close()
+		}
+		if !e.conn.ended() {
+			return e.conn, nil
 		}
 		// It has just ended, and whoever is told of it has not run yet.
 		p.drop(key, e)
--- a/link/silent_test.go
+++ b/link/silent_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/internal/clocktest"
 	"github.com/weldfall/weldfall/internal/linktest"
 	"github.com/weldfall/weldfall/link"
 )
@@ -120,3 +121,26 @@
 		t.Errorf("got another connection (%v), want the one that was heard", err)
 	}
 }
+
+// A connection that rested while this instance was suspended is not used again, whoever
+// noticed the suspension first. One that was dialed since is.
+func TestNoConnectionThatRestedDuringASuspensionIsUsed(t *testing.T) {
+	t.Parallel()
+	h := clocktest.New()
+	pool := link.NewPool(clock.WithHands(h), &peer{})
+	t.Cleanup(pool.Close)
+	l := linktest.New(t, served(t))
+	before, err := pool.Get(l.Addr(), link.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Silence(linktest.Both)
+	h.Suspend(2 * time.Second)
+	after, err := pool.Get(l.Addr(), link.Control)
+	if err != nil || after == before {
+		t.Fatalf("got the connection of before the suspension (%v), want a new one", err)
+	}
+	if again, err := pool.Get(l.Addr(), link.Control); again != after {
+		t.Errorf("got another connection (%v), want the one that was dialed since", err)
+	}
+}
