engines, gate, platform: Have a prompt moved only where that costs less than to read it

Cause: an engine that lacked a prompt was always told to take it from another.

Ruled out on the way: bandits over both ways (an entry of 27 has a handful of cases a second), and the median in place of the quickest tenth (six times too slow where moves are slow).

The time of a move follows from what operators publish; the time of reading is learned from when answers begin, within a few seconds, by a type of its own. Without either, prompts move as before.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -26,6 +26,8 @@
 	Keys []uint64
 	// Tokens is the length of the longest of them.
 	Tokens int
+	// Cost is what prompts cost the engines.
+	Cost Cost
 	// Bound is the highest load of an engine as a multiple of the mean, above
 	// 1, and Slack is added to it.
 	Bound float64
@@ -88,8 +90,8 @@
 	// Kept is true if this entry sent the engine a prompt of the same beginning
 	// before.
 	Kept bool
-	// Source is an engine that may keep more of the prompt; nil if none is
-	// known.
+	// Source is an engine that may keep more of the prompt, from which the chosen one
+	// should take it; nil if none is known, or reading it costs less.
 	Source *Engine
 	// Load and Mean are the estimates at the time.
 	Load float64
@@ -126,6 +128,9 @@
 	if order != nil {
 		c.Kept = b.memory.holds(q.Keys[len(q.Keys)-1], c.Engine.info.Incarnation())
 		c.Source = b.source(q, order.over(p.engines), c.Engine, now)
+		if c.Source != nil && !q.Cost.fetches(c.Load, c.Source.info.Hall != c.Engine.info.Hall) {
+			c.Source = nil
+		}
 		b.memory.note(q.Keys, c.Engine.info.Incarnation())
 	}
 	return c, true
--- /dev/null
+++ b/engines/prefill/prefill_test.go
@@ -0,0 +1,111 @@
+package prefill_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/prefill"
+)
+
+// drawn returns a request of a prompt whose end is 10 to 3,000 tokens long.
+func drawn(rng *rand.Rand) int { return int(10 * math.Pow(300, rng.Float64())) }
+
+// began is how long an answer takes to begin: a base, its own tokens, and more for some.
+func began(rng *rand.Rand, tokens int, perToken, delayed float64) clock.Millis {
+	took := 12 + perToken*float64(tokens)
+	if rng.Float64() < delayed {
+		took += 40 + 2000*rng.Float64()
+	}
+	return clock.Millis(took)
+}
+
+// The speed is found whatever delays most requests: other prompts that are read, moves,
+// beginnings that an engine had lost.
+func TestTheSpeedIsLearnedAmongDelayedRequests(t *testing.T) {
+	for _, perToken := range []float64{0.01, 0.024, 0.08, 0.3} {
+		for _, delayed := range []float64{0, 0.3, 0.6} {
+			var ratios []float64
+			for seed := range uint64(50) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				var s prefill.Speed
+				for range 200 {
+					tokens := drawn(rng)
+					s.Note(tokens, began(rng, tokens, perToken, delayed))
+				}
+				ratios = append(ratios, s.PerToken()/perToken)
+			}
+			mean := 0.0
+			for _, r := range ratios {
+				mean += r / float64(len(ratios))
+			}
+			if mean < 0.6 || mean > 1.7 {
+				t.Errorf("got %.2f times the speed of %g ms a token on average, with %g delayed", mean, perToken, delayed)
+			}
+		}
+	}
+}
+
+// Nothing is told before enough was seen, nor from prompts that are all alike.
+func TestAnUnknownSpeedIsNotTold(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var few, alike, odd prefill.Speed
+	for range 29 {
+		tokens := drawn(rng)
+		few.Note(tokens, began(rng, tokens, 0.1, 0))
+	}
+	for range 100 {
+		alike.Note(500, began(rng, 500, 0.1, 0.3))
+		odd.Note(0, 100)
+		odd.Note(-5, 100)
+		odd.Note(100, -1)
+	}
+	for name, s := range map[string]*prefill.Speed{"few": &few, "alike": &alike, "odd": &odd} {
+		if got := s.PerToken(); got != 0 {
+			t.Errorf("%s: got %g ms a token, want it unknown", name, got)
+		}
+	}
+}
+
+// A service whose engines are replaced by faster or slower ones is learned anew from as many
+// requests as are kept.
+func TestAChangedSpeedIsLearned(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 1))
+	var s prefill.Speed
+	for _, perToken := range []float64{0.02, 0.2, 0.02} {
+		for range 80 {
+			tokens := drawn(rng)
+			s.Note(tokens, began(rng, tokens, perToken, 0.2))
+		}
+		if got := s.PerToken(); got < perToken/2 || got > perToken*2 {
+			t.Errorf("got %g ms a token, want about %g", got, perToken)
+		}
+	}
+}
+
+// What a pause of this process or a stuck engine adds to some requests changes little, and
+// no request makes the speed negative.
+func TestNoFewRequestsDecideTheSpeed(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 1))
+	var s prefill.Speed
+	for i := range 400 {
+		tokens := drawn(rng)
+		took := began(rng, tokens, 0.05, 0)
+		if i%20 == 0 {
+			took = clock.Millis(rng.IntN(60_000))
+		}
+		s.Note(tokens, took)
+		if got := s.PerToken(); i > 40 && (got < 0.02 || got > 0.15) {
+			t.Fatalf("got %g ms a token after %d requests, want about 0.05", got, i)
+		}
+	}
+}
+
+func BenchmarkNote(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var s prefill.Speed
+	for range b.N {
+		s.Note(drawn(rng), 30)
+	}
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -53,8 +53,11 @@
 	// tokens is the length of the longest of them.
 	tokens int
 
-	// tried are the engines that were chosen, in order.
-	tried []string
+	// own is how many tokens the prompt ends in that no other request shares.
+	own int
+	// tried are the engines that were chosen, in order, and sentAt is when the latest was.
+	tried  []string
+	sentAt clock.Millis
 	// ran counts the engines that may have run the request.
 	ran int
 	// refused counts the engines that said that they did not run it.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/budget"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/prefill"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/peers"
@@ -119,6 +120,8 @@
 	active    atomic.Int64
 	counts    counts
 	durations *duration.Answers
+	// speeds has how fast the engines of each service read prompts. It is guarded by mu.
+	speeds map[string]*prefill.Speed
 	// guard knows the requests under which engines ended, and inquiries asks each address
 	// once at a time whether its engine did.
 	guard     *quarantine.Guard
@@ -188,7 +191,7 @@
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
-		durations: duration.New(), guard: quarantine.NewGuard(cfg.Clock, cfg.Log), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), toldEpochAt: -aheadFor - 1,
+		durations: duration.New(), speeds: map[string]*prefill.Speed{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), toldEpochAt: -aheadFor - 1,
 	}
 	g.leave.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
--- a/gate/place.go
+++ b/gate/place.go
@@ -21,8 +21,9 @@
 		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's word of evacuations is %d ms old", g.published.Age(now)).WithRetryAfter(g.retryElsewhere(now))
 	}
 	bound, slack := engines.PromptBound(g.bounds().LoadBound)
+	service, _ := c.table.Service(c.service)
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Tokens: c.tokens, Bound: bound, Slack: slack,
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Cost: engines.Cost{Read: g.readTime(c.service), Move: service.MoveTime}, Bound: bound, Slack: slack,
 		Silence: silence(c.route), Cold: g.cold(c), Tried: c.tried, Alone: alone, Random: random(),
 	}, now)
 	if !ok && alone {
@@ -33,10 +34,11 @@
 	}
 	in := ch.Engine.Info()
 	ch.Engine.Start(now)
+	c.sentAt = now
 	c.tried, c.alone = append(c.tried, in.ID), alone
 	c.how, c.kept, c.load, c.mean = ch.How, ch.Kept, ch.Load, ch.Mean
 	p := pick{Info: in}
-	if s, ok := c.table.Service(c.service); ok && s.Moves && ch.Source != nil {
+	if service.Moves && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
 	}
 	c.fetched = p.source != ""
--- a/gate/prompt/prompt.go
+++ b/gate/prompt/prompt.go
@@ -70,6 +70,14 @@
 	return keys
 }
 
+// OwnTokens returns the length of what is a request's own or its session's.
+func OwnTokens(parts []Part) int {
+	if len(parts) < 2 {
+		return 0
+	}
+	return parts[len(parts)-1].Tokens
+}
+
 // SharedTokens returns the length of what other requests may share.
 func SharedTokens(parts []Part) int {
 	if len(parts) == 0 {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -199,6 +199,7 @@
 		return
 	case c.runFrom == 0:
 		g.durations.First(c.route.Name, now-c.start)
+		g.learnReading(c, now)
 	case n-c.runFrom < duration.Run:
 		return
 	default:
--- a/table/table.go
+++ b/table/table.go
@@ -80,6 +80,9 @@
 	MaxConns int
 	// Moves is true if its engines take what others keep of a prompt.
 	Moves bool
+	// MoveTime is how long an engine takes to have one token of a prompt from another of
+	// its data hall, in milliseconds; zero if that is not published.
+	MoveTime float64
 	// EventTokens is how many tokens an event of a stream holds; the last may
 	// hold fewer. Zero if that is not published.
 	EventTokens int
