gate, engines, known red: Say why a prompt was not moved, and clear the list

A request's line tells `dearer` and `read_us`, so that from its id one sees whether no engine was known to keep the prompt or moving it costs more than reading, and by which speed that was decided.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -93,6 +93,9 @@
 	// Source is an engine that may keep more of the prompt, from which the chosen one
 	// should take it; nil if none is known, or reading it costs less.
 	Source *Engine
+	// Dearer is true if such an engine is known, and to take the prompt from it costs
+	// more than to read it.
+	Dearer bool
 	// Load and Mean are the estimates at the time.
 	Load float64
 	Mean float64
@@ -129,7 +132,7 @@
 		c.Kept = b.memory.holds(q.Keys[len(q.Keys)-1], c.Engine.info.Incarnation())
 		c.Source = b.source(q, order.over(p.engines), c.Engine, now)
 		if c.Source != nil && !q.Cost.fetches(c.Load, c.Source.info.Hall != c.Engine.info.Hall) {
-			c.Source = nil
+			c.Source, c.Dearer = nil, true
 		}
 		b.memory.note(q.Keys, c.Engine.info.Incarnation())
 	}
--- a/engines/fetch_test.go
+++ b/engines/fetch_test.go
@@ -57,6 +57,9 @@
 			if c.Engine == first || c.Load != float64(tc.beside) {
 				t.Fatalf("got engine %s with load %g, want another one with load %d", c.Engine.Info().ID, c.Load, tc.beside)
 			}
+			if got := !c.Dearer; got != tc.want {
+				t.Errorf("got a move told as dearer: %v, want %v", !got, !tc.want)
+			}
 			if got := c.Source == first; got != tc.want {
 				t.Errorf("got the prompt moved: %v (source %q), want %v", got, sourceID(c), tc.want)
 			}
--- a/gate/account.go
+++ b/gate/account.go
@@ -52,6 +52,9 @@
 // tenths rounds for the log.
 func tenths(v float64) float64 { return math.Round(v*10) / 10 }
 
+// microsPerMilli is how many microseconds a millisecond has.
+const microsPerMilli = 1000
+
 func inSeconds(d clock.Millis) float64 { return float64(d) / millisPerSecond }
 
 // account counts the end of a call and logs it in one line.
@@ -74,7 +77,7 @@
 		g.durations.Whole(c.route.Name, now-c.start)
 	}
 	attrs := []any{
-		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "kept", c.kept, "fetched", c.fetched,
+		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "kept", c.kept, "fetched", c.fetched, "dearer", c.dearer, "read_us", math.Round(c.readTime * microsPerMilli),
 		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
 		"late", c.late(now), "first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -70,8 +70,12 @@
 	how     engines.How
 	kept    bool
 	fetched bool
-	load    float64
-	mean    float64
+	// dearer is true if it was not told since a move costs more than to read, and readTime
+	// is what reading was known to take, in milliseconds a token.
+	dearer   bool
+	readTime float64
+	load     float64
+	mean     float64
 
 	// began is true once the head of the answer was written.
 	began bool
--- a/gate/place.go
+++ b/gate/place.go
@@ -22,8 +22,9 @@
 	}
 	bound, slack := engines.PromptBound(g.bounds().LoadBound)
 	service, _ := c.table.Service(c.service)
+	cost := engines.Cost{Read: g.readTime(c.service), Move: service.MoveTime}
 	ch, ok := g.book.Choose(engines.Query{
-		Service: c.service, Keys: c.keys, Tokens: c.tokens, Cost: engines.Cost{Read: g.readTime(c.service), Move: service.MoveTime}, Bound: bound, Slack: slack,
+		Service: c.service, Keys: c.keys, Tokens: c.tokens, Cost: cost, Bound: bound, Slack: slack,
 		Silence: silence(c.route), Cold: g.cold(c), Tried: c.tried, Alone: alone, Random: random(),
 	}, now)
 	if !ok && alone {
@@ -41,7 +42,7 @@
 	if service.Moves && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
 	}
-	c.fetched = p.source != ""
+	c.fetched, c.dearer, c.readTime = p.source != "", ch.Dearer, cost.Read
 	return p, nil
 }
 
