--- a/engines/source.go
+++ b/engines/source.go
@@ -7,11 +7,7 @@
 	// place in the rankings would make it keep: most chats that are going on
 	// return within this time.
 	youth clock.Millis = 15_000
-	// soundFor is how long the last sign of an engine is good for. One of a hundred entries
-	// has a sign of each of 188 engines every four seconds or so: with three seconds it took
-	// 111 of 198 to be there, and 16 to 23% more of the beginnings that some engine kept
-	// were read anew (played, three days). With no bound at all it is 10 to 17% less again,
-	// but engines that went dark are asked, and up to a tenth more first words were late.
+	// soundFor bounds the age of the last sign of an engine that proves it reachable.
 	soundFor clock.Millis = 6000
 )
 
