gate: Share the list of engines among some dozens of entries

Hypothesis: with 22 to 30 entries and a bound of 3 s for leaving engines each entry asks the store for itself, as word was taken to need 2 s however few entries there are.

Cause: the threshold of 32 entries and the lag of a hundred were constants.

Change: the list is shared from nine entries on if word reaches the last of so many before it is due; that time grows as the logarithm.

Without a network, 9, 16, 27 and 60 entries: TestSomeDozensShareAListWithAShortBound, a change known to all after 1.2 to 1.7 s of 3 allowed, also when the first dies, 2.4 to 11.3 calls a second where alone 6 to 40.

--- a/gate/listing.go
+++ b/gate/listing.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"math"
+
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/peers/changes"
 )
@@ -20,8 +22,12 @@
 	// that told of a later list may tell of its changes: a question, an answer and the time
 	// to take it.
 	wordFor clock.Millis = 300
-	// WordLag is how long word of an entry takes to the last of a hundred.
-	WordLag clock.Millis = 2000
+	// WordLag is how long word of an entry takes to the last of lagEntries.
+	WordLag    clock.Millis = 2000
+	lagEntries              = 100
+	// fewEntries is up to how many entries each ask for the list: a change then costs few
+	// calls, and each hears of it from the store at once.
+	fewEntries = 8
 	// WatchLag is how much of the past a watch may not have heard of, also when it answers:
 	// the store is known to tell changes up to a second late while it drops history. Reads
 	// of an item have no such lag.
@@ -96,7 +102,7 @@
 }
 
 // ListShared reports whether others' word tells whether the list is unchanged: there are
-// many of them, and the store is not in doubt.
+// some of them, their word comes in time, and the store is not in doubt.
 func (g *Gate) ListShared() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -104,12 +110,17 @@
 }
 
 // sharesList is ListShared. Where the list is due before word of another can be there, all
-// would ask nevertheless, and more often: with a bound of two seconds 103 entries made 60
-// calls a second of a list that nobody writes, where they make 34 by themselves. The caller
-// holds mu.
+// would ask nevertheless, and more often. The caller holds mu.
 func (g *Gate) sharesList(now clock.Millis) bool {
-	inTime := dueOfLeaving*float64(g.bounds().Leaving) >= float64(WordLag)
-	return inTime && g.fleet.Entries > manyEntries && g.listed.Known() && !g.epoch.Doubts(now)
+	n := g.fleet.Entries
+	inTime := dueOfLeaving*float64(g.bounds().Leaving) >= float64(wordLag(n))
+	return inTime && n > fewEntries && g.listed.Known() && !g.epoch.Doubts(now)
+}
+
+// wordLag returns how long word of an entry takes to the last of n. Each step of its way
+// divides the entries that it has yet to reach, so the steps grow as the logarithm.
+func wordLag(n int) clock.Millis {
+	return clock.Millis(float64(WordLag) * min(1, math.Log(float64(n))/math.Log(lagEntries)))
 }
 
 // ListDue reports whether the store should be asked for the list of engines, if none asks
--- a/gate/listing_test.go
+++ b/gate/listing_test.go
@@ -286,14 +286,23 @@
 
 // Where the list is due before word of another can be there, each entry asks for itself.
 func TestAListIsSharedWhereWordComesInTime(t *testing.T) {
-	for leaving, want := range map[clock.Millis]bool{0: false, 1000: false, 2000: false, leavingBound: true, 10_000: true} {
-		synctest.Test(t, func(t *testing.T) {
-			g, _ := listGate(false, 7)
-			g.SetBounds(gate.Bounds{Revocation: 5000, Change: 2000, Leaving: leaving})
-			if got := g.ListShared(); got != want {
-				t.Errorf("bound of %d ms for leaving engines: got the list shared %v, want %v", leaving, got, want)
-			}
-		})
+	for entries, shared := range map[int]map[clock.Millis]bool{
+		many: {0: false, 1000: false, 2000: false, leavingBound: true, 10_000: true},
+		27:   {0: false, 1000: false, 2000: false, 3000: true, 10_000: true},
+		9:    {0: false, 1000: false, 2000: true, 10_000: true},
+		8:    {0: false, 2000: false, 10_000: false},
+		103:  {3000: false, leavingBound: true},
+	} {
+		for leaving, want := range shared {
+			synctest.Test(t, func(t *testing.T) {
+				g, _ := listGate(false, 7)
+				g.SetFleet(peers.Fleet{Entries: entries})
+				g.SetBounds(gate.Bounds{Revocation: 5000, Change: 2000, Leaving: leaving})
+				if got := g.ListShared(); got != want {
+					t.Errorf("%d entries, bound of %d ms for leaving engines: got the list shared %v, want %v", entries, leaving, got, want)
+				}
+			})
+		}
 	}
 }
 
@@ -315,13 +324,13 @@
 	rng  *rand.Rand
 }
 
-func newListFleet(n int) *listFleet {
+func newListFleet(n int, leaving clock.Millis) *listFleet {
 	f := &listFleet{byAddr: map[string]int{}, dead: map[int]bool{}, changed: map[uint32]clock.Millis{}, knows: make([]uint32, n), list: 1, clk: clock.System(), rng: rand.New(rand.NewPCG(1, uint64(n)))}
 	for i := range n {
 		addr := fmt.Sprintf("10.%d.%d.%d:8605", i%5, i/250, i%250)
 		f.byAddr[addr] = i
 		f.members = append(f.members, peers.NewMembers(peers.Member{Addr: addr}))
-		g := gate.New(gate.Config{ID: addr, Clock: f.clk, Log: slog.New(slog.DiscardHandler), Bounds: gate.Bounds{Revocation: 5000, Change: 2000, Leaving: leavingBound}})
+		g := gate.New(gate.Config{ID: addr, Clock: f.clk, Log: slog.New(slog.DiscardHandler), Bounds: gate.Bounds{Revocation: 5000, Change: 2000, Leaving: leaving}})
 		f.gates = append(f.gates, g)
 	}
 	for _, m := range f.members {
@@ -404,7 +413,7 @@
 	for _, n := range []int{40, 103, 200} {
 		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newListFleet(n)
+				f := newListFleet(n, leavingBound)
 				f.pass(5000, 0)
 				f.asks = 0
 				f.pass(period, 0)
@@ -432,6 +441,39 @@
 	}
 }
 
+// Some dozens of entries share the list also where engines must get nothing new within
+// three seconds. Each would ask for itself in half of that time.
+func TestSomeDozensShareAListWithAShortBound(t *testing.T) {
+	const (
+		leaving clock.Millis = 3000
+		period               = 20_000
+	)
+	for _, n := range []int{9, 16, 27, 60} {
+		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newListFleet(n, leaving)
+				f.pass(5000, 0)
+				f.asks = 0
+				f.pass(period, 0)
+				got, alone := float64(f.asks)*1000/period, float64(n)*2000/float64(leaving)
+				t.Logf("%d entries: %.1f calls a second without a change, alone %.1f", n, got, alone)
+				if got > alone/2 {
+					t.Errorf("got %.1f calls a second without a change, want at most half of the %.1f that each alone would make", got, alone)
+				}
+				for range 3 {
+					f.late = 0
+					f.pass(4*leaving, leaving+1000)
+					if f.late > leaving {
+						t.Errorf("got a change known to all after %d ms, want %d at most", f.late, leaving)
+					}
+					t.Logf("%d entries: a change is known to all after %d ms", n, f.late)
+					f.killFirst()
+				}
+			})
+		})
+	}
+}
+
 // Where the list changes each second, what changes together costs an entry one call, and
 // each change is known everywhere within the bound all the same.
 func TestChangesOfAListAreReadTogether(t *testing.T) {
@@ -444,7 +486,7 @@
 	for _, n := range []int{40, 103, 200} {
 		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newListFleet(n)
+				f := newListFleet(n, leavingBound)
 				f.pass(5000, 1000)
 				f.asks = 0
 				f.pass(period, 1000)
