gate: Pause longer at a store that refuses from nine entries on

TestWhoElseAsksTheStoreIsKnown said that 27 entries are few: that was the threshold of before, not a promise. It asks the same of 8 entries now, and of 9 and 27 what it asks of many.

--- a/gate/facts.go
+++ b/gate/facts.go
@@ -81,7 +81,7 @@
 func (g *Gate) StoreAsked() (many, answered bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	many = g.fleet.Entries > manyEntries && g.table.Load() != nil && g.listed.Known()
+	many = g.fleet.Entries > fewEntries && g.table.Load() != nil && g.listed.Known()
 	return many, many && g.answeredAt > 0 && g.clk.Now()-g.answeredAt <= answeredLately
 }
 
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -25,8 +25,8 @@
 	// WordLag is how long word of an entry takes to the last of lagEntries.
 	WordLag    clock.Millis = 2000
 	lagEntries              = 100
-	// fewEntries is up to how many entries each ask for the list: a change then costs few
-	// calls, and each hears of it from the store at once.
+	// fewEntries is up to how many entries each ask the store, for the list and while it
+	// refuses: that costs few calls, and each hears of a change or a return at once.
 	fewEntries = 8
 	// WatchLag is how much of the past a watch may not have heard of, also when it answers:
 	// the store is known to tell changes up to a second late while it drops history. Reads
--- a/gate/listing_test.go
+++ b/gate/listing_test.go
@@ -254,7 +254,10 @@
 		many     bool
 		answered bool
 	}{
-		"few, one of which has answers":      {entries: 27, told: answer(0)},
+		"few, one of which has answers":      {entries: 8, told: answer(0)},
+		"some more, one of which has them":   {entries: 9, told: answer(0), many: true, answered: true},
+		"some dozens, one of which has them": {entries: 27, told: answer(0), many: true, answered: true},
+		"some dozens that tell nothing":      {entries: 27, many: true},
 		"many that tell nothing":             {entries: many, many: true},
 		"many, one of which has answers":     {entries: many, told: answer(1000), many: true, answered: true},
 		"many, one of which had answers":     {entries: many, told: answer(0), pass: 3 * time.Second, many: true},
