engines/quarantine, gate: Strike requests when the list shows an end later

Cause: one question at one moment decided whether an engine had ended, whether its address refuses a connection within 100 ms of the break.

If the list then tells of a later start under the id, or that the entry is gone, what broke off on that life in the moment of its last break is struck, as of when it broke off. Kept from striking those that were there by chance: a life that was heard since on an older connection did not end; an engine that had said that it leaves ended as planned; a request that ran well since is forgotten; earlier breaks had another cause; ends in one go count as before. A trial that breaks off is waited for until its time is over, so that the same request is not sent meanwhile. A break alone says nothing, as before.

Ends of one mark 100 ms apart are two now (400 before): engines that are back within 100 ms end again before the list tells of the first.

The own path (entry, daemon) still goes by refused connections alone.

--- a/engines/book.go
+++ b/engines/book.go
@@ -25,6 +25,9 @@
 	// met has when lives that are no longer listed were first listed, the latest of
 	// them.
 	met *simplelru.LRU[Incarnation, clock.Millis]
+	// crashed are the lives that ended without a word that they leave, the latest of
+	// them.
+	crashed *simplelru.LRU[Incarnation, struct{}]
 	// evacuated are the data halls whose engines take nothing new, with the time
 	// since when.
 	evacuated map[string]clock.Millis
@@ -48,7 +51,8 @@
 	// NewLRU fails only for sizes that are not positive.
 	ended, _ := simplelru.NewLRU[Incarnation, struct{}](livesMost, nil)
 	met, _ := simplelru.NewLRU[Incarnation, clock.Millis](livesMost, nil)
-	return &Book{byID: map[string]*Engine{}, byMark: map[uint32]*Engine{}, byService: map[string]*pool{}, byAddr: map[string][]*Engine{}, memory: newMemory(), ended: ended, met: met}
+	crashed, _ := simplelru.NewLRU[Incarnation, struct{}](livesMost, nil)
+	return &Book{byID: map[string]*Engine{}, byMark: map[uint32]*Engine{}, byService: map[string]*pool{}, byAddr: map[string][]*Engine{}, memory: newMemory(), ended: ended, met: met, crashed: crashed}
 }
 
 // Change is what a new word about an engine came to.
@@ -99,6 +103,9 @@
 		if e.info.Born != 0 {
 			b.ended.Add(e.info.Incarnation(), struct{}{})
 		}
+		if !e.info.Leaving {
+			b.crashed.Add(e.info.Incarnation(), struct{}{})
+		}
 		b.begin(in, coldUntil, now)
 		return Restarted
 	}
@@ -137,6 +144,7 @@
 
 // begin adds an engine of which nothing is believed yet.
 func (b *Book) begin(in Info, coldUntil, now clock.Millis) {
+	b.crashed.Remove(in.Incarnation())
 	metAt, ok := b.met.Get(in.Incarnation())
 	if !ok {
 		metAt = now
@@ -206,6 +214,9 @@
 	}
 	b.drop(e)
 	b.met.Add(e.info.Incarnation(), e.metAt)
+	if !e.info.Leaving {
+		b.crashed.Add(e.info.Incarnation(), struct{}{})
+	}
 	if e.info.Leaving && e.info.Born != 0 {
 		// It has left: who lists it again speaks of the past.
 		b.ended.Add(e.info.Incarnation(), struct{}{})
@@ -220,9 +231,11 @@
 		b.drop(e)
 		b.met.Add(e.info.Incarnation(), e.metAt)
 	}
-	for _, n := range b.ended.Keys() {
-		if n.ID == id {
-			b.ended.Remove(n)
+	for _, lives := range []*simplelru.LRU[Incarnation, struct{}]{b.ended, b.crashed} {
+		for _, n := range lives.Keys() {
+			if n.ID == id {
+				lives.Remove(n)
+			}
 		}
 	}
 }
@@ -230,6 +243,10 @@
 // WasListed reports whether a life of an engine was listed and no longer is.
 func (b *Book) WasListed(n Incarnation) bool { return b.Find(n) == nil && b.met.Contains(n) }
 
+// Crashed reports whether a life of an engine ended without a word that it leaves, by what
+// the list says.
+func (b *Book) Crashed(n Incarnation) bool { return b.crashed.Contains(n) }
+
 // Settle records that the list is known whole for the first time: the engines
 // that are on it were there before, and did not just join.
 func (b *Book) Settle(now clock.Millis) {
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -190,7 +190,30 @@
 	r.onTrial = false
 	g.with(func(l *List) { r.strikes = l.Ended(a, g.clk.Now()) })
 	g.struck.Inc()
-	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial)
+	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "refused")
+}
+
+// Broke records that the attempt broke off at an engine, by the mark of its life and its
+// id, of which nothing shows that it ended; silent is true if it gave no sign.
+func (g *Guard) Broke(r *Request, life uint32, engine string, silent bool) {
+	a := Attempt{Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial, Silent: silent}
+	r.onTrial = false
+	g.with(func(l *List) { l.Broke(a, g.clk.Now()) })
+	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial)
+}
+
+// LifeEnded records what showed that an engine ended, by the mark of its life and its id:
+// the attempts that broke off with it are struck.
+func (g *Guard) LifeEnded(life uint32, engine, ground string) {
+	if !g.any.Load() {
+		return
+	}
+	var strikes []Strike
+	g.with(func(l *List) { strikes = l.LifeEnded(life, g.clk.Now()) })
+	for _, s := range strikes {
+		g.struck.Inc()
+		g.log.Info("struck", "asked", s.Digest, "engine", engine, "strikes", s.Strikes, "trial", s.Trial, "ground", ground, "late_ms", s.Late)
+	}
 }
 
 // RanWell records that the attempt ran well.
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -109,6 +109,7 @@
 	byLife map[uint32][]*record
 	// recent are the latest ends of engines under any request.
 	recent []moment
+	breaks breaks
 	// news are the requests of which others are to be told, urgent ones first.
 	news outbox
 	// next is the place in the sample that is told next.
@@ -119,7 +120,7 @@
 
 // New returns an empty list. ids draws the numbers that tell what entries saw apart.
 func New(ids func() uint32) *List {
-	l := &List{ids: ids, shapes: map[uint32]int{}, byLife: map[uint32][]*record{}}
+	l := &List{ids: ids, shapes: map[uint32]int{}, byLife: map[uint32][]*record{}, breaks: newBreaks()}
 	dropped := func(_ Digest, r *record) { l.leave(r) }
 	// NewLRU fails only for sizes that are not positive.
 	l.suspects, _ = simplelru.NewLRU(suspectsMost, dropped)
@@ -139,7 +140,7 @@
 }
 
 // Knows reports whether a request of a shape is remembered.
-func (l *List) Knows(shape uint32) bool { return l.shapes[shape] > 0 }
+func (l *List) Knows(shape uint32) bool { return l.shapes[shape] > 0 || l.breaks.shapes[shape] > 0 }
 
 // Admit says what may be done with a request, and claims the trial if there is to be
 // one. alone is true if this entry cannot hear others: what ended one engine here may
@@ -261,19 +262,24 @@
 	Life uint32
 	// Trial is true if it was a trial.
 	Trial bool
+	// Silent is true if the engine gave no sign, rather than break the connection.
+	Silent bool
 }
 
 // Ended records that an engine ended while it had a request, and returns the strikes
 // that the request has now.
-func (l *List) Ended(a Attempt, now clock.Millis) int {
+func (l *List) Ended(a Attempt, now clock.Millis) int { return l.ended(a, now, now) }
+
+// ended is Ended of an end that was at a time that has passed.
+func (l *List) ended(a Attempt, at, now clock.Millis) int {
 	l.Confirm(a.Life)
 	r := l.get(a.Digest)
 	if r == nil {
 		r = &record{digest: a.Digest, shape: a.Shape}
 	}
 	l.Over(a.Digest, now)
-	l.noteEnd(a.Life, now)
-	news := r.add(end{id: l.newID(), life: a.Life, at: now, trial: a.Trial, confirmed: true})
+	l.noteEnd(a.Life, at)
+	news := r.add(end{id: l.newID(), life: a.Life, at: at, trial: a.Trial, confirmed: true})
 	r.usedAt = now
 	l.put(r)
 	if news {
@@ -282,9 +288,32 @@
 	return r.strikes()
 }
 
+// Broke remembers an attempt that broke off at an engine that may have ended or not. A
+// trial goes on until that shows, or it is over: the same request is not sent meanwhile.
+func (l *List) Broke(a Attempt, now clock.Millis) { l.breaks.add(a, now) }
+
+// Strike is an attempt whose engine ended, as was found out later.
+type Strike struct {
+	Attempt
+	// Strikes is how many the request has now, and Late how long ago it broke off.
+	Strikes int
+	Late    clock.Millis
+}
+
+// LifeEnded records that a life of an engine ended, and returns the attempts that broke
+// off with it: each is struck as of when it did.
+func (l *List) LifeEnded(life uint32, now clock.Millis) []Strike {
+	var out []Strike
+	for _, o := range l.breaks.take(life, now) {
+		out = append(out, Strike{Attempt: o.Attempt, Strikes: l.ended(o.Attempt, o.at, now), Late: now - o.at})
+	}
+	return out
+}
+
 // Well records that a request ran well, and reports whether it had strikes.
 func (l *List) Well(d Digest, now clock.Millis) bool {
 	l.Over(d, now)
+	l.breaks.drop(func(o broken) bool { return o.Digest == d })
 	r := l.get(d)
 	if r == nil || r.strikes() == 0 {
 		return false
@@ -308,6 +337,11 @@
 			l.put(r)
 		}
 	}
+	for _, o := range l.breaks.alive(life, since, now) {
+		if o.Trial {
+			l.Over(o.Digest, now)
+		}
+	}
 }
 
 // Confirm records that this entry found out by itself that an engine ended.
@@ -327,7 +361,7 @@
 }
 
 // Empty reports whether nothing is remembered.
-func (l *List) Empty() bool { return len(l.shapes) == 0 }
+func (l *List) Empty() bool { return len(l.shapes) == 0 && len(l.breaks.latest) == 0 }
 
 // Counts returns how many requests are suspects or held back, and how many more have
 // a strike.
@@ -352,6 +386,7 @@
 		return
 	}
 	l.sweptAt = now
+	l.breaks.expire(now)
 	for _, r := range l.all() {
 		keep := KeepFor
 		if r.strikes() < SuspectFrom {
--- a/engines/quarantine/list_test.go
+++ b/engines/quarantine/list_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -155,6 +156,24 @@
 	}
 }
 
+// Where an engine starts again within moments, each of its lives may end under a request
+// before the list tells of the first.
+func TestEndsOfOneMarkThatEntriesTellOf(t *testing.T) {
+	first, second := newList(), quarantine.New(rand.New(rand.NewPCG(3, 4)).Uint32)
+	broke := func(l *quarantine.List, at clock.Millis) {
+		l.Ended(quarantine.Attempt{Digest: marked, Shape: 1, Life: 1}, at)
+	}
+	broke(first, 1000)
+	broke(second, 1250)
+	learn(t, first, second.Take(9, 1250), 1251)
+	learn(t, second, first.Take(9, 1251), 1252)
+	for name, l := range map[string]*quarantine.List{"first": first, "second": second} {
+		if got := l.Strikes(marked); got != 2 {
+			t.Errorf("the %s entry: got %d strikes by the ends of two lives with one mark, want 2", name, got)
+		}
+	}
+}
+
 func TestWordOfARunThatEndedWellGoesBeforeOlderEnds(t *testing.T) {
 	a, b := newList(), quarantine.New(rand.New(rand.NewPCG(7, 7)).Uint32)
 	ended(a, marked, 1, 1000)
@@ -277,11 +296,11 @@
 
 func TestNewsThatMakeNoSenseAreRefused(t *testing.T) {
 	good := quarantine.News{{
-		Digest: marked, Shape: 3, Ends: []quarantine.EndedUnder{{ID: 9, Life: 1, Age: 70, Trial: true}},
+		Digest: marked, Shape: 3, Ends: []quarantine.EndedUnder{{ID: 9, Life: 1, Age: 70, Trial: true}, {ID: 8, Life: 1, Age: 5}},
 		Well: &quarantine.RanWell{ID: 5, Age: 10}, Trial: &quarantine.OnTrial{ID: 6, Life: 2, Left: 400},
 	}}
 	got, err := quarantine.Unpack(good.Pack())
-	if err != nil || len(got) != 1 || got[0].Ends[0] != good[0].Ends[0] || *got[0].Well != *good[0].Well || *got[0].Trial != *good[0].Trial || got[0].Digest != marked {
+	if err != nil || len(got) != 1 || !slices.Equal(got[0].Ends, good[0].Ends) || *got[0].Well != *good[0].Well || *got[0].Trial != *good[0].Trial || got[0].Digest != marked {
 		t.Errorf("got %+v, %v, want what was packed", got, err)
 	}
 	raw, err := base64.RawStdEncoding.DecodeString(good.Pack())
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -15,9 +15,9 @@
 	// sends a request many times at once ends as many.
 	manyAtOnce = 3
 	// oneLife is the time within which the ends of one life that entries tell of are the
-	// same; a life ends once, but where the list of engines is late the next one goes by
-	// its mark, and an engine needs longer to start.
-	oneLife clock.Millis = 400
+	// same: a life ends once, but where the list of engines is late the next one goes by
+	// its mark, and may end as soon as it has started.
+	oneLife clock.Millis = 100
 	// endsMost bounds the ends that are remembered of a request: those of two strikes and
 	// of all trials.
 	endsMost = 8
--- a/gate/list.go
+++ b/gate/list.go
@@ -21,7 +21,7 @@
 	case engines.Restarted:
 		// Its earlier life has answered the last on these.
 		g.pool.Forget(before.Info().Addr)
-		g.guard.Confirm(before.Info().Incarnation().Mark())
+		g.tellEnd(before.Info())
 	}
 	g.log.Info("engine", "change", string(change), "engine", in.ID, "born", in.Born, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
 	for _, o := range rivals {
@@ -39,10 +39,20 @@
 		return
 	}
 	g.pool.Forget(in.Addr)
-	g.guard.Confirm(in.Incarnation().Mark())
+	g.tellEnd(in)
 	g.log.Info("engine", "change", string(engines.Gone), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
 }
 
+// tellEnd records that a life of an engine is over by the list. One that had said that it
+// leaves ended as planned, whatever ran there.
+func (g *Gate) tellEnd(in engines.Info) {
+	mark := in.Incarnation().Mark()
+	g.guard.Confirm(mark)
+	if !in.Leaving {
+		g.guard.LifeEnded(mark, in.ID, groundListed)
+	}
+}
+
 // ForgetEngine records that what was said of an engine and of its lives was not so.
 func (g *Gate) ForgetEngine(id string) {
 	g.mu.Lock()
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 
@@ -67,9 +68,7 @@
 			g.guard.RanWell(c.suspect())
 		}
 	case attempt.Broken:
-		if g.engineEnded(ctx, e.Info, o.Err) {
-			g.guard.Struck(c.suspect(), life, e.ID)
-		}
+		g.learnBreak(ctx, c, e, o.Err)
 	case attempt.Failed, attempt.Refused, attempt.Unsent, attempt.CallerGone:
 	}
 	if c.alone {
@@ -78,6 +77,31 @@
 	}
 }
 
+// learnBreak records that an engine broke off an attempt, or gave no sign of it. The list
+// may have told already that it ended.
+func (g *Gate) learnBreak(ctx context.Context, c *call, e pick, err error) {
+	life := e.Incarnation()
+	if g.engineEnded(ctx, e.Info, err) {
+		g.guard.Struck(c.suspect(), life.Mark(), e.ID)
+		return
+	}
+	silent := errors.Is(err, upstream.ErrSilent)
+	if ctx.Err() != nil || !(silent || upstream.BrokenOff(err)) {
+		return
+	}
+	g.guard.Broke(c.suspect(), life.Mark(), e.ID, silent)
+	g.mu.Lock()
+	crashed := g.book.Crashed(life)
+	g.mu.Unlock()
+	if crashed {
+		g.guard.LifeEnded(life.Mark(), e.ID, groundListed)
+	}
+}
+
+// groundListed is the ground of ends of which the list of engines told: a later start, or
+// that the entry is gone.
+const groundListed = "listed"
+
 // engineEnded reports whether an engine ended that broke off an exchange: a connection
 // that breaks alone says nothing of the request.
 func (g *Gate) engineEnded(ctx context.Context, e engines.Info, err error) bool {
