--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -186,7 +186,7 @@
 // and its id.
 func (g *Guard) Struck(r *Request, life uint32, engine string) {
 	r.ended++
-	a := Attempt{Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial}
+	a := Attempt{ID: r.id, Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial}
 	r.onTrial = false
 	g.with(func(l *List) { r.strikes = l.Ended(a, g.clk.Now()) })
 	g.struck.Inc()
@@ -196,7 +196,7 @@
 // Broke records that the attempt broke off at an engine, by the mark of its life and its
 // id, of which nothing shows that it ended; silent is true if it gave no sign.
 func (g *Guard) Broke(r *Request, life uint32, engine string, silent bool) {
-	a := Attempt{Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial, Silent: silent}
+	a := Attempt{ID: r.id, Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial, Silent: silent}
 	r.onTrial = false
 	g.with(func(l *List) { l.Broke(a, g.clk.Now()) })
 	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial)
@@ -212,7 +212,7 @@
 	g.with(func(l *List) { strikes = l.LifeEnded(life, g.clk.Now()) })
 	for _, s := range strikes {
 		g.struck.Inc()
-		g.log.Info("struck", "asked", s.Digest, "engine", engine, "strikes", s.Strikes, "trial", s.Trial, "ground", ground, "late_ms", s.Late)
+		g.log.Info("struck", "request", s.ID, "asked", s.Digest, "engine", engine, "strikes", s.Strikes, "trial", s.Trial, "ground", ground, "late_ms", s.Late)
 	}
 }
 
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -256,6 +256,8 @@
 
 // Attempt is a request at an engine.
 type Attempt struct {
+	// ID is the caller's, for logs.
+	ID     string
 	Digest Digest
 	Shape  uint32
 	// Life is the mark of the life of the engine.
--- a/report/account/account.go
+++ b/report/account/account.go
@@ -146,8 +146,10 @@
 			delete(a.ended, id)
 		}
 	case "struck":
-		// The line of the attempt itself follows.
-		a.ended[id] = true
+		// The line of the attempt itself follows, unless its engine's end is known late.
+		if f["ground"] != "listed" {
+			a.ended[id] = true
+		}
 		a.struck(f)
 	case "held_back":
 		a.heldBack(f)
--- a/report/account/account_test.go
+++ b/report/account/account_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+// The end of an engine may be known after the lines of the request that broke off there. It
+// is no cause of what becomes of another attempt with the id.
+func TestAnEndThatIsKnownLateIsListedAndNoLaterCause(t *testing.T) {
+	late := func(at, engine string) string {
+		return line(at, "msg=struck instance=e1 request=a asked=d1 engine="+engine+" strikes=1 ground=listed late_ms=700")
+	}
+	out := report(t,
+		line("01.0", "msg=attempt_ended request=a outcome=broken")+line("01.0", "msg=failed request=a route=r status=502 verdict=may_have_run reason=engine_failed")+
+			late("01.7", "i-1")+late("01.8", "i-2")+
+			line("02.0", "msg=attempt_ended request=a outcome=broken")+line("02.0", "msg=failed request=a route=r status=502 verdict=may_have_run reason=engine_failed"),
+	)
+	if want := "d1     2              1           0          00:00:01.700  00:00:01.800"; !strings.Contains(out, want) {
+		t.Errorf("got no %q in:\n%s", want, out)
+	}
+	if strings.Contains(out, string(account.EngineEnded)) || !strings.Contains(out, string(account.EngineBroke)) {
+		t.Errorf("got the cause %q, want %q alone in:\n%s", account.EngineEnded, account.EngineBroke, out)
+	}
+}
+
 func TestMomentsWithoutLossAreLeftOut(t *testing.T) {
 	out := report(t,
 		line("01.1", "msg=answered request=a route=r status=200")+line("02.1", "msg=answered request=b route=r status=200 late=first how=home kept=true"),
