--- a/engines/restart_test.go
+++ b/engines/restart_test.go
@@ -439,3 +439,31 @@
 		}
 	}
 }
+
+// A life ended unplanned if the list lost it, or told of a later one, before it said that
+// it leaves.
+func TestLivesThatEndedUnplannedAreKnown(t *testing.T) {
+	const now = 100_000
+	leaving := life(0, 1000)
+	leaving.Leaving = true
+	for name, tc := range map[string]struct {
+		change func(b *engines.Book)
+		want   bool
+	}{
+		"it lives":                         {func(*engines.Book) {}, false},
+		"a later life":                     {func(b *engines.Book) { b.Put(life(0, 2000), now) }, true},
+		"gone":                             {func(b *engines.Book) { b.Remove("e00") }, true},
+		"gone and back":                    {func(b *engines.Book) { b.Remove("e00"); b.Put(life(0, 1000), now) }, false},
+		"a later life after it left":       {func(b *engines.Book) { b.Put(leaving, now); b.Put(life(0, 2000), now) }, false},
+		"gone after it left":               {func(b *engines.Book) { b.Put(leaving, now); b.Remove("e00") }, false},
+		"gone by what others told falsely": {func(b *engines.Book) { b.Remove("e00"); b.Forget("e00") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := livedBook(2, now)
+			tc.change(b)
+			if got := b.Crashed(engines.Incarnation{ID: "e00", Born: 1000}); got != tc.want {
+				t.Errorf("got ended unplanned %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -23,8 +23,9 @@
 	// to take it.
 	wordFor clock.Millis = 300
 	// WordLag is how long word of an entry takes to the last of lagEntries.
-	WordLag    clock.Millis = 2000
-	lagEntries              = 100
+	WordLag clock.Millis = 2000
+	// lagEntries is the number of entries for which WordLag holds.
+	lagEntries = 100
 	// fewEntries is up to how many entries each ask the store, for the list and while it
 	// refuses: that costs few calls, and each hears of a change or a return at once.
 	fewEntries = 8
--- a/gate/listing_test.go
+++ b/gate/listing_test.go
@@ -449,7 +449,7 @@
 func TestSomeDozensShareAListWithAShortBound(t *testing.T) {
 	const (
 		leaving clock.Millis = 3000
-		period               = 20_000
+		period  clock.Millis = 20_000
 	)
 	for _, n := range []int{9, 16, 27, 60} {
 		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
@@ -458,7 +458,7 @@
 				f.pass(5000, 0)
 				f.asks = 0
 				f.pass(period, 0)
-				got, alone := float64(f.asks)*1000/period, float64(n)*2000/float64(leaving)
+				got, alone := float64(f.asks)*1000/float64(period), float64(n)*2000/float64(leaving)
 				t.Logf("%d entries: %.1f calls a second without a change, alone %.1f", n, got, alone)
 				if got > alone/2 {
 					t.Errorf("got %.1f calls a second without a change, want at most half of the %.1f that each alone would make", got, alone)
