--- a/gate/epoch.go
+++ b/gate/epoch.go
@@ -12,8 +12,19 @@
 	// that version again.
 	aheadFor  clock.Millis = 2000
 	aheadMost clock.Millis = 10_000
+	// distrustFor is how long others' word of the store's revision is passed over after
+	// the store was found to be behind it.
+	distrustFor clock.Millis = 20_000
 )
 
+// reached is how far the store has come by its answers and by the word of others.
+type reached struct {
+	// revision is the newest of the epoch.
+	epoch, revision int64
+	// distrustUntil is until when others' word is passed over.
+	distrustUntil clock.Millis
+}
+
 // confirm records that by an answer of an epoch the table and the evacuations in force
 // were true at the given time, if that epoch shows it. The caller holds mu.
 //
@@ -77,3 +88,53 @@
 		g.published.Confirm(at)
 	}
 }
+
+// StoreReached records that an answer of the store was of a revision of an epoch.
+func (g *Gate) StoreReached(epoch, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reachStore(epoch, revision)
+}
+
+// StoreBehind records that the store was found at a revision that is older than it was
+// said to have reached.
+func (g *Gate) StoreBehind(epoch, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reached = reached{epoch: epoch, revision: revision, distrustUntil: g.clk.Now() + distrustFor}
+}
+
+// hearRevision takes the revision of an epoch that a peer knew. The caller holds mu.
+func (g *Gate) hearRevision(epoch, revision int64) {
+	if g.clk.Now() >= g.reached.distrustUntil {
+		g.reachStore(epoch, revision)
+	}
+}
+
+// StoreRevision returns the newest revision of the current epoch of the store that this or
+// another entry has met, zero if none is known.
+func (g *Gate) StoreRevision() (epoch, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.epoch.Number(), g.storeRevision()
+}
+
+// reachStore records a revision of an epoch that this or another entry has met. The caller
+// holds mu.
+func (g *Gate) reachStore(epoch, revision int64) {
+	switch {
+	case epoch != g.epoch.Number():
+	case epoch != g.reached.epoch:
+		g.reached.epoch, g.reached.revision = epoch, revision
+	default:
+		g.reached.revision = max(g.reached.revision, revision)
+	}
+}
+
+// storeRevision is StoreRevision for a caller that holds mu.
+func (g *Gate) storeRevision() int64 {
+	if g.reached.epoch != g.epoch.Number() {
+		return 0
+	}
+	return g.reached.revision
+}
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -103,6 +103,7 @@
 	if k.Epoch = g.epoch.Number(); k.Epoch > 0 {
 		k.EpochAge = g.epoch.Age(now)
 	}
+	k.Revision = g.storeRevision()
 	if t != nil && g.published.Known() {
 		k.Table, k.TableAge, k.Evacuated = t.Version(), g.published.Age(now), sumOf(g.evacuated)
 	}
@@ -126,6 +127,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	sameEpoch := k.EpochAge >= 0 && g.hearEpoch(k.Epoch, at-k.EpochAge, at)
+	if sameEpoch {
+		g.hearRevision(k.Epoch, k.Revision)
+	}
 	if sameEpoch && k.ListAge >= 0 {
 		g.hearList(k.List, at-k.ListAge, g.clk.Now())
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,6 +146,7 @@
 	// later one until the store is asked.
 	epoch       fresh.Epoch
 	epochMissed bool
+	reached     reached
 	// toldEpochAt is when another entry last told of a later epoch that was asked about.
 	toldEpochAt clock.Millis
 	// answeredAt is when another entry last had an answer of the store, by its word; zero
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -59,6 +59,9 @@
 	// EpochAge how long ago it was first met by anybody that is known.
 	Epoch    int64        `json:"e,omitempty"`
 	EpochAge clock.Millis `json:"ea,omitempty"`
+	// Revision is the newest of that epoch which the process knows the store to have
+	// reached.
+	Revision int64 `json:"r,omitempty"`
 	// List stands for what the list of engines says, zero if the process does not tell,
 	// and ListAge is how long ago that was last known to be so.
 	List    uint32       `json:"l,omitempty"`
