--- /dev/null
+++ b/internal/knownred/knownred/main.go
@@ -0,0 +1,52 @@
+// Knownred tells CI what the list of known failures names. "knownred skip FILE" prints the
+// pattern for -skip; "knownred tests FILE" prints a line for each test, its pattern for -run
+// and its name; "knownred rest FILE" prints the entries that are no tests.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/weldfall/weldfall/internal/knownred"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "knownred:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) != 2 {
+		return fmt.Errorf("usage: knownred skip|tests|rest FILE")
+	}
+	f, err := os.Open(args[1])
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	entries, err := knownred.Read(f)
+	if err != nil {
+		return fmt.Errorf("%s: %w", args[1], err)
+	}
+	switch args[0] {
+	case "skip":
+		fmt.Println(knownred.Skip(entries))
+	case "tests":
+		for _, e := range entries {
+			if e.IsTest() {
+				fmt.Println(e.Pattern(), e.Name())
+			}
+		}
+	case "rest":
+		for _, e := range entries {
+			if !e.IsTest() {
+				fmt.Println(e.Text())
+			}
+		}
+	default:
+		return fmt.Errorf("%q: write skip, tests or rest", args[0])
+	}
+	return nil
+}
