callers: Close the connection after a request with both lengths

What it allowed: a request with Content-Length and Transfer-Encoding is read as chunked and its connection kept; an intermediary that goes by the length takes what follows for a request of another caller (smuggling). RFC 9112, section 6.1, has the connection closed after the answer.

Cause: the library deletes Content-Length of a chunked request before a handler sees it.

Change: the connection notices a head line that names a length in what the library reads; a chunked request on such a connection gets Connection: close. Which request named it is not known once the library has read ahead, so a caller that mixes both kinds loses a connection now and then.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -166,6 +166,7 @@
 	// read is interrupted, and the reader closes it if nothing has come.
 	closing bool
 	ahead   aheadOf
+	lengths lengths
 }
 
 // Read implements net.Conn.
@@ -183,6 +184,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lengths.read(p[:n])
 	c.come()
 	if len(p) == 1 && c.headRead && c.ahead.done == nil && c.ahead.end == nil {
 		c.ahead.done = make(chan struct{})
