engines/quarantine, gate: Try a request after one end while no entry remembers

What callers lost: after a loss of power of all entries a request that ends the engines which run it ended four more before it was held back, as at first, and each takes all that runs there with it.

Cause: strikes are known to entries alone, and none was left. The lines of the request (asked=...): ends at 5.11 and 8.32 s, trials that failed at 8.93 and 12.88, all entries without power at 14, ends again at 20.59 (two copies at one engine) and 22.85, a trial at 24.72, the fourth arrival after the third end.

Change: a process whose first list has engines started after the fleet. Until another entry tells that it remembers, or for a minute, one proved end makes a suspect, unless others ended in the same moment, and one trial that failed alone holds the request back for five minutes.

Ruled out: grounds from the list (vigia's tells no starts).

--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -167,6 +167,11 @@
 	return verdict.New(v, verdict.HeldBack, "engines ended %d times while they ran this request", h.Strikes).WithRetryAfter(h.Back)
 }
 
+// SetAmnesia says until when requests may have ended engines of which no entry knows.
+func (g *Guard) SetAmnesia(until clock.Millis) {
+	g.with(func(l *List) { l.SetAmnesia(until) })
+}
+
 // Placed tells others of the engine of a trial, by the mark of its life and its id.
 func (g *Guard) Placed(r *Request, life uint32, engine string) {
 	g.with(func(l *List) { l.Placed(r.Digest(), life, g.clk.Now()) })
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -116,6 +116,8 @@
 	next int
 	// sweptAt is when old records were last dropped.
 	sweptAt clock.Millis
+	// amnesiaUntil is until when requests may have ended engines of which no entry knows.
+	amnesiaUntil clock.Millis
 }
 
 // New returns an empty list. ids draws the numbers that tell what entries saw apart.
@@ -142,6 +144,17 @@
 // Knows reports whether a request of a shape is remembered.
 func (l *List) Knows(shape uint32) bool { return l.shapes[shape] > 0 || l.breaks.shapes[shape] > 0 }
 
+// SetAmnesia says until when requests may have ended engines of which no entry knows, since
+// all entries have started lately. One end of an engine then makes a suspect, unless others
+// ended with it, and one trial that failed alone holds a request back for some minutes.
+func (l *List) SetAmnesia(until clock.Millis) { l.amnesiaUntil = until }
+
+// isSuspect reports whether a request is only sent alone.
+func (l *List) isSuspect(r *record, now clock.Millis) bool {
+	s := r.strikes()
+	return s >= SuspectFrom || (s > 0 && now < l.amnesiaUntil && l.others(r.ends[0]) <= fewOthers)
+}
+
 // Admit says what may be done with a request, and claims the trial if there is to be
 // one. alone is true if this entry cannot hear others: what ended one engine here may
 // have ended more elsewhere, and others can take the request.
@@ -157,14 +170,14 @@
 		held.Back = aloneBack
 		return held
 	}
-	if s < SuspectFrom {
+	if !l.isSuspect(r, now) {
 		return Free{}
 	}
 	if r.trial.underWay(now) {
 		held.Tried = true
 		return held
 	}
-	if left := r.lastEnd() + l.pause(r) - now; left > 0 {
+	if left := r.lastEnd() + l.pause(r, now) - now; left > 0 {
 		held.Back = min(left, KeepFor)
 		return held
 	}
@@ -180,12 +193,13 @@
 }
 
 // pause is how long after the latest end a suspect is not sent.
-func (l *List) pause(r *record) clock.Millis {
+func (l *List) pause(r *record, now clock.Millis) clock.Millis {
+	alone, all := l.failures(r, func(end) bool { return true })
 	switch {
-	case l.proved(r, func(e end) bool { return e.confirmed }):
+	case proved(l.failures(r, func(e end) bool { return e.confirmed })):
 		// It is remembered for as long as it comes.
 		return 2 * KeepFor
-	case l.proved(r, func(end) bool { return true }):
+	case proved(alone, all), now < l.amnesiaUntil && alone > 0:
 		return toldPause
 	case slices.ContainsFunc(r.ends, func(e end) bool { return e.trial }):
 		return retrialPause
@@ -193,11 +207,13 @@
 	return 0
 }
 
-// proved reports whether trials have shown that a request ends its engine, by those of
-// its ends that count. Trials that ended in one go are one: entries that did not hear of
-// each other ran both.
-func (l *List) proved(r *record, counts func(end) bool) bool {
-	alone, all := 0, 0
+// proved reports whether failed trials have shown that a request ends its engine.
+func proved(alone, all int) bool { return alone >= failedAlone || all >= failedMost }
+
+// failures returns in how many trials of a request only its engine ended, and in how many
+// its engine did, by those of its ends that count. Trials that ended in one go are one:
+// entries that did not hear of each other ran both.
+func (l *List) failures(r *record, counts func(end) bool) (alone, all int) {
 	for _, group := range groups(r.ends) {
 		failed := slices.DeleteFunc(slices.Clone(group), func(e end) bool { return !e.trial || !counts(e) })
 		if len(failed) == 0 {
@@ -208,7 +224,7 @@
 			alone++
 		}
 	}
-	return alone >= failedAlone || all >= failedMost
+	return alone, all
 }
 
 // moment is when a life of an engine ended.
@@ -285,7 +301,7 @@
 	r.usedAt = now
 	l.put(r)
 	if news {
-		l.news.add(a.Digest, r.strikes() >= SuspectFrom)
+		l.news.add(a.Digest, l.isSuspect(r, now))
 	}
 	return r.strikes()
 }
--- a/engines/quarantine/list_test.go
+++ b/engines/quarantine/list_test.go
@@ -340,3 +340,43 @@
 		l.Sample(10, 10_000_000).Pack()
 	})
 }
+
+// Guards against a request that ends two engines again after all entries lost power.
+func TestOneStrikeMakesASuspectWhileNobodyRemembers(t *testing.T) {
+	l := newList()
+	l.SetAmnesia(60_000)
+	ended(l, marked, 1, 1000)
+	if a, ok := l.Admit(marked, false, 1001).(quarantine.Trial); !ok || a.Strikes != 1 {
+		t.Fatalf("got %+v after one strike, want a trial", a)
+	}
+	l.Placed(marked, 2, 1001)
+	l.Ended(quarantine.Attempt{Digest: marked, Life: 2, Trial: true}, 1300)
+	for _, now := range []clock.Millis{1400, 3000, 59_000} {
+		if _, ok := l.Admit(marked, false, now).(quarantine.Held); !ok {
+			t.Errorf("got %T at %d after a trial that failed alone, want it held", l.Admit(marked, false, now), now)
+		}
+	}
+	if _, ok := l.Admit(marked, false, 60_000).(quarantine.Trial); !ok {
+		t.Errorf("got %T later, want another trial", l.Admit(marked, false, 60_000))
+	}
+}
+
+// One end proves little where many engines end at once, or once an entry remembers.
+func TestOneStrikeInAHerdMakesNoSuspect(t *testing.T) {
+	l := newList()
+	l.SetAmnesia(60_000)
+	ended(l, marked, 1, 1000)
+	for life := range uint32(2) {
+		ended(l, digestOf(2), 2+life, 1050)
+	}
+	if a, ok := l.Admit(marked, false, 1100).(quarantine.Free); !ok {
+		t.Errorf("got %T after an end among three, want it free", a)
+	}
+	l = newList()
+	l.SetAmnesia(60_000)
+	ended(l, marked, 1, 1000)
+	l.SetAmnesia(0)
+	if a, ok := l.Admit(marked, false, 1100).(quarantine.Free); !ok {
+		t.Errorf("got %T once an entry remembers, want it free", a)
+	}
+}
--- a/engines/quarantine/news.go
+++ b/engines/quarantine/news.go
@@ -273,7 +273,7 @@
 	}
 	if news || stale {
 		// Who tells of ends that a later run took back has yet to hear of that run.
-		l.news.add(r.digest, r.strikes() >= SuspectFrom || r.well.id != 0)
+		l.news.add(r.digest, l.isSuspect(r, now) || r.well.id != 0)
 	}
 	return news
 }
--- a/gate/facts.go
+++ b/gate/facts.go
@@ -107,6 +107,7 @@
 	if t != nil && g.published.Known() {
 		k.Table, k.TableAge, k.Evacuated = t.Version(), g.published.Age(now), sumOf(g.evacuated)
 	}
+	k.Remembers = g.remembers(now)
 	k.List, k.ListAge = g.tellList(now)
 	for _, l := range g.book.Loads(loadFresh, loads, now) {
 		k.Loads = append(k.Loads, peers.Load{Engine: l.Mark(), Requests: l.Requests, Age: l.Age})
@@ -118,6 +119,9 @@
 // evacuations at some time is true of ours; of another version it says only that
 // ours is old, and of other evacuations only that one of us has yet to learn.
 func (g *Gate) Hear(from string, k peers.Known, at clock.Millis) {
+	if k.Remembers {
+		g.hearMemory(from)
+	}
 	g.hearAges(k, at)
 	g.HearLoads(k.Loads, at)
 	g.HearSuspects(from, k.Suspects)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -147,6 +147,9 @@
 	epoch       fresh.Epoch
 	epochMissed bool
 	reached     reached
+	// amnesiaUntil is until when no entry is known to remember which requests ended
+	// engines.
+	amnesiaUntil clock.Millis
 	// toldEpochAt is when another entry last told of a later epoch that was asked about.
 	toldEpochAt clock.Millis
 	// answeredAt is when another entry last had an answer of the store, by its word; zero
--- a/gate/listing.go
+++ b/gate/listing.go
@@ -64,13 +64,21 @@
 // ConfirmEngines records that the list of engines, for which sum stands, was complete at
 // the given time.
 func (g *Gate) ConfirmEngines(sum uint32, at clock.Millis) {
+	if g.confirmEngines(sum, at) {
+		g.beginAmnesia()
+	}
+}
+
+// confirmEngines is ConfirmEngines, and reports whether it was the first time.
+func (g *Gate) confirmEngines(sum uint32, at clock.Millis) (first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.listed.Known() {
+	if first = !g.listed.Known(); first {
 		g.book.Settle(at)
 	}
 	g.list.askedAt, g.list.toldAt = at, 0
 	g.knowList(sum, at)
+	return first
 }
 
 // HearEngines records that by another's word the list, for which sum stands, was complete at
--- a/peers/cost_test.go
+++ b/peers/cost_test.go
@@ -42,7 +42,7 @@
 }
 
 func (f *busyFacts) Tell(n, _ int) peers.Known {
-	return peers.Known{Table: 1234, TableAge: 321, List: 3_912_345_678, ListAge: 1234, Epoch: 2, EpochAge: 345_678, Loads: f.loads[:n]}
+	return peers.Known{Table: 1234, TableAge: 321, List: 3_912_345_678, ListAge: 1234, Epoch: 2, EpochAge: 345_678, Revision: 12_345_678, Remembers: true, Loads: f.loads[:n]}
 }
 func (*busyFacts) Hear(string, peers.Known, clock.Millis)         {}
 func (*busyFacts) Stop() peers.Stop                               { return peers.Stop{} }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -66,6 +66,9 @@
 	// and ListAge is how long ago that was last known to be so.
 	List    uint32       `json:"l,omitempty"`
 	ListAge clock.Millis `json:"la,omitempty"`
+	// Remembers is true if the process knows of the requests under which engines ended
+	// before all entries that started lately.
+	Remembers bool `json:"rm,omitempty"`
 	// SuspectSum stands for all requests that are suspected to end engines, zero if
 	// there are none, and Suspects tells of some of them.
 	SuspectSum uint64 `json:"qs,omitempty"`
