soak: Play a store that falls silent for moments

The soak's silences lasted 0.3 s to 4 s beside other troubles, and its judgement of leaving engines begins after the last trouble, so a watch that was lost in a short one passed. The new play has silences of 0.1 to 1.5 s, 0 to 4 s apart (open connections, cut once, half way, often; or a gate's connections silent for good), and engines that join and leave. A request must reach no engine 3 s after it was published as leaving or the silence around that ended: the bound and a second.

--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -89,6 +89,8 @@
 	// stops has when gates were told to stop, troubles what may excuse a cut.
 	stops    []stopped
 	troubles []trouble
+	// hushes are the silences of a hushing play, one after the other.
+	hushes []span
 	// restarted are the engines that started again, and still serve.
 	restarted map[string]bool
 	// decoys are engines that only entries of another writer named.
@@ -270,11 +272,9 @@
 	if !ok {
 		return
 	}
-	if r.disturbed.After(at) {
-		at = r.disturbed
-	}
+	until := r.mayGet(at)
 	for _, run := range e.Runs() {
-		if run.At.After(at.Add(r.leaving + leaveSlack)) {
+		if run.At.After(until) {
 			r.breaks("%s reached %s %v after it was published as leaving", run.ID, e.ID(), run.At.Sub(at))
 			return
 		}
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -99,6 +99,8 @@
 		g.store.Silence(proxy.Fault(s.How).Drops(), s.Many)
 	case SilentEngine:
 		l.Silence(proxy.Fault(s.How).Drops(), s.Many)
+	case Hush:
+		w.hush(s)
 	case Copy:
 		w.comeBack(s)
 	case Suspend:
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -79,7 +79,7 @@
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing}
 
 func (p Play) uneven() bool { return p == Planned || p == Mixed }
 
@@ -160,6 +160,8 @@
 		return newPlanned(rng, length)
 	case Growing:
 		return newGrowing(rng, length)
+	case Hushing:
+		return newHushing(rng, length)
 	}
 	from := kinds
 	switch play {
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -43,6 +43,8 @@
 		// The soak had a gate read its settings again that did not catch signals yet, and its
 		// steady clock began before zero.
 		"a store that comes back from older copies, and suspended instances": {130003, soak.Copying},
+		// A watch that was sent into a silence heard nothing for its whole wait.
+		"a store that falls silent for moments": {12, soak.Hushing},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
 	} {
--- a/measure/soak/weldsoak/main.go
+++ b/measure/soak/weldsoak/main.go
@@ -2,8 +2,9 @@
 // broken promise ends it with the seed, the smallest schedule that was found
 // and the place of the logs.
 //
-// Without --play the seeds take turns: every second is a planned play, every fourth
-// one of settings that grow, every eighth one of engines that start again.
+// Without --play the seeds take turns: every second is a planned play, every eighth one of
+// settings that grow, one of all troubles and one of engines that start again, every
+// sixteenth one of requests that end engines.
 package main
 
 import (
@@ -31,7 +32,7 @@
 	Minutes   float64 `arg:"--minutes" default:"1" help:"how long seeds are tried"`
 	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 15 at least"`
 	Processes int     `arg:"--processes" default:"4" help:"gates, 1 to 200"`
-	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending or copying; the last six in turn if empty"`
+	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending, copying or hushing; the last seven in turn if empty"`
 	Shrink    int     `arg:"--shrink" default:"16" help:"runs that look for a smaller schedule once a promise broke"`
 	Dir       string  `arg:"--dir" help:"where settings files and logs are kept, made if it is missing; a temporary one if empty"`
 }
@@ -92,16 +93,18 @@
 		return soak.Play(a.Play)
 	case seed%2 == 0:
 		return soak.Planned
-	case seed%4 == 1:
+	case seed%8 == 1:
 		return soak.Growing
+	case seed%8 == 5:
+		return soak.Mixed
 	case seed%8 == 3:
 		return soak.Restarting
 	case seed%16 == 7:
 		return soak.Ending
-	case seed%16 == 15:
+	case seed%32 == 15:
 		return soak.Copying
 	}
-	return soak.Mixed
+	return soak.Hushing
 }
 
 // place returns the folder for settings files and logs, and makes it.
