route, entry, chats: Keep a named chat at its engine though its request shows no earlier turn

TestTheChatIsKnownByHeaderFieldOrOpening (known red): two entries sent one chat to two engines.

Callers saw: the second turn of a chat that they name by Weldfall-Chat or prompt_cache_key ran on another engine than the first, which read the whole prompt again; no answer was wrong.

Cause: a chat returned only if its messages had one of the assistant. Else it was placed by believed loads, even where the entry itself remembered the engine; one request still counted at an engine moved it. With equal loads the same engine is chosen each time, which hid it.

Ruled out: daemons that are not listed (the test waits for all of them).

Change: the engine of a hint is asked for any chat, and the home for a named one, which knows where it went; a first turn of a named chat waits for one refused offer more. The request's line tells returning, named, hint and mode.

--- a/callers/chats/chats.go
+++ b/callers/chats/chats.go
@@ -4,6 +4,7 @@
 package chats
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -95,7 +96,7 @@
 
 // Chat identifies the chat of a workspace: by the explicit header, else by the
 // protocol's own field, else by what stays the same in all turns, the messages up to
-// the first of the user. returning is true unless this is its first turn.
+// the first of the user. returning is true if the messages show an earlier turn.
 func (t Turn) Chat(workspace string, h http.Header) (key uint64, returning bool) {
 	var opening xxh3.Hasher
 	opened := false
@@ -109,16 +110,18 @@
 			opened = m.Role == "user"
 		}
 	}
-	name := h.Get(HeaderChat)
-	if name == "" {
-		name = t.body.CacheKey
-	}
+	name := t.name(h)
 	if name == "" {
 		name = strconv.FormatUint(opening.Sum64(), 16)
 	}
 	return route.ChatKey(workspace, name), returning
 }
 
+// Named reports whether the caller named the chat.
+func (t Turn) Named(h http.Header) bool { return t.name(h) != "" }
+
+func (t Turn) name(h http.Header) string { return cmp.Or(h.Get(HeaderChat), t.body.CacheKey) }
+
 // Bearer returns the key of the caller.
 func Bearer(h http.Header) (string, *verdict.Error) {
 	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
--- a/callers/chats/chats_test.go
+++ b/callers/chats/chats_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+func TestAChatIsNamedByHeaderOrField(t *testing.T) {
+	named := `{"prompt_cache_key":"c","messages":[{"role":"user","content":"x"}]}`
+	for name, c := range map[string]struct {
+		body string
+		h    http.Header
+		want bool
+	}{
+		"header":  {body: first, h: header(chats.HeaderChat, "c"), want: true},
+		"field":   {body: named, want: true},
+		"opening": {body: first},
+	} {
+		if got := parse(t, c.body).Named(c.h); got != c.want {
+			t.Errorf("%s: got named %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 func TestATurnIsWhatItsBodySays(t *testing.T) {
 	turn := parse(t, `{"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":7,"messages":[{"role":"user","content":"x"}]}`)
 	if turn.Model() != "m" || !turn.Stream() || !turn.WantUsage() {
--- a/entry/account.go
+++ b/entry/account.go
@@ -31,7 +31,7 @@
 		"engine", c.engine, "verdict", v, "took_us", took, "attempts", c.attempts,
 	}
 	if c.chatKey != 0 {
-		args = append(args, "chat", fmt.Sprintf("%x", c.chatKey), "prompt", c.result.Usage.Prompt, "cached", c.result.Usage.Cached)
+		args = append(args, "chat", fmt.Sprintf("%x", c.chatKey), "returning", c.returning, "named", c.named, "hint", c.hint, "mode", c.mode, "prompt", c.result.Usage.Prompt, "cached", c.result.Usage.Cached)
 	}
 	if c.err != nil {
 		args = append(args, "reason", reason, "error", c.err.Message())
--- a/entry/call.go
+++ b/entry/call.go
@@ -39,6 +39,8 @@
 	// Set by classify.
 	chatKey   uint64
 	returning bool
+	// named is true when the caller named the chat.
+	named bool
 	// once is nil for a request that may be run again.
 	once *wire.Once
 	// claimed is the attempt number under which the key is promised.
@@ -51,6 +53,8 @@
 
 	// Set by send and stream.
 	engine string
+	// mode is that of the offer which engine took.
+	mode wire.Mode
 	// offered is the engine that the latest offer went to.
 	offered string
 	// hint is the engine that served the chat last; hintIsOwn is true when
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -72,6 +72,7 @@
 			return verdict.New(verdict.NotRun, verdict.UnknownModel, "model %q: not known here; GET /v1/models lists those that are", c.chat.Model())
 		}
 		c.chatKey, c.returning = c.chat.Chat(c.workspacePath(), c.r.Header)
+		c.named = c.chat.Named(c.r.Header)
 		c.hint, c.hintIsOwn = e.hintOf(c)
 	}
 	if c.pool == "" {
--- a/entry/send.go
+++ b/entry/send.go
@@ -24,7 +24,7 @@
 	defer cancel()
 	e.budget.earn(c.values.Retry.BudgetRatio)
 	q := route.Query{
-		Key: c.chatKey, Affine: c.chatKey != 0, Returning: c.returning, Hint: c.hint,
+		Key: c.chatKey, Affine: c.chatKey != 0, Returning: c.returning, Named: c.named, Hint: c.hint,
 		Bound: c.values.Routing.LoadBound, Floor: c.values.Routing.LoadFloor, Max: c.values.Retry.Attempts,
 	}
 	if q.Key == 0 {
@@ -55,7 +55,7 @@
 		}
 		if _, ok := o.(attempt.Answered); ok {
 			e.node.SampleLoads(res.Loads)
-			c.engine, c.result = s.Engine, res
+			c.engine, c.mode, c.result = s.Engine, s.Mode, res
 			e.afterAnswer(c, s.Engine, homeKnows(c, s.Engine, tries))
 			return nil
 		}
--- a/route/choose.go
+++ b/route/choose.go
@@ -24,6 +24,9 @@
 	Affine bool
 	// Returning is true when the chat had an earlier turn.
 	Returning bool
+	// Named is true when the caller named the chat: it may have had an earlier turn
+	// that the request does not show.
+	Named bool
 	// Hint is the engine that last served the chat, "" if unknown.
 	Hint string
 	// Bound and Floor are the pool's settings.
@@ -70,7 +73,9 @@
 // that returns is first offered to engines that may hold its prefix, for that
 // alone: the one that the hint names, the home, the one that the home names,
 // and the others where new chats are placed. Then it is as a new chat, which
-// goes to the least loaded of its first ranked engines.
+// goes to the least loaded of its first ranked engines. A named chat is offered to its home
+// in the same way, and any chat to the engine that a hint names: loads alone, which are
+// seldom exact, would move it between two turns.
 func Choose(q Query, targets []Target, loads *Loads, mean Mean, tries []Try, now clock.Millis) Decision {
 	if len(targets) == 0 {
 		return Shed{Empty: true}
@@ -144,7 +149,7 @@
 }
 
 func (c *chooser) byHint() (Send, bool) {
-	if !c.q.Affine || !c.q.Returning {
+	if !c.q.Affine {
 		return Send{}, false
 	}
 	return c.forCache(c.q.Hint)
@@ -160,12 +165,19 @@
 	return Send{}, false
 }
 
-// byCache asks the engines where the chat would have been placed.
+// byCache asks the engines where the chat would have been placed, the home alone if only
+// its name speaks for an earlier turn: the home knows where it went, and a first turn waits
+// for one refused offer.
 func (c *chooser) byCache() (Send, bool) {
-	if !c.q.Affine || !c.q.Returning {
-		return Send{}, false
-	}
-	for _, i := range c.ranked[:min(Depth, len(c.ranked))] {
+	depth := 0
+	switch {
+	case !c.q.Affine:
+	case c.q.Returning:
+		depth = Depth
+	case c.q.Named:
+		depth = 1
+	}
+	for _, i := range c.ranked[:min(depth, len(c.ranked))] {
 		if s, ok := c.forCache(c.targets[i].id); ok {
 			return s, true
 		}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -130,6 +130,46 @@
 	}
 }
 
+// Guards against a chat that moves between two turns because its engine is believed to be
+// busier than another: a request need not show that there was an earlier turn.
+func TestAChatStaysThoughItsRequestShowsNoEarlierTurn(t *testing.T) {
+	ts := targets(12)
+	home := ts[route.Rank(42, ts, 1)[0]].ID()
+	for name, c := range map[string]struct {
+		hint  string
+		named bool
+		want  []string
+	}{
+		"a hint":                  {hint: "engine-7", want: []string{"engine-7"}},
+		"a name":                  {named: true, want: []string{home}},
+		"a name and a hint":       {hint: "engine-7", named: true, want: []string{"engine-7", home}},
+		"neither":                 {},
+		"a hint of no engine":     {hint: "engine-99"},
+		"a name and its own home": {hint: home, named: true, want: []string{home}},
+	} {
+		loads := route.NewLoads()
+		sample(loads, ts, 0)
+		// All that may know of the chat are believed to be busy.
+		loads.Sample(home, 2, 1)
+		loads.Sample("engine-7", 2, 1)
+		q := query(false)
+		q.Hint, q.Named = c.hint, c.named
+		var tries []route.Try
+		var asked []string
+		for {
+			s := route.Choose(q, ts, loads, loads.Mean(ts, 1), tries, 1).(route.Send)
+			if s.Mode != wire.ModeCachedOnly {
+				break
+			}
+			asked = append(asked, s.Engine)
+			tries = append(tries, route.Try{Engine: s.Engine, Mode: s.Mode, NotCached: true})
+		}
+		if !slices.Equal(asked, c.want) {
+			t.Errorf("%s: got asked %v, want %v", name, asked, c.want)
+		}
+	}
+}
+
 func TestTheHomeSendsOnToWhereTheChatWent(t *testing.T) {
 	ts, loads := targets(12), route.NewLoads()
 	q := query(true)
