peers, engines/quarantine, gate: Tell entries that are back at once which requests end engines

Callers saw: engines ended again under a request that four engines had ended under; seven arrivals ended three more.

Change: a member that was asked in vain is asked in each round beside the others; an entry that remembers and meets one that does not has all suspects told at once, once a second at most; trials are dropped last; a claim is looked at again before it is run.

The property test draws 0 now.

Tests: each failed before (entries that are back: 0 of 27 know one that went on; 20 other ends: free) or did not exist.

--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -134,11 +134,11 @@
 	switch a := a.(type) {
 	case Trial:
 		r.strikes = a.Strikes
-		if g.claimed(ctx, r, c) {
-			r.onTrial = true
-			return true, nil
+		if held := g.claimed(ctx, r, c); held != nil {
+			return false, g.heldBack(r, v, c, *held)
 		}
-		return false, g.heldBack(r, v, c, Held{Strikes: a.Strikes, Back: TrialBack, Tried: true})
+		r.onTrial = true
+		return true, nil
 	case Held:
 		return false, g.heldBack(r, v, c, a)
 	case Free:
@@ -146,16 +146,24 @@
 	return false, nil
 }
 
-// claimed waits until all others know of a trial that this entry claimed, and reports
-// whether none of them had claimed it as well.
-func (g *Guard) claimed(ctx context.Context, r *Request, c Contact) bool {
-	if c != Single && !clock.Sleep(ctx, Settle) {
-		g.with(func(l *List) { l.Over(r.Digest(), g.clk.Now()) })
-		return false
-	}
-	mine := false
-	g.with(func(l *List) { mine = l.Claimed(r.Digest(), g.clk.Now()) })
-	return mine
+// claimed waits until all others know of a trial that this entry claimed. It returns why the
+// trial is not to be run after all, nil if it is: another claimed it as well, or told
+// meanwhile what holds the request back.
+func (g *Guard) claimed(ctx context.Context, r *Request, c Contact) *Held {
+	slept := c == Single || clock.Sleep(ctx, Settle)
+	var held *Held
+	g.with(func(l *List) {
+		now := g.clk.Now()
+		rest := l.Rest(r.Digest(), now)
+		switch {
+		case !slept || rest > 0:
+			l.Over(r.Digest(), now)
+			held = &Held{Strikes: l.Strikes(r.Digest()), Back: max(rest, TrialBack)}
+		case !l.Claimed(r.Digest(), now):
+			held = &Held{Strikes: r.strikes, Back: TrialBack, Tried: true}
+		}
+	})
+	return held
 }
 
 // heldBack is what the caller of a request is told that is not sent.
@@ -277,6 +285,13 @@
 	return packed
 }
 
+// Spread has others told of all suspects.
+func (g *Guard) Spread() {
+	if g.any.Load() {
+		g.with(func(l *List) { l.Spread() })
+	}
+}
+
 // newsRefusedEvery bounds the lines on word of peers that makes no sense.
 const newsRefusedEvery clock.Millis = 10_000
 
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -177,8 +177,8 @@
 		held.Tried = true
 		return held
 	}
-	if left := r.lastEnd() + l.pause(r, now) - now; left > 0 {
-		held.Back = min(left, KeepFor)
+	if left := l.restOf(r, now); left > 0 {
+		held.Back = left
 		return held
 	}
 	r.trial = trial{id: l.newID(), until: now + claimLimit, own: true}
@@ -192,6 +192,20 @@
 	return r != nil && r.trial.own && r.trial.underWay(now)
 }
 
+// Rest returns how long a request that may be on trial is not to be sent, as is known now: what
+// came since the trial was claimed counts.
+func (l *List) Rest(d Digest, now clock.Millis) clock.Millis {
+	if r := l.get(d); r != nil && r.strikes() > 0 {
+		return l.restOf(r, now)
+	}
+	return 0
+}
+
+// restOf is the rest of the pause after the latest end, zero or less if it is over.
+func (l *List) restOf(r *record, now clock.Millis) clock.Millis {
+	return min(r.lastEnd()+l.pause(r, now)-now, KeepFor)
+}
+
 // pause is how long after the latest end a suspect is not sent.
 func (l *List) pause(r *record, now clock.Millis) clock.Millis {
 	alone, all := l.failures(r, func(end) bool { return true })
--- a/engines/quarantine/list_test.go
+++ b/engines/quarantine/list_test.go
@@ -60,6 +60,46 @@
 	}
 }
 
+// Guards against a trial of a request that two had proved to end engines, since ends that
+// came later, or word of them that was late, push these out.
+func TestOtherEndsDoNotPushOutFailedTrials(t *testing.T) {
+	l := newList()
+	ended(l, marked, 1, 1000)
+	ended(l, marked, 2, 2000)
+	fail(t, l, marked, 3, 2001)
+	fail(t, l, marked, 4, 3100)
+	for n := range 20 {
+		ended(l, marked, uint32(10+n), 10_000+clock.Millis(1000*n))
+	}
+	for _, now := range []clock.Millis{40_000, 3_000_000} {
+		if a, ok := l.Admit(marked, false, now).(quarantine.Held); !ok || a.Back < 60_000 {
+			t.Errorf("got %T %+v at %d after 20 other ends, want it held", a, a, now)
+		}
+	}
+}
+
+// Guards against a trial whose entry heard, after it had claimed it, that others had proved
+// the request to end engines.
+func TestAClaimIsNoTrialOnceTheRequestIsKnownToEndEngines(t *testing.T) {
+	knows, started := newList(), newList()
+	ended(knows, marked, 1, 1000)
+	ended(knows, marked, 2, 2000)
+	fail(t, knows, marked, 3, 2001)
+	fail(t, knows, marked, 4, 3100)
+	ended(started, marked, 5, 20_000)
+	ended(started, marked, 6, 20_500)
+	if _, ok := started.Admit(marked, false, 20_501).(quarantine.Trial); !ok {
+		t.Fatalf("got %T, want a trial", started.Admit(marked, false, 20_501))
+	}
+	if got := started.Rest(marked, 20_550); got > 0 {
+		t.Errorf("got %d ms to wait before it is known, want none", got)
+	}
+	learn(t, started, knows.Take(10, 20_560), 20_560)
+	if got, least := started.Rest(marked, 20_600), clock.Millis(60_000); got < least {
+		t.Errorf("got %d ms to wait once it is known, want %d or more", got, least)
+	}
+}
+
 // While a trial is under way nobody else sends the same; one without a result changes
 // nothing.
 func TestOneTrialAtATime(t *testing.T) {
@@ -380,3 +420,40 @@
 		t.Errorf("got %T once an entry remembers, want it free", a)
 	}
 }
+
+// All suspects are told to others who have not heard of them, and on by these.
+func TestAllSuspectsAreTold(t *testing.T) {
+	const known = 40
+	ids := uint32(0)
+	next := func() uint32 { ids++; return ids }
+	knows, started, last := quarantine.New(next), quarantine.New(next), quarantine.New(next)
+	for n := range known {
+		a := quarantine.Attempt{Digest: digestOf(uint64(n + 1)), Shape: 1}
+		for k := range quarantine.SuspectFrom {
+			a.Life = uint32(100*n + k)
+			knows.Ended(a, clock.Millis(1000+1000*k))
+		}
+	}
+	const now = 10_000
+	for knows.Waiting() {
+		knows.Take(quarantine.NewsMost, now)
+	}
+	knows.Spread()
+	pass := func(from, to *quarantine.List) {
+		for from.Waiting() {
+			for _, it := range from.Take(quarantine.NewsMost, now) {
+				to.Learn(it, notLost, now)
+			}
+		}
+	}
+	pass(knows, started)
+	pass(started, last)
+	for name, l := range map[string]*quarantine.List{"told": started, "told on": last} {
+		if got, _ := l.Counts(); got != known {
+			t.Errorf("%s: got %d suspects, want %d", name, got, known)
+		}
+		if got, want := l.Sum(now), knows.Sum(now); got != want {
+			t.Errorf("%s: got the sum %x, want %x", name, got, want)
+		}
+	}
+}
--- a/engines/quarantine/news.go
+++ b/engines/quarantine/news.go
@@ -289,6 +289,13 @@
 	return out
 }
 
+// Spread has others told of all suspects.
+func (l *List) Spread() {
+	for _, r := range l.suspected() {
+		l.news.add(r.digest, true)
+	}
+}
+
 // Waiting reports whether there are news for others.
 func (l *List) Waiting() bool { return l.news.len() > 0 }
 
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -69,7 +69,7 @@
 	digest Digest
 	shape  uint32
 	// ends are the latest, the earliest first, all later than the latest run that ended
-	// well, and at most manyAtOnce of those in one go.
+	// well, and at most manyAtOnce of those in one go. Trials are kept before others.
 	ends []end
 	well well
 	// trial is the latest one.
@@ -136,10 +136,20 @@
 			return false
 		}
 	}
-	r.ends = ends[max(0, len(ends)-endsMost):]
+	r.ends = latest(ends)
 	return slices.ContainsFunc(r.ends, e.same)
 }
 
+// latest returns at most endsMost of ends of which the earliest is first. Trials are kept
+// before others: they are the proof, and word of an end that came late may count twice.
+func latest(ends []end) []end {
+	for len(ends) > endsMost {
+		drop := max(0, slices.IndexFunc(ends, func(e end) bool { return !e.trial }))
+		ends = slices.Delete(ends, drop, drop+1)
+	}
+	return ends
+}
+
 // same reports whether two ends are the same.
 func (e end) same(o end) bool {
 	apart := e.at - o.at
--- a/engines/recent.go
+++ b/engines/recent.go
@@ -58,6 +58,9 @@
 // Loads returns the n freshest loads that are at most limit old, those of one age sorted
 // by id.
 func (b *Book) Loads(limit clock.Millis, n int, now clock.Millis) []KnownLoad {
+	if n <= 0 {
+		return nil
+	}
 	var out []KnownLoad
 	for e := b.recent.first; e != nil; e = e.older {
 		age := now - e.othersAt
--- a/engines/same_test.go
+++ b/engines/same_test.go
@@ -113,7 +113,7 @@
 			told[id] = engines.KnownLoad{Incarnation: e.Info().Incarnation(), Requests: int(age), Age: age}
 		}
 		limit := clock.Millis(rapid.IntRange(0, 30).Draw(t, "limit"))
-		n := rapid.IntRange(1, 20).Draw(t, "n")
+		n := rapid.IntRange(0, 20).Draw(t, "n")
 		var want []engines.KnownLoad
 		for _, l := range told {
 			if l.Age <= limit {
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// SpreadSuspects implements peers.Facts.
+func (g *Gate) SpreadSuspects() { g.guard.Spread() }
+
 // News implements peers.Facts.
 func (g *Gate) News() <-chan struct{} { return g.guard.News() }
 
--- a/peers/cost_test.go
+++ b/peers/cost_test.go
@@ -51,6 +51,7 @@
 func (*busyFacts) Since(changes.Place) (changes.Word, bool)       { return changes.Word{}, false }
 func (*busyFacts) HearChanges(string, changes.Word, clock.Millis) {}
 func (*busyFacts) HearSuspects(string, string)                    {}
+func (*busyFacts) SpreadSuspects()                                {}
 func (*busyFacts) News() <-chan struct{}                          { return nil }
 func (*busyFacts) TakeNews() string                               { return "" }
 
--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -52,6 +52,7 @@
 		for _, i := range f.rng.Perm(len(f.all)) {
 			if !f.dead[i] {
 				f.ask(i)
+				f.askLost(i)
 			}
 		}
 		f.round++
@@ -65,12 +66,23 @@
 	if seed := f.rng.IntN(simSeeds); addr == "" || (f.round+i)%simSeedEvery == 0 {
 		addr = f.addrs[seed]
 	}
+	f.askAt(i, addr)
+}
+
+// askLost has an entry ask one that it asked in vain.
+func (f *simFleet) askLost(i int) {
+	if addr := f.all[i].Lost(); addr != "" {
+		f.askAt(i, addr)
+	}
+}
+
+func (f *simFleet) askAt(i int, addr string) {
 	to := f.byAddr[addr]
 	if to == i {
 		return
 	}
 	if f.dead[to] {
-		m.Fail(addr, f.now)
+		f.all[i].Fail(addr, f.now)
 		return
 	}
 	f.tell(i, to)
@@ -134,6 +146,33 @@
 	}
 }
 
+// Guards against entries that are back after a loss of power and know each other only: the
+// seeds are among them, and the few that went on had asked all in vain.
+func TestEntriesThatAreBackAreFoundByThoseThatWentOn(t *testing.T) {
+	const entries, wentOn = 30, 3
+	f := newSimFleet(entries)
+	f.pass(10_000)
+	for i := range entries - wentOn {
+		f.dead[i] = true
+	}
+	f.pass(8000)
+	for i := range entries - wentOn {
+		f.all[i] = peers.NewMembers(peers.Member{Addr: f.addrs[i]})
+	}
+	clear(f.dead)
+	const rounds = 2
+	f.pass(rounds * simRound)
+	know := 0
+	for _, m := range f.all[:entries-wentOn] {
+		if slices.ContainsFunc(f.addrs[entries-wentOn:], func(addr string) bool { return slices.Contains(m.Others(), addr) }) {
+			know++
+		}
+	}
+	if want := (entries - wentOn) / 2; know < want {
+		t.Errorf("got %d of %d entries that are back and know one that went on after %d rounds, want %d", know, entries-wentOn, rounds, want)
+	}
+}
+
 // The size of the plan is tried by hand: it takes minutes.
 func BenchmarkEachEntryKnowsAllOthers(b *testing.B) {
 	for _, n := range []int{1000, 3200} {
--- a/peers/members.go
+++ b/peers/members.go
@@ -247,8 +247,8 @@
 	return true
 }
 
-// Fail records that this process asked a member in vain. It is asked again when it has
-// given another sign.
+// Fail records that this process asked a member in vain. Until it gives another sign it is
+// asked only as one that is lost.
 func (m *Members) Fail(addr string, now clock.Millis) {
 	if k, ok := m.seen[addr]; ok {
 		k.failedAt = now
@@ -304,5 +304,19 @@
 	return chosen
 }
 
+// Lost returns a member by chance that was asked in vain, or "".
+func (m *Members) Lost() string {
+	chosen, n := "", 0
+	for addr, k := range m.seen {
+		if !k.failed() {
+			continue
+		}
+		if n++; rand.IntN(n) == 0 {
+			chosen = addr
+		}
+	}
+	return chosen
+}
+
 // strangerEvery is how often any member is asked in place of a neighbour.
 const strangerEvery = 16
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -102,6 +102,8 @@
 	// Wanted returns how the list of engines is known here if what came to it since is
 	// wanted of a peer that told of the list for which sum stands.
 	Wanted(sum uint32) (changes.Place, bool)
+	// SpreadSuspects tells others of all suspects at once.
+	SpreadSuspects()
 	// Since returns what came to the list after a place, or false if that is not known.
 	Since(p changes.Place) (changes.Word, bool)
 	// HearChanges takes the answer of the peer at an address that was asked at the given
@@ -140,6 +142,9 @@
 	// differedAt is when a peer last knew other suspects than this process, zero if none
 	// did.
 	differedAt clock.Millis
+	// spreadAt is when all suspects were last told to others at once, zero if they never
+	// were.
+	spreadAt clock.Millis
 }
 
 var _ link.Handler = (*Peers)(nil)
@@ -175,15 +180,34 @@
 		}
 	})
 	wg.Go(func() { p.gossip.Run(ctx) })
+	wg.Go(func() { p.askLost(ctx) })
 	for n := 0; ctx.Err() == nil; n++ {
 		p.ask(ctx, n)
-		// A third of the period is random, so that processes do not keep step.
-		clock.Sleep(ctx, askPeriod-askPeriod/6+clock.Millis(rand.Int64N(int64(askPeriod/3))))
+		clock.Sleep(ctx, roundPause())
 	}
 	p.links.Close()
 	wg.Wait()
 }
 
+// roundPause is the time between two rounds. A third of it is random, so that processes do
+// not keep step.
+func roundPause() clock.Millis {
+	return askPeriod - askPeriod/6 + clock.Millis(rand.Int64N(int64(askPeriod/3)))
+}
+
+// askLost asks one of the members in each round that were asked in vain: where most of them
+// lost power, those that are back know each other and none that went on.
+func (p *Peers) askLost(ctx context.Context) {
+	for clock.Sleep(ctx, roundPause()) {
+		p.mu.Lock()
+		addr := p.members.Lost()
+		p.mu.Unlock()
+		if addr != "" {
+			p.askAt(ctx, addr)
+		}
+	}
+}
+
 // target returns whom to ask in round n.
 func (p *Peers) target(n int) string {
 	p.mu.Lock()
@@ -206,6 +230,12 @@
 	if n%seedEvery == 0 {
 		p.links.CloseUnheard(p.clk.Now() - linkRest)
 	}
+	p.askAt(ctx, addr)
+	p.tellAlone()
+}
+
+// askAt asks the peer at an address.
+func (p *Peers) askAt(ctx context.Context, addr string) {
 	at := p.clk.Now()
 	answer, err := p.call(ctx, addr)
 	if errors.Is(err, silence.ErrSilent) {
@@ -221,12 +251,14 @@
 		p.mu.Lock()
 		p.members.Fail(addr, p.clk.Now())
 		p.mu.Unlock()
-	} else {
-		p.learn(answer, at)
-		p.cfg.Facts.Hear(answer.sender(), answer.Known, at)
-		p.askChanges(ctx, addr, answer.Known.List)
+		return
 	}
-	p.tellAlone()
+	p.learn(answer, at)
+	p.cfg.Facts.Hear(answer.sender(), answer.Known, at)
+	if !answer.Known.Remembers {
+		p.remind(p.cfg.Facts.Tell(0, 0), answer)
+	}
+	p.askChanges(ctx, addr, answer.Known.List)
 }
 
 // call asks addr, over the connection that is there or a new one. One that gives
--- a/peers/silent_test.go
+++ b/peers/silent_test.go
@@ -45,6 +45,8 @@
 func (f *facts) HearChanges(string, changes.Word, clock.Millis) {}
 func (f *facts) HearSuspects(string, string)                    {}
 
+func (f *facts) SpreadSuspects() {}
+
 func (f *facts) News() <-chan struct{} { return nil }
 
 func (f *facts) TakeNews() string { return "" }
--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -11,6 +11,9 @@
 // with its questions, too: a few rounds.
 const differFor clock.Millis = 2000
 
+// remindEvery bounds how often all suspects are told at once.
+const remindEvery clock.Millis = 1000
+
 // question is what a peer is asked with.
 func (p *Peers) question() message {
 	k := p.cfg.Facts.Tell(loadsAsked, gossip.Asked)
@@ -30,9 +33,30 @@
 	if !p.differ(k, question.Known) {
 		k.Suspects = ""
 	}
+	p.remind(k, question)
 	return p.message(k)
 }
 
+// remind has all suspects told to others at once if this process knows them and the peer
+// that a message came from does not: a process that has just started sends requests before
+// it has asked one that remembers, and others have likely started with it.
+func (p *Peers) remind(own Known, m message) {
+	if !own.Remembers || m.Known.Remembers || own.SuspectSum == 0 || own.SuspectSum == m.Known.SuspectSum {
+		return
+	}
+	p.mu.Lock()
+	now := p.clk.Now()
+	due := p.spreadAt == 0 || now-p.spreadAt >= remindEvery
+	if due {
+		p.spreadAt = now
+	}
+	p.mu.Unlock()
+	if due {
+		p.log.Info("strikes_told", "to", m.sender())
+		p.cfg.Facts.SpreadSuspects()
+	}
+}
+
 // differ reports whether a peer knows other suspects than this process, and notes it.
 func (p *Peers) differ(own, peer Known) bool {
 	if own.SuspectSum == peer.SuspectSum {
