--- a/peers/peers.go
+++ b/peers/peers.go
@@ -102,13 +102,13 @@
 	// Wanted returns how the list of engines is known here if what came to it since is
 	// wanted of a peer that told of the list for which sum stands.
 	Wanted(sum uint32) (changes.Place, bool)
-	// SpreadSuspects tells others of all suspects at once.
-	SpreadSuspects()
 	// Since returns what came to the list after a place, or false if that is not known.
 	Since(p changes.Place) (changes.Word, bool)
 	// HearChanges takes the answer of the peer at an address that was asked at the given
 	// time. It may be a lie.
 	HearChanges(from string, w changes.Word, at clock.Millis)
+	// SpreadSuspects tells others of all suspects at once.
+	SpreadSuspects()
 	gossip.Source
 }
 
