dial, fleet/source, platform: Close stale idle connections in one place

Read once more: the client of the settings service had got a copy of what the store's client does after a suspension of the instance, to the line. dial.Idle is that one piece, and both call it.

--- a/fleet/source/client.go
+++ b/fleet/source/client.go
@@ -18,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/dial"
 	"github.com/weldfall/weldfall/common/silence"
 )
 
@@ -68,18 +69,15 @@
 // Client reads one platform.
 type Client struct {
 	base string
-	clk  *clock.Clock
 	http *http.Client
-
-	mu sync.Mutex
-	// woke is the end of the latest suspension whose connections were closed.
-	woke clock.Millis
+	idle *dial.Idle
 }
 
 // New returns a client of the platform at base, for example
 // http://10.0.0.1:9000.
 func New(base string, clk *clock.Clock) *Client {
-	return &Client{base: base, clk: clk, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	return &Client{base: base, http: c, idle: dial.NewIdle(c, clk)}
 }
 
 // answer is what a call came to.
@@ -91,7 +89,7 @@
 // Changes returns what came after a revision of a topic. If there is nothing
 // it waits for up to wait. Each call counts against the platform's limit.
 func (c *Client) Changes(ctx context.Context, t Topic, after int64, wait clock.Millis) (Batch, error) {
-	c.forgetStale()
+	c.idle.CloseStale()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers, begun := make(chan answer), make(chan struct{})
@@ -131,17 +129,6 @@
 	}
 }
 
-// forgetStale closes the idle connections if this instance was suspended since the last
-// call: they may have died meanwhile.
-func (c *Client) forgetStale() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if woke := c.clk.Woke(); c.woke != woke {
-		c.woke = woke
-		c.http.CloseIdleConnections()
-	}
-}
-
 // call makes one call. begun is called when the head of its answer is there.
 func (c *Client) call(ctx context.Context, t Topic, after int64, wait clock.Millis, begun func()) (Batch, error) {
 	guard := silence.New()
