peers: Draw a member by chance in one place

Read once more: Lost repeated the draw of stranger, which in turn reset its count when the first member came that can be asked. One draw, of those asked in vain or of the others, serves both. Whom they may return stays as it is.

--- a/peers/members.go
+++ b/peers/members.go
@@ -289,26 +289,21 @@
 
 // stranger returns a member by chance, one that can be asked if there is one, or "".
 func (m *Members) stranger() string {
-	chosen, n, failed := "", 0, true
-	for addr, k := range m.seen {
-		if k.failed() && !failed {
-			continue
-		}
-		if !k.failed() && failed {
-			n, failed = 0, false
-		}
-		if n++; rand.IntN(n) == 0 {
-			chosen = addr
-		}
+	if addr := m.draw(false); addr != "" {
+		return addr
 	}
-	return chosen
+	return m.draw(true)
 }
 
 // Lost returns a member by chance that was asked in vain, or "".
-func (m *Members) Lost() string {
+func (m *Members) Lost() string { return m.draw(true) }
+
+// draw returns a member by chance of those that were asked in vain, or of the others, "" if
+// there is none.
+func (m *Members) draw(failed bool) string {
 	chosen, n := "", 0
 	for addr, k := range m.seen {
-		if !k.failed() {
+		if k.failed() != failed {
 			continue
 		}
 		if n++; rand.IntN(n) == 0 {
