--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -11,17 +11,11 @@
 )
 
 // Entry is a line of the list: a name, a command in backquotes, what was seen.
-type Entry struct {
-	name string
-	text string
-}
+type Entry struct{ name string }
 
 // Name returns the name of the test as go test prints it, or of what else fails.
 func (e Entry) Name() string { return e.name }
 
-// Text returns the whole line.
-func (e Entry) Text() string { return e.text }
-
 // testName is a test or a subtest; a fuzz target is none, since CI runs only its seeds.
 var testName = regexp.MustCompile(`^Test[^\s]*$`)
 
@@ -55,7 +49,7 @@
 			return nil, fmt.Errorf("line %d: %s is listed twice; keep one entry each", n, name)
 		}
 		seen[name] = true
-		entries = append(entries, Entry{name: name, text: text})
+		entries = append(entries, Entry{name: name})
 	}
 	if err := lines.Err(); err != nil {
 		return nil, fmt.Errorf("reading the list: %w", err)
--- a/internal/knownred/knownred/main.go
+++ b/internal/knownred/knownred/main.go
@@ -1,6 +1,6 @@
 // Knownred tells CI what the list of known failures names. "knownred skip FILE" prints the
 // pattern for -skip; "knownred tests FILE" prints a line for each test, its pattern for -run
-// and its name; "knownred rest FILE" prints the entries that are no tests.
+// and its name.
 package main
 
 import (
@@ -19,7 +19,7 @@
 
 func run(args []string) error {
 	if len(args) != 2 {
-		return fmt.Errorf("usage: knownred skip|tests|rest FILE")
+		return fmt.Errorf("usage: knownred skip|tests FILE")
 	}
 	f, err := os.Open(args[1])
 	if err != nil {
@@ -39,14 +39,8 @@
 				fmt.Println(e.Pattern(), e.Name())
 			}
 		}
-	case "rest":
-		for _, e := range entries {
-			if !e.IsTest() {
-				fmt.Println(e.Text())
-			}
-		}
 	default:
-		return fmt.Errorf("%q: write skip, tests or rest", args[0])
+		return fmt.Errorf("%q: write skip or tests", args[0])
 	}
 	return nil
 }
