gate, budget, report/account: Tell what budgets of repeats count, and when a process stood still

Nothing in the logs or metrics said how near the repeats of a fleet come to their bound, that all entries had stood still for four seconds, or that lines were lost, so that hypotheses on repeats beyond the bound could not be told apart.

Added: a line a second for each budget that was asked (requests counted, spent, denied, the least that was left, what operators allow), counters by service, why an attempt was repeated or not, lines for a standstill and for lost lines, and a table of the account: the window of each service in which the repeats of all entries came nearest to their bound.

--- a/common/logline/logline.go
+++ b/common/logline/logline.go
@@ -21,6 +21,9 @@
 	linesDropped = metrics.NewCounter("weldfall_log_lines_dropped_total")
 )
 
+// Dropped returns how many lines this process has dropped.
+func Dropped() uint64 { return linesDropped.Get() }
+
 // Writer hands lines to an output in the background.
 type Writer struct {
 	out     io.Writer
--- a/engines/budget/budget.go
+++ b/engines/budget/budget.go
@@ -5,7 +5,11 @@
 // others. It is pure: the time is handed in, and callers lock.
 package budget
 
-import "github.com/weldfall/weldfall/common/clock"
+import (
+	"math"
+
+	"github.com/weldfall/weldfall/common/clock"
+)
 
 const (
 	// parts is how many parts the window is counted in.
@@ -30,18 +34,29 @@
 	// counts has one part of the window each; at is the number of the latest.
 	counts [slices]count
 	at     int64
+	usage  Usage
 }
 
 type count struct{ requests, repeats int }
 
+// Usage is what a budget counted since it was made.
+type Usage struct {
+	// Requests is how many requests were counted, Spent how many repeats were taken, and
+	// Denied how many more were asked for.
+	Requests, Spent, Denied uint64
+	// Least is the least that was left when a repeat was asked for, since the call of
+	// Usage before; it is what is left now if none was.
+	Least float64
+}
+
 // New returns a budget that has counted nothing.
-func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
+func New(cfg Config) *Budget { return &Budget{cfg: cfg, usage: Usage{Least: math.Inf(1)}} }
 
 // Set changes what is allowed. What was counted stays, unless the window is
 // another.
 func (b *Budget) Set(cfg Config) {
 	if cfg.Window != b.cfg.Window {
-		*b = Budget{}
+		*b = Budget{usage: b.usage}
 	}
 	b.cfg = cfg
 }
@@ -60,7 +75,10 @@
 }
 
 // Request counts a request that is about to be sent for the first time.
-func (b *Budget) Request(now clock.Millis) { b.advance(now).requests++ }
+func (b *Budget) Request(now clock.Millis) {
+	b.advance(now).requests++
+	b.usage.Requests++
+}
 
 // Left returns how many repeats are allowed now.
 func (b *Budget) Left(now clock.Millis) float64 {
@@ -75,9 +93,21 @@
 
 // Spend takes one repeat, or reports that none is left.
 func (b *Budget) Spend(now clock.Millis) bool {
-	if b.Left(now) < 1 {
+	left := b.Left(now)
+	b.usage.Least = min(b.usage.Least, left)
+	if left < 1 {
+		b.usage.Denied++
 		return false
 	}
 	b.advance(now).repeats++
+	b.usage.Spent++
 	return true
 }
+
+// Usage returns what was counted.
+func (b *Budget) Usage(now clock.Millis) Usage {
+	u := b.usage
+	u.Least = min(u.Least, b.Left(now))
+	b.usage.Least = math.Inf(1)
+	return u
+}
--- a/engines/budget/budget_test.go
+++ b/engines/budget/budget_test.go
@@ -60,3 +60,19 @@
 		t.Errorf("got %v left after a change, want %v", got, want)
 	}
 }
+
+// What a budget counted is told, and the least that was left since it was told before.
+func TestABudgetTellsWhatItCounted(t *testing.T) {
+	b := budget.New(budget.Config{Ratio: 0.5, Window: 1000, Extra: 1})
+	b.Request(10)
+	b.Request(20)
+	for range 4 {
+		b.Spend(30)
+	}
+	if got, want := b.Usage(30), (budget.Usage{Requests: 2, Spent: 2, Denied: 2, Least: 0}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if got, want := b.Usage(5000), (budget.Usage{Requests: 2, Spent: 2, Denied: 2, Least: 1}); got != want {
+		t.Errorf("got %+v a window later, want %+v", got, want)
+	}
+}
--- a/gate/account.go
+++ b/gate/account.go
@@ -99,8 +99,8 @@
 }
 
 // logAgain logs why a request goes to another engine, or why not.
-func (g *Gate) logAgain(c *call, o attempt.Outcome, e engines.Info, allowed bool, left clock.Millis) {
-	if allowed {
+func (g *Gate) logAgain(c *call, o attempt.Outcome, e engines.Info, r repeat, left clock.Millis) {
+	if r.allowed() {
 		g.counts.repeats.Inc()
 	}
 	cause := ""
@@ -114,6 +114,6 @@
 	case attempt.Failed:
 		cause = "status " + strconv.Itoa(o.Answer.Status)
 	}
-	g.log.Info("attempt_ended", "request", c.id, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
-		"again", allowed, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
+	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
+		"again", r.allowed(), "repeat", r, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -20,7 +20,6 @@
 	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
-	"github.com/weldfall/weldfall/engines/budget"
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/engines/prefill"
 	"github.com/weldfall/weldfall/engines/quarantine"
@@ -132,7 +131,7 @@
 	// mu guards what follows.
 	mu      sync.Mutex
 	book    *engines.Book
-	budgets map[string]*budget.Budget
+	repeats map[string]*repeats
 	// evacuated names the data halls under evacuation, sorted.
 	evacuated []string
 	// published is the age of the table and the evacuations, which are read
@@ -194,7 +193,7 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d, style: style(d.RequestID),
 		reserved: nameSet(d.Reserved), internal: nameSet(d.Internal),
 		pool: upstream.NewPool(cfg.Clock, upstream.Names{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
-		book: engines.NewBook(), budgets: map[string]*budget.Budget{}, counts: newCounts(),
+		book: engines.NewBook(), repeats: map[string]*repeats{}, counts: newCounts(),
 		durations: duration.New(), speeds: map[string]*prefill.Speed{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), leave: leave{running: map[*call]struct{}{}}, began: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), toldEpochAt: -aheadFor - 1,
 	}
 	g.leave.estimate = g.estimate
@@ -291,31 +290,5 @@
 	return ready
 }
 
-// budget returns the retry budget of a service. The caller holds mu.
-func (g *Gate) budget(service string) *budget.Budget {
-	bounds := g.bounds()
-	cfg := budget.Config{
-		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
-		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)),
-	}
-	if b := g.budgets[service]; b != nil {
-		b.Set(cfg)
-		return b
-	}
-	b := budget.New(cfg)
-	g.budgets[service] = b
-	return b
-}
-
-const (
-	// retryShare keeps the ratio of one process a little under the fleet's,
-	// since windows are not aligned.
-	retryShare = 0.9
-	// extraShare is the least number of parts into which the extra repeats are
-	// divided. Where more entries are known there are as many: 103 entries with a
-	// 32nd each might spend three times the fleet's extra.
-	extraShare = 32
-)
-
 // random returns a number from 0 to 1 that breaks ties.
 func random() float64 { return rand.Float64() }
--- a/gate/send.go
+++ b/gate/send.go
@@ -77,13 +77,6 @@
 	}
 }
 
-// countRequest lets the retry budget grow with each request.
-func (g *Gate) countRequest(c *call) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(c.service).Request(g.clk.Now())
-}
-
 // attempt sends the request to an engine and relays the answer.
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
@@ -199,10 +192,12 @@
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s answered %d", e.ID, o.Answer.Status)
 	}
 	left := c.left(now)
-	_, sentNothing := o.(attempt.Unsent)
-	allowed := free && left > leastLeft && (sentNothing || g.spend(c, now))
-	g.logAgain(c, o, e, allowed, left)
-	if allowed {
+	r := notRepeated
+	if free && left > leastLeft {
+		r = g.repeat(c.service, o, now)
+	}
+	g.logAgain(c, o, e, r, left)
+	if r.allowed() {
 		return nil
 	}
 	if left <= 0 {
@@ -214,13 +209,6 @@
 	return final
 }
 
-// spend takes one repeat from the budget.
-func (g *Gate) spend(c *call, now clock.Millis) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(c.service).Spend(now)
-}
-
 // kindOf names an outcome for logs and counters.
 func kindOf(o attempt.Outcome) string {
 	switch o := o.(type) {
--- a/gate/server.go
+++ b/gate/server.go
@@ -45,7 +45,11 @@
 	})
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSweep()
-	go clock.Every(sweepCtx, sweepPeriod, g.sweep)
+	own := newSelf(g.clk.Now())
+	go clock.Every(sweepCtx, sweepPeriod, func() {
+		g.sweep()
+		own.look(g.clk.Now(), g.log)
+	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -73,7 +77,8 @@
 func (g *Gate) sweep() {
 	g.pool.Sweep()
 	g.guard.Sweep()
+	g.logRepeats()
 }
 
-// sweepPeriod is how often the connections to engines are looked through.
+// sweepPeriod is how often a process looks after itself and its connections to engines.
 const sweepPeriod clock.Millis = 1000
--- a/report/account/account.go
+++ b/report/account/account.go
@@ -90,13 +90,16 @@
 	tables map[int64]*tableUse
 	// suspects are the requests under which engines ended, by their digests.
 	suspects map[string]*suspect
+	// repeats are by service.
+	repeats map[string]*repeats
 	// skipped counts lines that are no log lines.
 	skipped int
 }
 
 // New returns an empty account.
 func New() *Account {
-	return &Account{attempts: map[string]Cause{}, ended: map[string]bool{}, tables: map[int64]*tableUse{}, suspects: map[string]*suspect{}}
+	return &Account{attempts: map[string]Cause{}, ended: map[string]bool{}, tables: map[int64]*tableUse{}, suspects: map[string]*suspect{},
+		repeats: map[string]*repeats{}}
 }
 
 // longestLine bounds a log line, in bytes.
@@ -145,6 +148,9 @@
 			a.attempts[id] = EngineEnded
 			delete(a.ended, id)
 		}
+		a.repeated(f)
+	case "repeats":
+		a.budget(f)
 	case "struck":
 		// The line of the attempt itself follows, unless its engine's end is known late.
 		if f["ground"] != "listed" {
@@ -169,6 +175,7 @@
 		a.skipped++
 		return
 	}
+	a.sent(f, at)
 	r := request{at: at, kind: f["route"]}
 	r.Outcome = outcomeOf(f)
 	switch r.Outcome {
--- a/report/account/account_test.go
+++ b/report/account/account_test.go
@@ -171,3 +171,41 @@
 		}
 	}
 }
+
+// The window of a service is told in which repeats came nearest to their bound, whose
+// requests may lie before it, and how many repeats no line of an attempt tells.
+func TestTheWindowNearestToTheBoundOfRepeatsIsTold(t *testing.T) {
+	var logs strings.Builder
+	ran := func(at string) {
+		logs.WriteString(line(at, "msg=answered instance=e1 request=a route=r service=s attempts=1 total_ms=100 status=200"))
+	}
+	again := func(at, repeat string) {
+		logs.WriteString(line(at, "msg=attempt_ended instance=e1 request=a service=s outcome=failed repeat="+repeat))
+	}
+	for i := range 20 {
+		ran(fmt.Sprintf("%02d.5", 1+i/2))
+	}
+	again("02.0", "spent")
+	for range 3 {
+		again("18.0", "spent")
+		again("18.0", "free")
+		again("18.0", "denied")
+	}
+	budget := func(instance string, spent int) string {
+		return line("21.0", fmt.Sprintf("msg=repeats instance=%s service=s requests=20 spent=%d denied=3 least_left=0 ratio=0.1 extra=2 window_ms=10000", instance, spent))
+	}
+	// The first entry started again in between.
+	logs.WriteString(budget("e1", 3) + budget("e1", 2) + budget("e2", 1))
+	out := report(t, logs.String())
+	if want := "s        00:00:18.000               3        6         3        1.15  4               6"; !strings.Contains(out, want) {
+		t.Errorf("got no %q in:\n%s", want, out)
+	}
+}
+
+func TestWithoutABoundNoRepeatsAreTold(t *testing.T) {
+	out := report(t, line("01.0", "msg=attempt_ended request=a service=s outcome=failed repeat=spent")+
+		line("01.1", "msg=answered request=a route=r service=s attempts=2 total_ms=100 status=200"))
+	if strings.Contains(out, "nearest to the bound") {
+		t.Errorf("got a table of repeats without a bound in:\n%s", out)
+	}
+}
--- a/report/account/report.go
+++ b/report/account/report.go
@@ -65,6 +65,7 @@
 	}
 	a.writeCauses(t)
 	a.writeSuspects(t)
+	a.writeRepeats(t)
 	a.writeTables(t)
 	_, _ = fmt.Fprintf(t, "\nfrom\tasked\t%s\n", columns)
 	for _, g := range groupBy(a.requests, func(r request) string { return r.at.Truncate(step).Format("15:04:05.000") }) {
