budget: Count no more requests for a window than callers sent in one

Cause: an entry counts a request when it reads it, the bound when its caller sent it. What callers send while an entry stands still, starves or is cut off from them is read at once, so that a window of reading holds the requests of fourteen seconds of sending, and a fifth of those is more than the window's callers allow. Evidence: the budgets' own lines (2,994 requests counted by 15 s, some 800 more in the window than were sent), as many arrivals again as spent (515 and 515).

Now requests count by the mean of the stretch from one to two windows in which they are fewest. A stretch that begins while nothing is held up holds exactly what was sent since, and the mean of two windows is no more than the larger of them, which the bound grants. The sum of the entries holds as before.

Cost: after a rise of traffic requests count in full only after two windows, but for a process that has just started.

--- a/engines/budget/budget.go
+++ b/engines/budget/budget.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// parts is how many parts the window is counted in.
+	// parts is how many parts a window is counted in.
 	parts = 20
-	// slices is one more, so that what is counted is never less than a window.
-	slices = parts + 1
+	// slices is those of two windows and one more, so that what is counted is never less
+	// than that.
+	slices = 2*parts + 1
 )
 
 // Config sets up a Budget.
@@ -26,6 +27,8 @@
 	Window clock.Millis
 	// Extra is how many repeats this process may add to the ratio in a window.
 	Extra float64
+	// Since is when this process began to take requests.
+	Since clock.Millis
 }
 
 // Budget counts the requests and the repeats of one service.
@@ -62,7 +65,7 @@
 }
 
 func (b *Budget) advance(now clock.Millis) *count {
-	n := int64(now) / max(1, int64(b.cfg.Window)/parts)
+	n := b.part(now)
 	if n-b.at >= slices {
 		b.counts = [slices]count{}
 	} else {
@@ -83,14 +86,38 @@
 // Left returns how many repeats are allowed now.
 func (b *Budget) Left(now clock.Millis) float64 {
 	b.advance(now)
-	requests, repeats := 0, 0
-	for _, c := range b.counts {
-		requests += c.requests
-		repeats += c.repeats
+	repeats := 0
+	for age := range int64(parts + 1) {
+		repeats += b.latest(age).repeats
 	}
-	return b.cfg.Ratio*float64(requests) + b.cfg.Extra - float64(repeats)
+	return b.cfg.Ratio*b.base() + b.cfg.Extra - float64(repeats)
 }
 
+// base returns how many requests callers sent in a window, by the mean of the stretch from
+// one to two windows, ending now, in which it is the least. A process may read late what
+// they sent, and then much at once: the requests of one window may be those of a longer
+// time. A stretch that begins before they were held up tells how long. What was sent before
+// the process began is not held up for it.
+func (b *Budget) base() float64 {
+	life := b.at - b.part(b.cfg.Since)
+	n, least := 0, math.Inf(1)
+	for age := range 1 + max(parts, min(slices-1, life)) {
+		n += b.latest(age).requests
+		if age >= parts {
+			least = min(least, float64(n*parts)/float64(age))
+		}
+	}
+	return least
+}
+
+// latest returns the part of so many parts ago.
+func (b *Budget) latest(age int64) count {
+	return b.counts[((b.at-age)%slices+slices)%slices]
+}
+
+// part returns the number of the part in which a time lies.
+func (b *Budget) part(t clock.Millis) int64 { return int64(t) / max(1, int64(b.cfg.Window)/parts) }
+
 // Spend takes one repeat, or reports that none is left.
 func (b *Budget) Spend(now clock.Millis) bool {
 	left := b.Left(now)
--- a/engines/budget/fleet_test.go
+++ b/engines/budget/fleet_test.go
@@ -19,6 +19,13 @@
 	parts  = 32
 )
 
+const (
+	// heldMost is how long a connection keeps what nobody acknowledges.
+	heldMost clock.Millis = 1500
+	// failsAfter is how long an engine takes at most to fail.
+	failsAfter = 300
+)
+
 // fleet is a fleet of entries in simulated time. Callers send requests to entries, which
 // send them to engines and repeat what failed as often as their budgets let them.
 type fleet struct {
@@ -40,25 +47,43 @@
 
 type span struct{ from, to clock.Millis }
 
-// entry is a process.
+func (s span) has(t clock.Millis) bool { return t >= s.from && t < s.to }
+
+// entry is a process and the one that is started in its place.
 type entry struct {
 	budget *budget.Budget
+	// life counts the starts; down is true while there is no process.
+	life int
+	down bool
 	// still is until when the process stands still, waiting what it finds then.
 	still   clock.Millis
 	waiting []func()
+	// slow is a span in which the process reads at a part of the pace at which callers
+	// send, and after which it catches up.
+	slow     span
+	slowPace float64
 }
 
 // newFleet returns a fleet of n entries.
 func newFleet(seed uint64, n int) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), failing: 0.6, mostRepeats: 1}
 	for range n {
-		f.entries = append(f.entries, &entry{budget: newBudget()})
+		f.add()
 	}
 	return f
 }
 
-func newBudget() *budget.Budget {
-	return budget.New(budget.Config{Ratio: ratio * share, Extra: extra / parts, Window: window})
+// add starts another entry.
+func (f *fleet) add() *entry {
+	e := &entry{}
+	f.start(e)
+	f.entries = append(f.entries, e)
+	return e
+}
+
+func (f *fleet) start(e *entry) {
+	e.budget = budget.New(budget.Config{Ratio: ratio * share, Extra: extra / float64(max(parts, len(f.entries))), Window: window, Since: f.now})
+	e.down = false
 }
 
 // at has do called at a time.
@@ -73,7 +98,7 @@
 	}
 }
 
-// callers send at a rate in requests a second, to each entry as many.
+// callers send at a rate in requests a second, each to an entry by chance.
 func (f *fleet) callers(s span, perSecond float64) {
 	for t := float64(s.from); ; {
 		t += f.rng.ExpFloat64() * 1000 / perSecond
@@ -89,54 +114,94 @@
 	id := len(f.sent)
 	f.sent = append(f.sent, f.now)
 	f.arrived = append(f.arrived, nil)
-	f.atEntry(e, 1, func() {
+	f.atEntry(e, 1+e.lag(f.now), func() {
 		e.budget.Request(f.now)
 		f.attempt(e, id, 0)
 	})
 }
 
+// lag is how much later than usual a slow process reads what is sent now.
+func (e *entry) lag(now clock.Millis) clock.Millis {
+	behind := func(t clock.Millis) float64 { return float64(t-e.slow.from) * (1/e.slowPace - 1) }
+	switch {
+	case e.slowPace == 0 || now < e.slow.from:
+		return 0
+	case now < e.slow.to:
+		return clock.Millis(behind(now))
+	}
+	// It catches up at twice the pace of callers.
+	return max(0, clock.Millis(behind(e.slow.to)-float64(now-e.slow.to)/2))
+}
+
 // atEntry has a process do something after a time, or when it no longer stands still. It
-// takes a millisecond for each of what it finds then.
+// takes a millisecond for each of what it finds then. What it would do later is lost with
+// it.
 func (f *fleet) atEntry(e *entry, after clock.Millis, do func()) {
+	if e.down {
+		return
+	}
+	life := e.life
 	f.at(f.now+after, func() {
-		if f.now < e.still {
+		switch {
+		case e.life != life:
+		case f.now < e.still:
 			e.waiting = append(e.waiting, do)
-			return
+		default:
+			do()
 		}
-		do()
 	})
 }
 
 // standStill has a process stand still.
 func (f *fleet) standStill(e *entry, s span) {
-	f.at(s.from, func() { e.still = s.to })
+	f.at(s.from, func() { e.still = max(e.still, s.to) })
 	f.at(s.to, func() {
-		for i, do := range e.waiting {
-			f.at(f.now+clock.Millis(i), do)
+		if f.now < e.still {
+			return
 		}
+		waiting := e.waiting
 		e.waiting = nil
+		for i, do := range waiting {
+			f.atEntry(e, clock.Millis(i), do)
+		}
 	})
 }
 
+// kill ends a process, and starts another in its place at the end of the span.
+func (f *fleet) kill(e *entry, s span) {
+	f.at(s.from, func() {
+		e.life++
+		e.down, e.still, e.waiting = true, 0, nil
+	})
+	f.at(s.to, func() { f.start(e) })
+}
+
 // attempt sends a request to an engine, and again if it fails.
 func (f *fleet) attempt(e *entry, id, repeats int) {
-	arrives := f.now + 1
-	for _, s := range f.held {
-		if arrives >= s.from && arrives < s.to {
-			arrives = s.to
-		}
+	if at, ok := f.arrives(f.now + 1); ok {
+		f.at(at, func() { f.arrived[id] = append(f.arrived[id], f.now) })
 	}
-	f.at(arrives, func() { f.arrived[id] = append(f.arrived[id], f.now) })
 	if f.rng.Float64() >= f.failing {
 		return
 	}
-	f.atEntry(e, 2+clock.Millis(f.rng.IntN(300)), func() {
+	f.atEntry(e, 2+clock.Millis(f.rng.IntN(failsAfter)), func() {
 		if repeats < f.mostRepeats && e.budget.Spend(f.now) {
 			f.attempt(e, id, repeats+1)
 		}
 	})
 }
 
+// arrives returns when an attempt arrives that is sent now, if it does.
+func (f *fleet) arrives(now clock.Millis) (clock.Millis, bool) {
+	at := now
+	for _, s := range f.held {
+		if s.has(at) {
+			at = s.to
+		}
+	}
+	return at, at-now <= heldMost
+}
+
 // worst returns the repeats of the window in which they came nearest to what operators
 // allow, that, and when the window begins.
 func (f *fleet) worst() (repeats int, allowed float64, from clock.Millis) {
@@ -148,6 +213,7 @@
 	}
 	slices.Sort(again)
 	part := 0.0
+	allowed = extra
 	for _, start := range again {
 		got := within(again, start)
 		requests := max(within(f.sent, start), within(f.sent, start-window/2), within(f.sent, start-window))
@@ -172,13 +238,15 @@
 	if float64(got) > most {
 		t.Errorf("got %d repeats in the window from %d ms on, want at most %.0f", got, from, most)
 	}
-	t.Logf("worst window: %d repeats, %.0f allowed, from %d ms on", got, most, from)
+	t.Logf("worst window: %d repeats, %.0f allowed (%.2f), from %d ms on", got, most, float64(got)/most, from)
 }
 
+// day is how long traffic lasts.
+const day = clock.Millis(34_000)
+
 // Guards against more repeats than a window's callers allow, after entries stood still: what
 // callers sent meanwhile is read at once.
 func TestRequestsThatAreReadLateAllowNoMoreRepeats(t *testing.T) {
-	const day = clock.Millis(34_000)
 	for _, tc := range []struct {
 		name    string
 		entries int
@@ -208,6 +276,69 @@
 	}
 }
 
+// The repeats of all entries stay within their bound whatever happens to entries, to what
+// they sent, and to traffic.
+func TestTheRepeatsOfAFleetStayWithinTheirBound(t *testing.T) {
+	everyone := func(f *fleet, do func(i int, e *entry)) {
+		for i, e := range f.entries {
+			do(i, e)
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		entries int
+		rate    float64
+		trouble func(f *fleet)
+	}{
+		{name: "none", entries: 4, rate: 400, trouble: func(*fleet) {}},
+		{name: "requests that may be repeated twice", entries: 4, rate: 400, trouble: func(f *fleet) { f.mostRepeats = 2 }},
+		{name: "what is sent is held up", entries: 4, rate: 400, trouble: func(f *fleet) {
+			for t := clock.Millis(2000); t < day; t += 3000 {
+				f.held = append(f.held, span{t, t + heldMost})
+			}
+		}},
+		{name: "what is sent is held up once in a window", entries: 4, rate: 2000, trouble: func(f *fleet) {
+			f.held = []span{{3000, 3000 + heldMost}, {13_500, 13_500 + heldMost}}
+		}},
+		{name: "entries that are killed in turn", entries: 4, rate: 400, trouble: func(f *fleet) {
+			everyone(f, func(i int, e *entry) {
+				for t := clock.Millis(1000 + 500*i); t < day; t += 2000 {
+					f.kill(e, span{t, t + 700})
+				}
+			})
+		}},
+		{name: "thirty entries that are killed again and again", entries: 30, rate: 400, trouble: func(f *fleet) {
+			everyone(f, func(_ int, e *entry) {
+				for t := clock.Millis(1000); t < day; t += 1500 {
+					f.kill(e, span{t, t + 700})
+				}
+			})
+		}},
+		{name: "a fleet that grows tenfold", entries: 4, rate: 400, trouble: func(f *fleet) {
+			for i := range clock.Millis(36) {
+				f.at(5000+i*100, func() { f.add() })
+			}
+		}},
+		{name: "a burst", entries: 4, rate: 200, trouble: func(f *fleet) { f.callers(span{12_000, 15_000}, 1500) }},
+		{name: "traffic that ends", entries: 4, rate: 50, trouble: func(f *fleet) {
+			f.callers(span{0, 12_000}, 1500)
+			f.failing = 0
+			f.at(12_200, func() { f.failing = 1 })
+		}},
+		{name: "a process that falls behind and catches up", entries: 4, rate: 400, trouble: func(f *fleet) {
+			everyone(f, func(_ int, e *entry) { e.slow, e.slowPace = span{8000, 14_000}, 0.6 })
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(1, tc.entries)
+			f.callers(span{0, day}, tc.rate)
+			tc.trouble(f)
+			f.run(day + window)
+			f.check(t)
+		})
+	}
+}
+
 // events are in order of their times.
 type events []event
 
--- a/gate/repeats.go
+++ b/gate/repeats.go
@@ -54,7 +54,7 @@
 	bounds := g.bounds()
 	cfg := budget.Config{
 		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
-		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)),
+		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)), Since: g.began,
 	}
 	if r := g.repeats[service]; r != nil {
 		r.Set(cfg)
