budget, upstream: Count repeats that may arrive in a window with the next

Cause: a budget counts a repeat when it is decided. One that is held up by a cut arrives at its end, with those of the window that begins then: a connection comes up within half a second, and the kernel keeps for 1.5 s what nobody acknowledges.

Now a repeat counts for as much longer (upstream.ArrivalLag).

--- a/common/dial/dial.go
+++ b/common/dial/dial.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// userTimeout is how long sent bytes may go unacknowledged before the
+	// UserTimeout is how long sent bytes may go unacknowledged before the
 	// kernel gives the connection up.
-	userTimeout clock.Millis = 1500
+	UserTimeout clock.Millis = 1500
 	// keepAliveIdle and keepAliveEvery find a dark end while nothing is sent,
 	// within about three seconds.
 	keepAliveIdle  clock.Millis = 1000
@@ -37,7 +37,7 @@
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
 	var opt error
 	err := rc.Control(func(fd uintptr) {
-		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout))
+		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(UserTimeout))
 	})
 	if err != nil {
 		return err
--- a/engines/budget/budget.go
+++ b/engines/budget/budget.go
@@ -27,6 +27,9 @@
 	Window clock.Millis
 	// Extra is how many repeats this process may add to the ratio in a window.
 	Extra float64
+	// Lag is how long after it was taken a repeat may still arrive. More than a window
+	// counts as a window.
+	Lag clock.Millis
 	// Since is when this process began to take requests.
 	Since clock.Millis
 }
@@ -83,11 +86,13 @@
 	b.usage.Requests++
 }
 
-// Left returns how many repeats are allowed now.
+// Left returns how many repeats are allowed now. Those count that may arrive in one window
+// with the next.
 func (b *Budget) Left(now clock.Millis) float64 {
 	b.advance(now)
+	lag := b.part(b.cfg.Lag + b.partTime() - 1)
 	repeats := 0
-	for age := range int64(parts + 1) {
+	for age := range min(slices, parts+1+lag) {
 		repeats += b.latest(age).repeats
 	}
 	return b.cfg.Ratio*b.base() + b.cfg.Extra - float64(repeats)
@@ -115,8 +120,11 @@
 	return b.counts[((b.at-age)%slices+slices)%slices]
 }
 
+// partTime returns the length of a part.
+func (b *Budget) partTime() clock.Millis { return max(1, b.cfg.Window/parts) }
+
 // part returns the number of the part in which a time lies.
-func (b *Budget) part(t clock.Millis) int64 { return int64(t) / max(1, int64(b.cfg.Window)/parts) }
+func (b *Budget) part(t clock.Millis) int64 { return int64(t / b.partTime()) }
 
 // Spend takes one repeat, or reports that none is left.
 func (b *Budget) Spend(now clock.Millis) bool {
--- a/engines/budget/fleet_test.go
+++ b/engines/budget/fleet_test.go
@@ -82,7 +82,7 @@
 }
 
 func (f *fleet) start(e *entry) {
-	e.budget = budget.New(budget.Config{Ratio: ratio * share, Extra: extra / float64(max(parts, len(f.entries))), Window: window, Since: f.now})
+	e.budget = budget.New(budget.Config{Ratio: ratio * share, Extra: extra / float64(max(parts, len(f.entries))), Window: window, Lag: heldMost, Since: f.now})
 	e.down = false
 }
 
@@ -297,7 +297,7 @@
 				f.held = append(f.held, span{t, t + heldMost})
 			}
 		}},
-		{name: "what is sent is held up once in a window", entries: 4, rate: 2000, trouble: func(f *fleet) {
+		{name: "what is sent is held up once in a window", entries: 4, rate: 6000, trouble: func(f *fleet) {
 			f.held = []span{{3000, 3000 + heldMost}, {13_500, 13_500 + heldMost}}
 		}},
 		{name: "entries that are killed in turn", entries: 4, rate: 400, trouble: func(f *fleet) {
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -45,6 +45,10 @@
 	readBuffer = 4 << 10
 )
 
+// ArrivalLag is how long after it was given to a pool a request may arrive at its engine:
+// until a connection is up, and then while the kernel keeps what nobody acknowledges.
+const ArrivalLag = dialLimit + dial.UserTimeout
+
 // Pool keeps connections to engines. It is safe for concurrent use.
 type Pool struct {
 	clk    *clock.Clock
--- a/gate/repeats.go
+++ b/gate/repeats.go
@@ -10,6 +10,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/budget"
+	"github.com/weldfall/weldfall/engines/upstream"
 )
 
 const (
@@ -53,7 +54,7 @@
 func (g *Gate) repeatsOf(service string) *repeats {
 	bounds := g.bounds()
 	cfg := budget.Config{
-		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow,
+		Ratio: bounds.RetryRatio * retryShare, Window: bounds.RetryWindow, Lag: upstream.ArrivalLag,
 		Extra: bounds.RetryExtra / float64(max(extraShare, g.mostEntries)), Since: g.began,
 	}
 	if r := g.repeats[service]; r != nil {
