soak: Play engines that fail while all gates are killed or stand still

The soak let engines fail for moments and killed gates one by one, so that repeats never came near to their bound, and allowed each life of a gate its part of the extra, over what the operators allow once there are more than 32 lives.

The failing play has engines of which each fails half of its requests for two to six seconds, all gates killed or standing still at once within them, and four times as many callers. The judge allows the operators' extra at most.

--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -245,7 +245,7 @@
 			n = max(n, within(requests, end.Add(-before)))
 		}
 		got := within(repeats, end)
-		if most := int(retryRatio*float64(n)) + gateLives*extraPerGate; got > most {
+		if most := int(retryRatio*float64(n)) + min(retryExtra, gateLives*extraPerGate); got > most {
 			r.breaks("budget of %s: %d repeats in %v of %d requests, want at most %d", service, got, retryWindow, n, most)
 			return
 		}
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -109,6 +109,8 @@
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(s.For)
 		g.signal(syscall.SIGCONT)
+	case Herd:
+		w.strikeAll(s)
 	case Reload:
 		g.reload()
 	case Store:
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -79,7 +79,7 @@
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing, Failing}
 
 func (p Play) uneven() bool { return p == Planned || p == Mixed }
 
@@ -127,7 +127,7 @@
 // disturbs reports whether a gate may know less of engines while it lasts.
 func (s Step) disturbs() bool {
 	switch s.Kind {
-	case Pause, Suspend, Store, Compact, Copy, StoreLink, SilentStore, Revoke:
+	case Pause, Herd, Suspend, Store, Compact, Copy, StoreLink, SilentStore, Revoke:
 		return true
 	}
 	return false
@@ -162,6 +162,8 @@
 		return newGrowing(rng, length)
 	case Hushing:
 		return newHushing(rng, length)
+	case Failing:
+		return newFailing(rng, length)
 	}
 	from := kinds
 	switch play {
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -187,6 +187,11 @@
 				w.wg.Go(func() { w.callEnding(k) })
 			}
 		}
+		if w.cfg.Play == Failing {
+			for c := range failingCallers {
+				w.wg.Go(func() { w.callFailing(i, c) })
+			}
+		}
 		if w.cfg.Play.uneven() {
 			for c := range longCallers {
 				w.wg.Go(func() { w.callLong(i, callers+c) })
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -45,6 +45,8 @@
 		"a store that comes back from older copies, and suspended instances": {130003, soak.Copying},
 		// A watch that was sent into a silence heard nothing for its whole wait.
 		"a store that falls silent for moments": {12, soak.Hushing},
+		// A process counted its repeats from nothing, and requests when it read them.
+		"gates that are killed or stand still while engines fail": {2, soak.Failing},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
 	} {
