entry: Keep what a workspace took when its limits change

Callers of a workspace: each publication that changed its tokens a second or its burst granted the whole burst anew, so that a partner could send as much again as often as an operator edited its branch.

Cause: a changed limit made a new limiter. Now the limiter is changed, and keeps what was taken.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -32,10 +32,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lim, known := l.byWorkspace.Get(workspace)
-	if !known || lim.Limit() != rate.Limit(perSecond) || lim.Burst() != burst {
+	if !known {
 		lim = rate.NewLimiter(rate.Limit(perSecond), burst)
 		l.byWorkspace.Add(workspace, lim)
 	}
+	// Changed limits leave what was taken as it is.
+	lim.SetLimit(rate.Limit(perSecond))
+	lim.SetBurst(burst)
 	tokens = min(tokens, burst)
 	have := lim.Tokens()
 	if have >= float64(tokens) && lim.AllowN(clock.WallTime(), tokens) {
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -19,3 +19,15 @@
 	(&Entry{}).respond(c, "send", err)
 	return w.Result()
 }
+
+// Limiters hold the rates of workspaces.
+type Limiters struct{ l *limiters }
+
+// NewLimiters returns limiters that know of no workspace.
+func NewLimiters() Limiters { return Limiters{newLimiters()} }
+
+// Take reports whether a workspace may have so many tokens by its limits.
+func (l Limiters) Take(workspace string, perSecond float64, burst, tokens int) bool {
+	_, ok := l.l.take(workspace, perSecond, burst, tokens)
+	return ok
+}
