gate, budget: Name budgets and grants, and say plainly what they count

Behaviour as it was. A newcomer met a type, a method, a struct and a map that were all called repeat or repeats; comments told what is counted in roundabout words.

--- a/engines/budget/bucket.go
+++ b/engines/budget/bucket.go
@@ -2,12 +2,12 @@
 
 import "github.com/weldfall/weldfall/common/clock"
 
-// burst is the part of a window whose requests fill a bucket.
+// burst is the part of a window whose requests earn what a bucket holds at most.
 const burst = 0.2
 
-// bucket holds the repeats that were earned and not yet taken. In a window there arrive at
-// most those that were held before it, and those that were earned in it and in the lag
-// before it, whichever processes earned them.
+// bucket holds the repeats that were earned and not yet taken. At most those arrive in a
+// window that were held before it, and those that were earned in it and in the lag before
+// it, by whichever processes.
 type bucket struct {
 	tokens float64
 	// filled is up to when the extra was added.
@@ -33,8 +33,8 @@
 // request adds what a request earns.
 func (b *bucket) request(cfg Config) { b.tokens += cfg.earned() }
 
-// earned returns what a request earns, so that a window does not see more than the ratio
-// with what was held before it and what was taken in the lag before it.
+// earned returns what a request earns. It is less than the ratio, since what was held before
+// a window and what was earned in the lag before it may arrive in the window, too.
 func (c Config) earned() float64 {
 	lag := float64(min(c.Lag, c.Window)) / float64(max(1, c.Window))
 	return c.Ratio / (1 + burst + lag)
--- a/engines/budget/budget.go
+++ b/engines/budget/budget.go
@@ -18,8 +18,8 @@
 	"github.com/weldfall/weldfall/common/clock"
 )
 
-// windowShare is the part of the ratio that a window takes. The rest is for what no process
-// sees.
+// windowShare is the part of the ratio that may be spent in a window. The rest is a margin for
+// what no process sees.
 const windowShare = 0.8
 
 // Config sets up a Budget.
--- a/engines/budget/window.go
+++ b/engines/budget/window.go
@@ -37,25 +37,26 @@
 	return &w.counts[w.latest%slices]
 }
 
-// base returns how many requests callers sent in a window, by the mean of the stretch from
-// one to two windows, ending now, in which it is the least. A process may read late what
-// they sent, and then much at once: the requests of one window may be those of a longer
-// time. A stretch that begins before they were held up tells how long. What was sent before
-// the process began is not held up for it.
+// base estimates how many requests callers sent in a window. Requests may be read long
+// after they were sent, and then many at once, so that those read in one window were sent
+// in a longer time. In a stretch that begins while none waits to be read, no more are read
+// than were sent. So base is the least mean of all stretches of one to two windows that end
+// now. None begins before the process did, since nothing waited for it.
 func (w *window) base(cfg Config) float64 {
 	life := w.latest - cfg.part(cfg.Since)
 	n, least := 0, math.Inf(1)
 	for age := range 1 + max(parts, min(slices-1, life)) {
 		n += w.ago(age).requests
 		if age >= parts {
-			// The latest part has only begun; taken for whole it makes the mean no greater.
+			// The latest part has only begun. Taken for a whole one it makes the mean no greater.
 			least = min(least, float64(n*parts)/float64(age+1))
 		}
 	}
 	return least
 }
 
-// repeats returns how many were taken that may arrive in one window with the next.
+// repeats returns how many were taken within a window and the lag: the next may arrive in
+// one window with all of them.
 func (w *window) repeats(cfg Config) int {
 	n := 0
 	for age := range min(slices, parts+1+cfg.part(cfg.Lag+cfg.partTime()-1)) {
--- a/gate/account.go
+++ b/gate/account.go
@@ -99,8 +99,8 @@
 }
 
 // logAgain logs why a request goes to another engine, or why not.
-func (g *Gate) logAgain(c *call, o attempt.Outcome, e engines.Info, r repeat, left clock.Millis) {
-	if r.allowed() {
+func (g *Gate) logAgain(c *call, o attempt.Outcome, e engines.Info, granted grant, left clock.Millis) {
+	if granted.allowed() {
 		g.counts.repeats.Inc()
 	}
 	cause := ""
@@ -115,5 +115,5 @@
 		cause = "status " + strconv.Itoa(o.Answer.Status)
 	}
 	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "outcome", kindOf(o), "cause", cause,
-		"again", r.allowed(), "repeat", r, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
+		"again", granted.allowed(), "repeat", granted, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
 }
--- a/gate/repeats.go
+++ b/gate/repeats.go
@@ -26,94 +26,95 @@
 	otherServices = "other"
 )
 
-// repeat says whether another attempt follows one that ended.
-type repeat string
+// grant says whether another attempt may follow one that ended, and why.
+type grant string
 
 const (
-	// notRepeated requests may not go to another engine.
-	notRepeated repeat = "none"
-	// repeatFree is one after an attempt of which nothing arrived.
-	repeatFree repeat = "free"
-	// repeatSpent is taken from the budget, repeatDenied one that the budget refused.
-	repeatSpent  repeat = "spent"
-	repeatDenied repeat = "denied"
+	// grantNone: the request may not go to another engine, whatever the budget.
+	grantNone grant = "none"
+	// grantFree: nothing of the attempt arrived, so the next is no repeat.
+	grantFree grant = "free"
+	// grantSpent: a repeat was taken from the budget.
+	grantSpent grant = "spent"
+	// grantDenied: the budget had none left.
+	grantDenied grant = "denied"
 )
 
-func (r repeat) allowed() bool { return r == repeatFree || r == repeatSpent }
+func (a grant) allowed() bool { return a == grantFree || a == grantSpent }
 
-// repeats is the budget of the repeats of a service, with its counters.
-type repeats struct {
+// serviceBudget is the budget of the repeats of a service, with its counters.
+type serviceBudget struct {
 	*budget.Budget
 	requests, spent, denied *metrics.Counter
 	// told is how many repeats had been asked for when the log was last told.
 	told uint64
 }
 
-// repeatsOf returns the budget of a service. The caller holds mu.
-func (g *Gate) repeatsOf(service string) *repeats {
+// budget returns the budget of a service. The caller holds mu.
+func (g *Gate) budget(service string) *serviceBudget {
 	bounds := g.bounds()
 	cfg := budget.Config{
 		Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Lag: upstream.ArrivalLag, Since: g.began,
 		Extra: bounds.RetryExtra / float64(max(extraShare, extraLives*g.mostEntries)),
 	}
-	if r := g.repeats[service]; r != nil {
-		r.Set(cfg)
-		return r
+	if b := g.budgets[service]; b != nil {
+		b.Set(cfg)
+		return b
 	}
 	label := service
-	if len(g.repeats) >= meteredMost {
+	if len(g.budgets) >= meteredMost {
 		label = otherServices
 	}
-	r := &repeats{
+	b := &serviceBudget{
 		Budget:   budget.New(cfg),
 		requests: metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_repeat_base_total{service=%q}", label)),
 		spent:    metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_repeats_spent_total{service=%q}", label)),
 		denied:   metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_repeats_denied_total{service=%q}", label)),
 	}
-	g.repeats[service] = r
-	return r
+	g.budgets[service] = b
+	return b
 }
 
 // countRequest lets the budget grow with each request.
 func (g *Gate) countRequest(c *call) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.repeatsOf(c.service)
-	r.Request(g.clk.Now())
-	r.requests.Inc()
+	b := g.budget(c.service)
+	b.Request(g.clk.Now())
+	b.requests.Inc()
 }
 
-// repeat takes another attempt from the budget of a service, if the one that ended may
-// have arrived.
-func (g *Gate) repeat(service string, o attempt.Outcome, now clock.Millis) repeat {
+// grantRepeat takes a repeat from the budget of a service, unless nothing of the attempt
+// that ended arrived.
+func (g *Gate) grantRepeat(service string, o attempt.Outcome, now clock.Millis) grant {
 	if _, ok := o.(attempt.Unsent); ok {
-		return repeatFree
+		return grantFree
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.repeatsOf(service)
-	if !r.Spend(now) {
-		r.denied.Inc()
-		return repeatDenied
+	b := g.budget(service)
+	if !b.Spend(now) {
+		b.denied.Inc()
+		return grantDenied
 	}
-	r.spent.Inc()
-	return repeatSpent
+	b.spent.Inc()
+	return grantSpent
 }
 
 // logRepeats tells of each budget that was asked for repeats since it was last told of.
 func (g *Gate) logRepeats() {
 	now := g.clk.Now()
-	b := g.bounds()
+	bounds := g.bounds()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, service := range slices.Sorted(maps.Keys(g.repeats)) {
-		r := g.repeats[service]
-		u := r.Usage(now)
-		if r.told == u.Spent+u.Denied {
+	for _, service := range slices.Sorted(maps.Keys(g.budgets)) {
+		b := g.budgets[service]
+		u := b.Usage(now)
+		if b.told == u.Spent+u.Denied {
 			continue
 		}
-		r.told = u.Spent + u.Denied
+		b.told = u.Spent + u.Denied
 		g.log.Info("repeats", "service", service, "requests", u.Requests, "spent", u.Spent, "denied", u.Denied,
-			"least_left", tenths(u.Least), "ratio", b.RetryRatio, "extra", b.RetryExtra, "window_ms", b.RetryWindow)
+			"least_left", tenths(u.Least), "ratio", bounds.RetryRatio, "extra", bounds.RetryExtra, "window_ms", bounds.RetryWindow)
 	}
 }
--- a/gate/self.go
+++ b/gate/self.go
@@ -10,20 +10,20 @@
 // stallLeast is how late a sweep must be for the process to have stood still.
 const stallLeast clock.Millis = 500
 
-// self is what a process notices of itself.
-type self struct {
+// selfCheck is what a process notices of itself.
+type selfCheck struct {
 	stalls *clock.PauseDetector
 	// dropped is how many lines of the log were lost when that was last told.
 	dropped uint64
 }
 
-func newSelf(now clock.Millis) *self {
-	return &self{stalls: clock.NewPauseDetector(sweepPeriod+stallLeast, now), dropped: logline.Dropped()}
+func newSelfCheck(now clock.Millis) *selfCheck {
+	return &selfCheck{stalls: clock.NewPauseDetector(sweepPeriod+stallLeast, now), dropped: logline.Dropped()}
 }
 
 // look tells how long the process did not run, be it frozen or starved, and how many lines
 // of the log were lost. It is called every sweepPeriod.
-func (s *self) look(now clock.Millis, log *slog.Logger) {
+func (s *selfCheck) look(now clock.Millis, log *slog.Logger) {
 	if gap := s.stalls.Tick(now); gap > 0 {
 		log.Warn("stalled", "late_ms", gap-sweepPeriod)
 	}
--- a/gate/send.go
+++ b/gate/send.go
@@ -192,12 +192,12 @@
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s answered %d", e.ID, o.Answer.Status)
 	}
 	left := c.left(now)
-	r := notRepeated
+	granted := grantNone
 	if free && left > leastLeft {
-		r = g.repeat(c.service, o, now)
+		granted = g.grantRepeat(c.service, o, now)
 	}
-	g.logAgain(c, o, e, r, left)
-	if r.allowed() {
+	g.logAgain(c, o, e, granted, left)
+	if granted.allowed() {
 		return nil
 	}
 	if left <= 0 {
--- a/gate/server.go
+++ b/gate/server.go
@@ -45,7 +45,7 @@
 	})
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSweep()
-	own := newSelf(g.clk.Now())
+	own := newSelfCheck(g.clk.Now())
 	go clock.Every(sweepCtx, sweepPeriod, func() {
 		g.sweep()
 		own.look(g.clk.Now(), g.log)
