--- /dev/null
+++ b/common/framing/framing_test.go
@@ -0,0 +1,51 @@
+package framing_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/framing"
+)
+
+func TestWhatIsKnownOfAnAnswersEnd(t *testing.T) {
+	cases := []struct {
+		name, method, answer string
+		framing              framing.Framing
+		end                  framing.End
+	}{
+		{"length", "GET", "Content-Length: 4\r\n\r\nbody", framing.Length, framing.Complete},
+		{"less than its length", "GET", "Content-Length: 5\r\n\r\nbody", framing.Length, framing.Incomplete},
+		{"empty", "GET", "Content-Length: 0\r\n\r\n", framing.Length, framing.Complete},
+		{"chunks", "GET", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", framing.Chunked, framing.Complete},
+		{"chunks without the last", "GET", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", framing.Chunked, framing.Incomplete},
+		{"a chunk cut short", "GET", "Transfer-Encoding: chunked\r\n\r\n4\r\nbo", framing.Chunked, framing.Incomplete},
+		{"neither", "GET", "\r\nbody", framing.UntilClose, framing.Closed},
+		{"neither, and closing", "GET", "Connection: close\r\n\r\nbody", framing.UntilClose, framing.Closed},
+		{"neither, and no body", "HEAD", "\r\n", framing.Length, framing.Complete},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			res, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+tc.answer)), &http.Request{Method: tc.method})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			f := framing.Of(res)
+			if f != tc.framing {
+				t.Errorf("got framing %s, want %s", f, tc.framing)
+			}
+			var end error = io.EOF
+			for buf := make([]byte, 16); ; {
+				if _, end = res.Body.Read(buf); end != nil {
+					break
+				}
+			}
+			if got := f.End(end); got != tc.end {
+				t.Errorf("got %s by %v, want %s", got, end, tc.end)
+			}
+		})
+	}
+}
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"sync"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 )
 
 // Bounds towards engines.
@@ -95,9 +96,8 @@
 	return a.StatusCode == http.StatusMisdirectedRequest || a.Header.Get(a.pool.names.NotRun) != ""
 }
 
-// Framed reports whether the answer told its length or was chunked, so that
-// an answer that broke off can be told from a whole one.
-func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+// Framing returns how the answer tells where it ends.
+func (a *Answer) Framing() framing.Framing { return framing.Of(a.Response) }
 
 // Read reads the body. io.EOF means that the body is whole.
 func (a *Answer) Read(p []byte) (int, error) {
@@ -125,7 +125,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		attached := a.stop()
-		ok := attached && a.whole && a.keep && a.Framed() && a.conn.br.Buffered() == 0 && a.bodySent()
+		ok := attached && a.whole && a.keep && a.Framing() != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
 		a.pool.end(a.conn)
 		a.pool.release(a.conn, ok, a.Header)
 	})
--- a/gate/account.go
+++ b/gate/account.go
@@ -81,6 +81,9 @@
 		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
 		"late", c.late(now), "first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
 	}
+	if c.framed != "" {
+		attrs = append(attrs, "framed", c.framed, "ended", c.ended, "partial", c.partial)
+	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/engines/events"
@@ -91,6 +92,11 @@
 	pause    clock.Millis
 	bytesOut int64
 	status   int
+	// framed is how the latest engine framed its answer, "" before it began one, ended what
+	// is known of its end, and partial how many bytes of an event it ended within.
+	framed  framing.Framing
+	ended   framing.End
+	partial int
 	// cut is true when the answer must be broken off.
 	cut    bool
 	filter string
@@ -129,6 +135,12 @@
 	c.bytesOut += int64(n)
 }
 
+// noteEnd records what is known of the end of an engine's answer by the error that ended
+// its reading.
+func (c *call) noteEnd(err error) {
+	c.ended, c.partial = c.framed.End(err), len(c.split.Pending())
+}
+
 // late tells what of a whole answer was late by the route's goals: "first" for
 // the first bytes of a stream or all of a plain answer, "pause" for a pause
 // between events, or "" for an answer that was on time.
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -44,6 +44,7 @@
 
 // relay passes the answer on to the caller.
 func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
+	c.framed, c.ended, c.partial = a.Framing(), "", 0
 	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
 	if a.StatusCode == http.StatusOK && c.route.Kind == table.Stream && strings.TrimSpace(mediaType) == "text/event-stream" {
 		return g.relayStream(ctx, c, e, a)
@@ -58,10 +59,10 @@
 func (g *Gate) relayPlain(ctx context.Context, c *call, a *upstream.Answer) attempt.Outcome {
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, a, plainLimit)
-	switch {
-	case err == nil:
+	if err == nil {
 		return g.relayLong(ctx, c, a, body.Bytes())
-	case !errors.Is(err, io.EOF):
+	}
+	if c.noteEnd(err); !errors.Is(err, io.EOF) {
 		return brokenOr(ctx, err)
 	}
 	h := &attempt.Held{Status: a.StatusCode, Header: a.Header, Body: body.Bytes()}
@@ -122,12 +123,13 @@
 		if werr := c.write(buf[:n], g.clk.Now()); werr != nil {
 			return attempt.CallerGone{}
 		}
-		if errors.Is(err, io.EOF) {
-			return attempt.Answered{}
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			return brokenOr(ctx, err)
+		if c.noteEnd(err); errors.Is(err, io.EOF) {
+			return attempt.Answered{}
 		}
+		return brokenOr(ctx, err)
 	}
 }
 
@@ -146,6 +148,9 @@
 		if !ok {
 			return attempt.Broken{Err: errors.New("an event without an end")}
 		}
+		if err != nil {
+			c.noteEnd(err)
+		}
 		ended := errors.Is(err, io.EOF)
 		if ended && len(c.split.Pending()) > 0 {
 			whole = append(whole, c.split.Pending()...)
