callers: Let an answer end with its connection, or break off by a reset

A handler could not say that an answer ends with its connection because nobody knows whether it is complete, and an answer that broke off ended with a FIN for callers whose only sign of the end that is. Nothing uses either yet.

--- /dev/null
+++ b/callers/ending.go
@@ -0,0 +1,43 @@
+package callers
+
+import "net/http"
+
+// The header by which a handler has the library frame nothing and end the connection after
+// the answer. It is not sent.
+const (
+	transferEncoding = "Transfer-Encoding"
+	identity         = "identity"
+)
+
+// UntilClose has an answer end with its connection, as one does of which nobody says whether
+// it is complete. The head must not have been written yet.
+func UntilClose(w http.ResponseWriter) {
+	h := w.Header()
+	h.Del("Content-Length")
+	h.Set(transferEncoding, identity)
+}
+
+// BreakOff ends the handler of a request in the middle of its answer, so that the caller
+// cannot take it for whole. Where only the end of the connection ends the answer, the
+// connection is reset.
+func BreakOff(w http.ResponseWriter, r *http.Request) {
+	if c := connOf(r.Context()); c != nil && endsByClose(w, r) {
+		c.resetOnClose()
+	}
+	// The library closes the connection.
+	panic(http.ErrAbortHandler)
+}
+
+// endsByClose reports whether nothing but the end of the connection ends an answer.
+func endsByClose(w http.ResponseWriter, r *http.Request) bool {
+	h := w.Header()
+	return h.Get("Content-Length") == "" && (!r.ProtoAtLeast(1, 1) || h.Get(transferEncoding) == identity)
+}
+
+// resetOnClose has the connection end with a reset once it is closed.
+func (c *conn) resetOnClose() {
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// It fails only on a closed connection.
+		_ = t.SetLinger(0)
+	}
+}
--- /dev/null
+++ b/callers/ending_test.go
@@ -0,0 +1,75 @@
+package callers_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/common/framing"
+)
+
+// Of each answer the caller must be able to tell what its entry knows: broken off, or not.
+func TestHowAnAnswerEndsSaysWhatIsKnown(t *testing.T) {
+	unflushed := func(w http.ResponseWriter) { _, _ = io.WriteString(w, "part") }
+	flushed := func(w http.ResponseWriter) {
+		unflushed(w)
+		_ = http.NewResponseController(w).Flush()
+	}
+	plain := func(http.ResponseWriter) {}
+	length := func(w http.ResponseWriter) { w.Header().Set("Content-Length", "9") }
+	cases := []struct {
+		name, proto string
+		frame       func(http.ResponseWriter)
+		write       func(http.ResponseWriter)
+		broken      bool
+		framed      framing.Framing
+		// want is how the caller's reading ends.
+		want error
+	}{
+		{"until close", "1.1", callers.UntilClose, flushed, false, framing.UntilClose, nil},
+		{"until close, at once", "1.1", callers.UntilClose, unflushed, false, framing.UntilClose, nil},
+		{"until close, empty", "1.1", callers.UntilClose, plain, false, framing.UntilClose, nil},
+		{"until close", "1.0", callers.UntilClose, flushed, false, framing.UntilClose, nil},
+		{"until close, at once", "1.0", callers.UntilClose, unflushed, false, framing.UntilClose, nil},
+		{"until close, broken off", "1.1", callers.UntilClose, flushed, true, framing.UntilClose, syscall.ECONNRESET},
+		{"until close, broken off", "1.0", callers.UntilClose, flushed, true, framing.UntilClose, syscall.ECONNRESET},
+		{"chunked", "1.1", plain, flushed, false, framing.Chunked, nil},
+		{"chunked, broken off", "1.1", plain, flushed, true, framing.Chunked, io.ErrUnexpectedEOF},
+		{"no chunks in 1.0", "1.0", plain, flushed, false, framing.UntilClose, nil},
+		{"no chunks in 1.0, broken off", "1.0", plain, flushed, true, framing.UntilClose, syscall.ECONNRESET},
+		{"length, broken off", "1.1", length, flushed, true, framing.Length, io.ErrUnexpectedEOF},
+		{"length, broken off", "1.0", length, flushed, true, framing.Length, io.ErrUnexpectedEOF},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name+" "+tc.proto, func(t *testing.T) {
+			goOn := make(chan struct{})
+			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, r *http.Request) {
+				tc.frame(w)
+				tc.write(w)
+				if tc.broken {
+					// A reset may overtake what the caller has not read.
+					<-goOn
+					callers.BreakOff(w, r)
+				}
+			})
+			nc, r := s.dial()
+			send(t, nc, strings.Replace(request, "1.1", tc.proto, 1))
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := framing.Of(res); got != tc.framed {
+				t.Errorf("got framing %s, want %s", got, tc.framed)
+			}
+			close(goOn)
+			_, err = io.ReadAll(res.Body)
+			if !errors.Is(err, tc.want) || tc.want == nil && err != nil {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
