gate, engines/events: Take a stream that ends inside an event for broken off

On routes whose streams may be resumed no other engine was asked.

Cause: the relay took the end of a body for the end of the answer, and passed on what was left of an event. An end by a last chunk or a length has the engine's word for it; one by the FIN of a connection, where the answer has neither, comes as well from a process that ended.

Now a started event at the end of a body is an end of file that was not expected, whatever the framing: it is not passed on, the stream goes on at another engine if its route allows that, else its message breaks off. Empty lines and comments behind the last event are no event.

TestAStreamThatEndsInsideAnEventIsKnown is new.

--- a/engines/events/events.go
+++ b/engines/events/events.go
@@ -47,6 +47,19 @@
 // Pending returns the bytes that belong to no whole event yet.
 func (s *Splitter) Pending() []byte { return s.pending }
 
+// Inside reports whether the bytes that belong to no whole event are the beginning of
+// one, rather than empty lines or comments.
+func (s *Splitter) Inside() bool {
+	for line := range bytes.FieldsFuncSeq(s.pending, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+
 // Drop forgets the bytes that belong to no whole event: the engine that sent
 // them broke off.
 func (s *Splitter) Drop() { s.pending = s.pending[:0] }
--- a/engines/events/events_test.go
+++ b/engines/events/events_test.go
@@ -52,3 +52,29 @@
 		t.Errorf("got %q after the rest was dropped, want the event from its start", whole)
 	}
 }
+
+func TestAStreamThatEndsInsideAnEventIsKnown(t *testing.T) {
+	for stream, want := range map[string]bool{
+		"":                                  false,
+		"data: a\n\n":                       false,
+		"data: a\r\n\r\n":                   false,
+		"data: a\n\n\n":                     false,
+		"data: a\r\n\r\n\r\n":               false,
+		"data: a\n\n: a comment\n":          false,
+		"data: a\n\n: a comm":               false,
+		"data: a\n":                         true,
+		"data: a":                           true,
+		"d":                                 true,
+		"data: a\n\nid: 2\n":                true,
+		"data: a\n\n\nid: 2\ndata: b":       true,
+		"data: a\n\n: a comment\ndata: b\n": true,
+	} {
+		var s events.Splitter
+		if _, ok := s.Add([]byte(stream)); !ok {
+			t.Fatalf("%q: got an event that is too long", stream)
+		}
+		if got := s.Inside(); got != want {
+			t.Errorf("%q: got inside an event %v, want %v", stream, got, want)
+		}
+	}
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -138,7 +138,10 @@
 // noteEnd records what is known of the end of an engine's answer by the error that ended
 // its reading.
 func (c *call) noteEnd(err error) {
-	c.ended, c.partial = c.framed.End(err), len(c.split.Pending())
+	c.ended, c.partial = c.framed.End(err), 0
+	if c.split.Inside() {
+		c.ended, c.partial = framing.Incomplete, len(c.split.Pending())
+	}
 }
 
 // late tells what of a whole answer was late by the route's goals: "first" for
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -152,12 +152,15 @@
 			c.noteEnd(err)
 		}
 		ended := errors.Is(err, io.EOF)
-		if ended && len(c.split.Pending()) > 0 {
+		if ended && c.split.Inside() {
+			ended, err = false, errInsideEvent
+		}
+		if ended {
 			whole = append(whole, c.split.Pending()...)
 			c.split.Drop()
 		}
 		if len(whole) > 0 || ended {
-			if !g.passEvents(c, a, whole, a.Buffered() == 0 || ended) {
+			if !g.passEvents(c, a, whole, a.Buffered() == 0 || err != nil) {
 				return attempt.CallerGone{}
 			}
 		}
@@ -172,6 +175,10 @@
 	}
 }
 
+// errInsideEvent wraps io.ErrUnexpectedEOF: the engine broke the stream off, whatever its
+// framing says.
+var errInsideEvent = fmt.Errorf("the stream ends inside an event: %w", io.ErrUnexpectedEOF)
+
 // streamLimit is how long the engine may take for its next bytes.
 func (g *Gate) streamLimit(c *call) clock.Millis {
 	left := c.left(g.clk.Now())
