gate: Reset a connection whose end alone says that the answer broke off

Callers of HTTP/1.0, and others whose answer has neither length nor chunks, could not tell an answer that broke off from a whole one: the library ends the connection of a handler that gives up with a FIN, as after a whole answer. Now such a connection is reset. With a length or chunks the FIN stays, since the message is short then, and a reset may overtake what was sent.

Failed before: five rows of HTTP/1.0 of TestAStreamThatEndsInsideAnEventIsToldAsBrokenOff and one of TestABrokenAnswerIsToldToHTTP10, 'closed' where 'incomplete' was wanted.

--- a/gate/server.go
+++ b/gate/server.go
@@ -31,9 +31,7 @@
 	defer callers.Follow(ctx, cancel)()
 	g.serve(ctx, c)
 	if c.cut {
-		// The library closes the connection in mid-answer, so that it cannot
-		// look whole.
-		panic(http.ErrAbortHandler)
+		callers.BreakOff(w, r)
 	}
 }
 
