gate, callers, engines/attempt: Pass an answer without a length on without one

Cause: how an answer ended was read from one sign, the end of the body, which has two meanings: by its framing, or by its connection. Now what is known of an end is a value that goes with the answer from the read to the caller's message: complete, closed or incomplete. A closed one ends with the caller's connection as well (RFC 9112, section 6.3); each of its bytes still arrives. Where the caller's message began in chunks, since an earlier engine's did, a closed rest of a resumed stream breaks it off: the caller may take it up again.

A request's line tells what the caller can know (told), and a counter how engines' answers end.

--- a/callers/ending.go
+++ b/callers/ending.go
@@ -1,6 +1,10 @@
 package callers
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/weldfall/weldfall/common/framing"
+)
 
 // The header by which a handler has the library frame nothing and end the connection after
 // the answer. It is not sent.
@@ -21,17 +25,24 @@
 // cannot take it for whole. Where only the end of the connection ends the answer, the
 // connection is reset.
 func BreakOff(w http.ResponseWriter, r *http.Request) {
-	if c := connOf(r.Context()); c != nil && endsByClose(w, r) {
+	if c := connOf(r.Context()); c != nil && Framing(w, r) == framing.UntilClose {
 		c.resetOnClose()
 	}
 	// The library closes the connection.
 	panic(http.ErrAbortHandler)
 }
 
-// endsByClose reports whether nothing but the end of the connection ends an answer.
-func endsByClose(w http.ResponseWriter, r *http.Request) bool {
+// Framing returns how the answer to a request is framed whose head is about to be written,
+// or was.
+func Framing(w http.ResponseWriter, r *http.Request) framing.Framing {
 	h := w.Header()
-	return h.Get("Content-Length") == "" && (!r.ProtoAtLeast(1, 1) || h.Get(transferEncoding) == identity)
+	switch {
+	case h.Get("Content-Length") != "":
+		return framing.Length
+	case !r.ProtoAtLeast(1, 1) || h.Get(transferEncoding) == identity:
+		return framing.UntilClose
+	}
+	return framing.Chunked
 }
 
 // resetOnClose has the connection end with a reset once it is closed.
--- a/engines/attempt/attempt.go
+++ b/engines/attempt/attempt.go
@@ -3,14 +3,19 @@
 // the final answer, is for those who send.
 package attempt
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/weldfall/weldfall/common/framing"
+)
 
 // Outcome is what an attempt came to.
 type Outcome interface{ outcome() }
 
 type (
-	// Answered means that the caller has the whole answer.
-	Answered struct{}
+	// Answered means that the caller has all that came of the answer. End, which is
+	// Complete or Closed, says whether that is known to be the whole.
+	Answered struct{ End framing.End }
 	// Unsent means that nothing of the request reached the engine.
 	Unsent struct{ Err error }
 	// Refused means that the engine, or who speaks for it, said that it did not run
@@ -27,11 +32,13 @@
 	CallerGone struct{ Err error }
 )
 
-// Held is a whole answer that is not yet passed on.
+// Held is an answer that has come to its end and is not yet passed on.
 type Held struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// End is Complete or Closed.
+	End framing.End
 }
 
 func (Answered) outcome()   {}
--- a/engines/offer/offer.go
+++ b/engines/offer/offer.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
@@ -199,7 +200,7 @@
 // finish turns the word of a daemon into what the attempt came to.
 func (a *sending) finish(res wire.Result) attempt.Outcome {
 	if res.Verdict == verdict.Ran {
-		return attempt.Answered{}
+		return attempt.Answered{End: framing.Complete}
 	}
 	v := verdict.MayHaveRun
 	// An answer that has begun ran, whatever the daemon says.
--- a/gate/account.go
+++ b/gate/account.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -83,6 +84,10 @@
 	}
 	if c.framed != "" {
 		attrs = append(attrs, "framed", c.framed, "ended", c.ended, "partial", c.partial)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_answers_total{service=%q,framed=%q,ended=%q}`, c.service, c.framed, c.ended)).Inc()
+	}
+	if c.began {
+		attrs = append(attrs, "told", c.toldEnd())
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
--- a/gate/call.go
+++ b/gate/call.go
@@ -97,6 +97,8 @@
 	framed  framing.Framing
 	ended   framing.End
 	partial int
+	// told is how the answer to the caller is framed, "" before it has begun.
+	told framing.Framing
 	// cut is true when the answer must be broken off.
 	cut    bool
 	filter string
@@ -144,6 +146,17 @@
 	}
 }
 
+// toldEnd returns what the caller can know of the end of its answer.
+func (c *call) toldEnd() framing.End {
+	switch {
+	case c.cut:
+		return framing.Incomplete
+	case c.told == framing.UntilClose:
+		return framing.Closed
+	}
+	return framing.Complete
+}
+
 // late tells what of a whole answer was late by the route's goals: "first" for
 // the first bytes of a stream or all of a plain answer, "pause" for a pause
 // between events, or "" for an answer that was on time.
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -10,7 +10,9 @@
 	"strconv"
 	"strings"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/duration"
@@ -65,7 +67,7 @@
 	if c.noteEnd(err); !errors.Is(err, io.EOF) {
 		return brokenOr(ctx, err)
 	}
-	h := &attempt.Held{Status: a.StatusCode, Header: a.Header, Body: body.Bytes()}
+	h := &attempt.Held{Status: a.StatusCode, Header: a.Header, Body: body.Bytes(), End: c.ended}
 	switch {
 	case promises(a.StatusCode):
 		return attempt.Broken{Err: fmt.Errorf("status %d without word that the request did not run", a.StatusCode)}
@@ -73,7 +75,7 @@
 		return attempt.Failed{Answer: h}
 	}
 	g.pass(c, h)
-	return attempt.Answered{}
+	return attempt.Answered{End: h.End}
 }
 
 // promises reports whether callers take a status for "has not run and never
@@ -94,10 +96,14 @@
 	return attempt.Broken{Err: err}
 }
 
-// pass writes a whole answer to the caller.
+// pass writes an answer that was held to the caller.
 func (g *Gate) pass(c *call, h *attempt.Held) {
 	g.copyHead(c, h.Header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.Body)))
+	if h.End == framing.Closed {
+		callers.UntilClose(c.w)
+	} else {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(h.Body)))
+	}
 	g.begin(c, h.Status)
 	// A caller that is gone needs no answer; the account shows the bytes.
 	_ = c.write(h.Body, g.clk.Now())
@@ -107,8 +113,12 @@
 func (g *Gate) relayLong(ctx context.Context, c *call, a *upstream.Answer, first []byte) attempt.Outcome {
 	g.durations.Long(c.route.Name)
 	g.copyHead(c, a.Header)
-	if a.ContentLength >= 0 {
+	switch c.framed {
+	case framing.Length:
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	case framing.UntilClose:
+		callers.UntilClose(c.w)
+	case framing.Chunked:
 	}
 	g.begin(c, a.StatusCode)
 	// The head's limit no longer holds: nothing can be taken elsewhere now, and
@@ -127,7 +137,7 @@
 			continue
 		}
 		if c.noteEnd(err); errors.Is(err, io.EOF) {
-			return attempt.Answered{}
+			return attempt.Answered{End: c.ended}
 		}
 		return brokenOr(ctx, err)
 	}
@@ -155,6 +165,9 @@
 		if ended && c.split.Inside() {
 			ended, err = false, errInsideEvent
 		}
+		if ended && c.ended == framing.Closed && c.told == framing.Chunked {
+			ended, err = false, errUnconfirmed
+		}
 		if ended {
 			whole = append(whole, c.split.Pending()...)
 			c.split.Drop()
@@ -166,7 +179,7 @@
 		}
 		if ended {
 			g.learnRest(c)
-			return attempt.Answered{}
+			return attempt.Answered{End: c.ended}
 		}
 		if err != nil {
 			c.split.Drop()
@@ -175,9 +188,14 @@
 	}
 }
 
-// errInsideEvent wraps io.ErrUnexpectedEOF: the engine broke the stream off, whatever its
-// framing says.
-var errInsideEvent = fmt.Errorf("the stream ends inside an event: %w", io.ErrUnexpectedEOF)
+// Ends of streams that are told as broken off, though their framing does not say so.
+var (
+	// errInsideEvent means that the engine broke the stream off, whatever its framing says.
+	errInsideEvent = fmt.Errorf("the stream ends inside an event: %w", io.ErrUnexpectedEOF)
+	// errUnconfirmed means that the engine that took up a stream did not say that it is
+	// complete. The caller's message began as one that says so.
+	errUnconfirmed = fmt.Errorf("the rest of the stream ends with its connection: %w", io.ErrUnexpectedEOF)
+)
 
 // streamLimit is how long the engine may take for its next bytes.
 func (g *Gate) streamLimit(c *call) clock.Millis {
@@ -192,6 +210,9 @@
 func (g *Gate) passEvents(c *call, a *upstream.Answer, whole []byte, flush bool) bool {
 	if !c.began {
 		g.copyHead(c, a.Header)
+		if c.framed == framing.UntilClose {
+			callers.UntilClose(c.w)
+		}
 		g.begin(c, a.StatusCode)
 	}
 	now := g.clk.Now()
@@ -244,7 +265,7 @@
 
 // begin writes the head of the answer.
 func (g *Gate) begin(c *call, status int) {
-	c.began, c.status = true, status
+	c.began, c.status, c.told = true, status, callers.Framing(c.w, c.r)
 	if g.leave.begun() {
 		c.w.Header().Set("Connection", "close")
 	}
