gate, gate/relay: Decide what an answer was in a package of its own

What became of an answer was decided in relay.go, respond.go, send.go and call.go: 'is it whole' had no one place. gate/relay reads an answer to its end, says what is known of that end, and writes the caller's reply; the gate tells it of the route and the time, and hears of paces. It is tested without a gate.

No behaviour changes.

--- a/gate/account.go
+++ b/gate/account.go
@@ -61,45 +61,45 @@
 // account counts the end of a call and logs it in one line.
 func (g *Gate) account(c *call) {
 	now := g.clk.Now()
-	if c.status >= 100 && c.status < 600 {
-		g.counts.answers[strconv.Itoa(c.status/100)+"xx"].Inc()
+	if status := c.reply.Status(); status >= 100 && status < 600 {
+		g.counts.answers[strconv.Itoa(status/100)+"xx"].Inc()
 	}
 	g.counts.total.Update(inSeconds(now - c.start))
-	if c.firstAt > 0 {
-		g.counts.firstByte.Update(inSeconds(c.firstAt - c.start))
-		g.counts.pause.Update(inSeconds(c.pause))
+	if c.reply.FirstAt() > 0 {
+		g.counts.firstByte.Update(inSeconds(c.reply.FirstAt() - c.start))
+		g.counts.pause.Update(inSeconds(c.reply.Pause()))
 	}
-	g.counts.bytesOut.Add(int(c.bytesOut))
+	g.counts.bytesOut.Add(int(c.reply.Bytes()))
 	engine := ""
 	if len(c.tried) > 0 {
 		engine = c.tried[len(c.tried)-1]
 	}
-	if c.err == nil && c.route != nil && c.status == http.StatusOK {
+	if c.err == nil && c.route != nil && c.reply.Status() == http.StatusOK {
 		g.durations.Whole(c.route.Name, now-c.start)
 	}
 	attrs := []any{
 		"request", c.id, "service", c.service, "engine", engine, "attempts", len(c.tried), "how", c.how, "kept", c.kept, "fetched", c.fetched, "dearer", c.dearer, "read_us", math.Round(c.readTime * microsPerMilli),
-		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.status,
-		"late", c.late(now), "first_ms", max(0, c.firstAt-c.start), "pause_ms", c.pause, "total_ms", now - c.start, "bytes", c.bytesOut,
+		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.reply.Status(),
+		"late", c.late(now), "first_ms", max(0, c.reply.FirstAt()-c.start), "pause_ms", c.reply.Pause(), "total_ms", now - c.start, "bytes", c.reply.Bytes(),
 	}
-	if c.framed != "" {
-		attrs = append(attrs, "framed", c.framed, "ended", c.ended, "partial", c.partial)
-		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_answers_total{service=%q,framed=%q,ended=%q}`, c.service, c.framed, c.ended)).Inc()
+	if a := c.reply.Answer(); a.Framed != "" {
+		attrs = append(attrs, "framed", a.Framed, "ended", a.Ended, "partial", a.Partial)
+		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_answers_total{service=%q,framed=%q,ended=%q}`, c.service, a.Framed, a.Ended)).Inc()
 	}
-	if c.began {
-		attrs = append(attrs, "told", c.toldEnd())
+	if c.reply.Began() {
+		attrs = append(attrs, "told", c.reply.Told())
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
 	}
-	if c.err == nil && !c.cut {
+	if c.err == nil && !c.reply.BrokenOff() {
 		if c.note != "" {
 			attrs = append(attrs, "note", c.note)
 		}
 		g.log.Info("answered", attrs...)
 		return
 	}
-	attrs = append(attrs, "cut", c.cut, "left_ms", c.until-now)
+	attrs = append(attrs, "cut", c.reply.BrokenOff(), "left_ms", c.until-now)
 	if c.err != nil {
 		attrs = append(attrs, "filter", c.filter, "verdict", c.err.Verdict(), "reason", c.err.Reason(), "error", c.err.Message())
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -7,11 +7,10 @@
 	"sync/atomic"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
-	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/engines/quarantine"
+	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -78,32 +77,16 @@
 	load     float64
 	mean     float64
 
-	// began is true once the head of the answer was written.
-	began bool
-	// split holds what the caller has of a stream.
-	split events.Splitter
-	// runFrom is how many events had come when the present run of events began,
-	// at runAt; zero before the first.
+	// reply is the answer to the caller.
+	reply *relay.Reply
+	// events is how many events of a stream came. runFrom is how many had come when the
+	// present run of events began, at runAt; zero before the first.
+	events  int
 	runFrom int
 	runAt   clock.Millis
-	// firstAt is when the first bytes of the answer's body were written.
-	firstAt  clock.Millis
-	lastAt   clock.Millis
-	pause    clock.Millis
-	bytesOut int64
-	status   int
-	// framed is how the latest engine framed its answer, "" before it began one, ended what
-	// is known of its end, and partial how many bytes of an event it ended within.
-	framed  framing.Framing
-	ended   framing.End
-	partial int
-	// told is how the answer to the caller is framed, "" before it has begun.
-	told framing.Framing
-	// cut is true when the answer must be broken off.
-	cut    bool
-	filter string
-	err    *verdict.Error
-	note   string
+	filter  string
+	err     *verdict.Error
+	note    string
 }
 
 // hasBody reports whether the request has a body.
@@ -123,67 +106,26 @@
 	return verdict.NotRun
 }
 
-// wrote records bytes of the answer's body.
-func (c *call) wrote(n int, now clock.Millis) {
-	if n == 0 {
-		return
-	}
-	if c.bytesOut == 0 {
-		c.firstAt = now
-	} else {
-		c.pause = max(c.pause, now-c.lastAt)
-	}
-	c.lastAt = now
-	c.bytesOut += int64(n)
-}
-
-// noteEnd records what is known of the end of an engine's answer by the error that ended
-// its reading.
-func (c *call) noteEnd(err error) {
-	c.ended, c.partial = c.framed.End(err), 0
-	if c.split.Inside() {
-		c.ended, c.partial = framing.Incomplete, len(c.split.Pending())
-	}
-}
-
-// toldEnd returns what the caller can know of the end of its answer.
-func (c *call) toldEnd() framing.End {
-	switch {
-	case c.cut:
-		return framing.Incomplete
-	case c.told == framing.UntilClose:
-		return framing.Closed
-	}
-	return framing.Complete
-}
-
 // late tells what of a whole answer was late by the route's goals: "first" for
 // the first bytes of a stream or all of a plain answer, "pause" for a pause
 // between events, or "" for an answer that was on time.
 func (c *call) late(now clock.Millis) string {
-	if c.route == nil || c.bytesOut == 0 {
+	if c.route == nil || c.reply.Bytes() == 0 {
 		return ""
 	}
 	came := now
 	if c.route.Kind == table.Stream {
-		came = c.firstAt
+		came = c.reply.FirstAt()
 	}
 	switch {
 	case c.route.Goal > 0 && came-c.start > c.route.Goal:
 		return "first"
-	case c.route.PauseGoal > 0 && c.pause > c.route.PauseGoal:
+	case c.route.PauseGoal > 0 && c.reply.Pause() > c.route.PauseGoal:
 		return "pause"
 	}
 	return ""
 }
 
-// write sends bytes of the body to the caller.
-func (c *call) write(p []byte, now clock.Millis) error {
-	n, err := c.w.Write(p)
-	c.wrote(n, now)
-	return err
-}
-
 // bound limits the time for which a caller that does not read is waited for.
 func (c *call) bound(now clock.Millis) {
 	// A connection without deadlines is bounded by the request's context.
--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -13,6 +13,8 @@
 // Failure returns what a caller gets for a failure.
 func (g *Gate) Failure(err *verdict.Error) *http.Response {
 	w := httptest.NewRecorder()
-	g.respond(&call{w: w, rc: http.NewResponseController(w), r: httptest.NewRequest(http.MethodGet, "/x", nil), id: "id-1"}, err)
+	c := g.newCall(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+	c.id = "id-1"
+	g.respond(c, err)
 	return w.Result()
 }
--- /dev/null
+++ b/gate/relay/relay_test.go
@@ -0,0 +1,201 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/gate/relay"
+)
+
+// exchange is an exchange without an engine.
+type exchange struct {
+	stream bool
+	// came counts the calls that tell of bytes of a stream, events is how many events were
+	// told of, and long is true if the answer was told to be long.
+	came, events int
+	long         bool
+}
+
+func (x *exchange) Stream() bool              { return x.stream }
+func (x *exchange) Left() clock.Millis        { return 1000 }
+func (x *exchange) LeftForNext() clock.Millis { return 1000 }
+func (x *exchange) Came()                     { x.came++ }
+func (x *exchange) Pass(events int)           { x.events = events }
+func (x *exchange) Long()                     { x.long = true }
+
+// body is the body of an answer.
+type body struct{ io.Reader }
+
+func (body) Buffered() int      { return 0 }
+func (body) Limit(clock.Millis) {}
+
+// broken returns a reader that ends with a reset.
+func broken(r io.Reader) io.Reader { return io.MultiReader(r, failing{}) }
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// answer reads the head of an engine's answer from its text, and returns it with the body.
+func answer(t *testing.T, text string, reset bool) (*http.Response, body) {
+	t.Helper()
+	var r io.Reader = strings.NewReader(text)
+	if reset {
+		r = broken(r)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(r), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, body{res.Body}
+}
+
+// newReply returns a reply to a caller of an HTTP version, and what the caller gets.
+func newReply(proto string) (*relay.Reply, *httptest.ResponseRecorder) {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	r.ProtoMajor, r.ProtoMinor, _ = http.ParseHTTPVersion(proto)
+	return relay.New(relay.Config{W: w, R: r, Clock: clock.System(), Head: func(to, from http.Header) {
+		for k, v := range from {
+			if k != "Content-Length" {
+				to[k] = v
+			}
+		}
+	}}), w
+}
+
+const (
+	chunks    = "Transfer-Encoding: chunked\r\n\r\n"
+	lastChunk = "0\r\n\r\n"
+	stream    = "Content-Type: text/event-stream\r\n"
+	twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+)
+
+func TestTheOutcomeSaysWhatIsKnownOfTheEnd(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	inChunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	cases := []struct {
+		name   string
+		stream bool
+		text   string
+		reset  bool
+		// outcome is "answered", "failed" or "broken".
+		outcome string
+		ended   framing.End
+		partial int
+		// told is what the caller can know, "" if its reply has not begun.
+		told framing.End
+		body string
+	}{
+		{"length", false, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell", false, "answered", framing.Complete, 0, framing.Complete, "well"},
+		{"short of its length", false, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwell", false, "broken", framing.Incomplete, 0, "", ""},
+		{"until close", false, "HTTP/1.1 200 OK\r\n\r\nwell", false, "answered", framing.Closed, 0, framing.Closed, "well"},
+		{"until close, reset", false, "HTTP/1.1 200 OK\r\n\r\nwell", true, "broken", framing.Incomplete, 0, "", ""},
+		{"until close, long", false, "HTTP/1.1 200 OK\r\n\r\n" + long, false, "answered", framing.Closed, 0, framing.Closed, long},
+		{"long, reset", false, "HTTP/1.1 200 OK\r\n\r\n" + long, true, "broken", framing.Incomplete, 0, framing.Closed, long},
+		{"failure", false, "HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\noops", false, "failed", framing.Complete, 0, "", ""},
+		{"failure until close", false, "HTTP/1.1 500 No\r\n\r\noops", false, "failed", framing.Closed, 0, "", ""},
+		{"promise", false, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, "broken", framing.Complete, 0, "", ""},
+		{"stream", true, "HTTP/1.1 200 OK\r\n" + stream + chunks + inChunk(twoEvents[:len(twoEvents)-1]) + lastChunk, false, "broken", framing.Incomplete, 14, framing.Complete, twoEvents[:15]},
+		{"stream until close", true, "HTTP/1.1 200 OK\r\n" + stream + "\r\n" + twoEvents, false, "answered", framing.Closed, 0, framing.Closed, twoEvents},
+		{"stream until close, inside an event", true, "HTTP/1.1 200 OK\r\n" + stream + "\r\n" + twoEvents + "id: 3", false, "broken", framing.Incomplete, 5, framing.Closed, twoEvents},
+		{"stream, inside its first event", true, "HTTP/1.1 200 OK\r\n" + stream + "\r\nid: 1", false, "broken", framing.Incomplete, 5, "", ""},
+		{"stream, reset", true, "HTTP/1.1 200 OK\r\n" + stream + "\r\n" + twoEvents, true, "broken", framing.Incomplete, 0, framing.Closed, twoEvents},
+		{"comment at the end", true, "HTTP/1.1 200 OK\r\n" + stream + "\r\n" + twoEvents + ": bye\n", false, "answered", framing.Closed, 0, framing.Closed, twoEvents + ": bye\n"},
+		{"empty stream", true, "HTTP/1.1 200 OK\r\n" + stream + chunks + lastChunk, false, "answered", framing.Complete, 0, framing.Complete, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p, w := newReply("HTTP/1.1")
+			head, b := answer(t, tc.text, tc.reset)
+			got := "broken"
+			switch o := p.Relay(t.Context(), &exchange{stream: tc.stream}, head, b).(type) {
+			case attempt.Answered:
+				got = "answered"
+				if o.End != tc.ended {
+					t.Errorf("got an end that is %s, want %s", o.End, tc.ended)
+				}
+			case attempt.Failed:
+				got = "failed"
+				if o.Answer.End != tc.ended {
+					t.Errorf("got a failure that is %s, want %s", o.Answer.End, tc.ended)
+				}
+			}
+			if got != tc.outcome {
+				t.Errorf("got outcome %s, want %s", got, tc.outcome)
+			}
+			if a := p.Answer(); a.Ended != tc.ended || a.Partial != tc.partial {
+				t.Errorf("got %s, %d bytes of an event, want %s, %d", a.Ended, a.Partial, tc.ended, tc.partial)
+			}
+			if got := p.Told(); got != tc.told {
+				t.Errorf("got told as %q, want %q", got, tc.told)
+			}
+			if got := w.Body.String(); got != tc.body {
+				t.Errorf("got %d bytes, want %d", len(got), len(tc.body))
+			}
+		})
+	}
+}
+
+func TestAReplyThatBreaksOffIsToldAsIncomplete(t *testing.T) {
+	p, _ := newReply("HTTP/1.1")
+	p.Fail(http.StatusBadGateway, []byte("{}"))
+	if got, want := p.Told(), framing.Complete; got != want {
+		t.Errorf("got told as %s, want %s", got, want)
+	}
+	p.BreakOff()
+	if got, want := p.Told(), framing.Incomplete; got != want {
+		t.Errorf("got told as %s, want %s", got, want)
+	}
+}
+
+// The rest of a stream that was taken up ends the reply only if the reply can say of it what is known.
+func TestARestWithoutAnEndOfItsOwn(t *testing.T) {
+	first := "HTTP/1.1 200 OK\r\n" + stream + chunks + "1e\r\n" + twoEvents + "\r\n"
+	rest := "HTTP/1.1 200 OK\r\n" + stream + "\r\nid: 3\ndata: c\n\n"
+	for proto, want := range map[string]string{"HTTP/1.1": "broken", "HTTP/1.0": "answered"} {
+		t.Run(proto, func(t *testing.T) {
+			p, w := newReply(proto)
+			x := &exchange{stream: true}
+			head, b := answer(t, first, false)
+			if o, ok := p.Relay(t.Context(), x, head, b).(attempt.Broken); !ok || !errors.Is(o.Err, io.ErrUnexpectedEOF) {
+				t.Fatalf("got %v, want a stream that broke off", o)
+			}
+			if got, want := p.LastEventID(), "2"; got != want {
+				t.Errorf("got last event %s, want %s", got, want)
+			}
+			head, b = answer(t, rest, false)
+			o := p.Relay(t.Context(), x, head, b)
+			if _, ok := o.(attempt.Answered); ok != (want == "answered") {
+				t.Errorf("got %T, want %s", o, want)
+			}
+			if got, want := w.Body.String(), twoEvents+"id: 3\ndata: c\n\n"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			if x.events != 3 || x.came != 2 {
+				t.Errorf("got %d events in %d reads, want 3 in 2", x.events, x.came)
+			}
+		})
+	}
+}
+
+func TestACallerWhoLeftIsNoFaultOfTheEngine(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p, _ := newReply("HTTP/1.1")
+	head, b := answer(t, "HTTP/1.1 200 OK\r\n\r\nwell", true)
+	if o, ok := p.Relay(ctx, &exchange{}, head, b).(attempt.CallerGone); !ok {
+		t.Errorf("got %T, want that the caller left", o)
+	}
+}
--- /dev/null
+++ b/gate/relay/reply.go
@@ -0,0 +1,154 @@
+// Package relay reads an engine's answer to its end, decides what is known of that end, and
+// passes the answer on so that its caller can know the same.
+package relay
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/events"
+)
+
+// Config sets up a Reply.
+type Config struct {
+	W http.ResponseWriter
+	R *http.Request
+	// Head sets the headers that go before an engine's answer, or a failure of our own if
+	// from is nil. It is called once, before the head is written.
+	Head  func(to, from http.Header)
+	Clock *clock.Clock
+}
+
+// Reply is the answer to a caller. It is that of one engine, unless a stream is taken up at
+// another.
+type Reply struct {
+	cfg Config
+	rc  *http.ResponseController
+	// status is zero until the head is written.
+	status int
+	// framed is how the reply is framed, "" until the head is written.
+	framed framing.Framing
+	// brokenOff is true once the reply can only be broken off.
+	brokenOff bool
+	// split holds what the caller has of a stream.
+	split events.Splitter
+	// answer is what is known of the latest engine's answer.
+	answer Answer
+
+	// bytes counts those of the body; firstAt and lastAt are when the first and the latest
+	// of them were written, and pause is the longest time between two writes.
+	bytes           int64
+	firstAt, lastAt clock.Millis
+	pause           clock.Millis
+}
+
+// Answer is what is known of an engine's answer.
+type Answer struct {
+	// Framed is "" before the answer began.
+	Framed framing.Framing
+	// Ended is "" before the answer has ended.
+	Ended framing.End
+	// Partial is the number of bytes of the event within which a stream ended.
+	Partial int
+}
+
+// New returns a reply that has not begun.
+func New(cfg Config) *Reply {
+	return &Reply{cfg: cfg, rc: http.NewResponseController(cfg.W)}
+}
+
+// Began reports whether the head has been written.
+func (p *Reply) Began() bool { return p.status != 0 }
+
+// Status returns the status, 0 before the head was written.
+func (p *Reply) Status() int { return p.status }
+
+// BreakOff has the reply end so that no caller can take it for whole.
+func (p *Reply) BreakOff() { p.brokenOff = true }
+
+// BrokenOff reports whether the reply must be broken off.
+func (p *Reply) BrokenOff() bool { return p.brokenOff }
+
+// Answer returns what is known of the latest engine's answer.
+func (p *Reply) Answer() Answer { return p.answer }
+
+// Told returns what the caller can know of the end of the reply, "" before it began.
+func (p *Reply) Told() framing.End {
+	switch {
+	case !p.Began():
+		return ""
+	case p.brokenOff:
+		return framing.Incomplete
+	case p.framed == framing.UntilClose:
+		return framing.Closed
+	}
+	return framing.Complete
+}
+
+// LastEventID returns the id of the latest whole event that was passed on, or "".
+func (p *Reply) LastEventID() string { return p.split.LastID() }
+
+// Bytes returns how many bytes of the body were written.
+func (p *Reply) Bytes() int64 { return p.bytes }
+
+// FirstAt returns when the first bytes of the body were written, 0 if none were.
+func (p *Reply) FirstAt() clock.Millis { return p.firstAt }
+
+// LastAt returns when the latest bytes of the body were written, 0 if none were.
+func (p *Reply) LastAt() clock.Millis { return p.lastAt }
+
+// Pause returns the longest time between two writes.
+func (p *Reply) Pause() clock.Millis { return p.pause }
+
+// Hold writes an answer that was held until its end.
+func (p *Reply) Hold(h *attempt.Held) {
+	f := framing.Length
+	if h.End == framing.Closed {
+		f = framing.UntilClose
+	}
+	p.begin(h.Status, h.Header, f, int64(len(h.Body)))
+	// A caller that is gone needs no answer; the count of bytes shows it.
+	_ = p.write(h.Body)
+}
+
+// Fail writes a failure of our own, whose headers are already set.
+func (p *Reply) Fail(status int, body []byte) {
+	p.begin(status, nil, framing.Length, int64(len(body)))
+	// A caller that is gone needs no answer.
+	_ = p.write(body)
+}
+
+// begin writes the head. The length is that of the body if the reply is framed by it.
+func (p *Reply) begin(status int, from http.Header, f framing.Framing, length int64) {
+	p.cfg.Head(p.cfg.W.Header(), from)
+	switch f {
+	case framing.Length:
+		p.cfg.W.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	case framing.UntilClose:
+		callers.UntilClose(p.cfg.W)
+	case framing.Chunked:
+	}
+	p.status, p.framed = status, callers.Framing(p.cfg.W, p.cfg.R)
+	p.cfg.W.WriteHeader(status)
+}
+
+// write writes bytes of the body.
+func (p *Reply) write(b []byte) error {
+	n, err := p.cfg.W.Write(b)
+	if n == 0 {
+		return err
+	}
+	now := p.cfg.Clock.Now()
+	if p.bytes == 0 {
+		p.firstAt = now
+	} else {
+		p.pause = max(p.pause, now-p.lastAt)
+	}
+	p.lastAt = now
+	p.bytes += int64(n)
+	return err
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -38,7 +38,7 @@
 	if e.source != "" {
 		h.Set(g.wire.FetchFrom, e.source)
 	}
-	if id := c.split.LastID(); id != "" {
+	if id := c.reply.LastEventID(); id != "" {
 		h.Set(g.wire.LastEventID, id)
 	}
 	return &upstream.Request{
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 
 	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
@@ -51,8 +50,8 @@
 
 // respond writes a failure, or breaks off an answer that has begun.
 func (g *Gate) respond(c *call, err *verdict.Error) {
-	if c.began || c.cut {
-		c.cut = true
+	if c.reply.Began() || c.reply.BrokenOff() {
+		c.reply.BreakOff()
 		return
 	}
 	h := c.w.Header()
@@ -60,11 +59,8 @@
 	if perr != nil {
 		g.log.Error("problem_not_encoded", "request", c.id, "error", perr)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
 	g.boundRest(c)
-	g.begin(c, status)
-	// A caller that is gone needs no answer.
-	_ = c.write(body, g.clk.Now())
+	c.reply.Fail(status, body)
 }
 
 // boundRest limits the time for the body of a request that is refused before it
--- a/gate/send.go
+++ b/gate/send.go
@@ -38,9 +38,9 @@
 			return err
 		}
 		e, err := g.place(ctx, c)
-		if err != nil && own != nil && !c.began {
+		if err != nil && own != nil && !c.reply.Began() {
 			c.note = err.Error()
-			g.pass(c, own)
+			c.reply.Hold(own)
 			return nil
 		}
 		if err != nil {
@@ -60,13 +60,13 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errOverdue) {
 				return verdict.New(c.verdict(), verdict.Deadline, "%w", cause)
 			}
-			c.cut = true
+			c.reply.BreakOff()
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case attempt.Failed:
 			own = o.Answer
 			if err := g.again(c, o, e.Info); err != nil {
 				c.note = err.Error()
-				g.pass(c, own)
+				c.reply.Hold(own)
 				return nil
 			}
 		case attempt.Unsent, attempt.Refused, attempt.Broken:
@@ -185,7 +185,7 @@
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s refused", c.refused, c.service)
 	case attempt.Broken:
 		// Of what has begun only a stream can go on elsewhere.
-		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && (!c.began || c.route.Kind == table.Stream)
+		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && (!c.reply.Began() || c.route.Kind == table.Stream)
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.Err)
 	case attempt.Failed:
 		free = c.route.Repeatable() && c.ran < c.route.Attempts
--- a/gate/server.go
+++ b/gate/server.go
@@ -23,18 +23,26 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	now := g.clk.Now()
+	c := g.newCall(w, r)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	c := &call{w: w, rc: http.NewResponseController(w), r: r, cancel: cancel, start: now, until: now + longestHold}
+	c.cancel = cancel
 	defer g.leave.done(c)
 	defer callers.Follow(ctx, cancel)()
 	g.serve(ctx, c)
-	if c.cut {
+	if c.reply.BrokenOff() {
 		callers.BreakOff(w, r)
 	}
 }
 
+// newCall returns the call of a request whose head has been read.
+func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
+	now := g.clk.Now()
+	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, until: now + longestHold}
+	c.reply = g.replyTo(c)
+	return c
+}
+
 // Run serves callers on ln until ctx is done, and then until what is in
 // flight has finished or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -64,7 +64,7 @@
 	life := e.Incarnation().Mark()
 	switch o := o.(type) {
 	case attempt.Answered:
-		if c.status < http.StatusMultipleChoices {
+		if c.reply.Status() < http.StatusMultipleChoices {
 			g.guard.RanWell(c.suspect())
 		}
 	case attempt.Broken:
