gate, gate/relay: Go on only with streams, and send what came of one that broke off

* A long answer of a resumable route that is no stream, and broke off after it had begun, was gone on with: the caller got another engine's stream behind it, told as complete.
Whether a reply may go on was asked of the route; now it is asked of the reply.
* Events that had come whole were lost where the stream broke off right behind them: they were flushed only where nothing more could be read, or at an end in the same read.
Now what has come is sent before a reply breaks off.

--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -126,6 +126,8 @@
 		if p.end(err); errors.Is(err, io.EOF) {
 			return attempt.Answered{End: p.answer.Ended}
 		}
+		// The caller may have what has come, whatever becomes of the rest.
+		_ = p.flush()
 		return brokenOr(ctx, err)
 	}
 }
@@ -156,10 +158,11 @@
 		if err != nil {
 			p.split.Drop()
 		}
-		if len(whole) > 0 || ended {
-			if !p.passEvents(x, head, whole, body.Buffered() == 0 || err != nil) {
-				return attempt.CallerGone{}
-			}
+		if (len(whole) > 0 || ended) && !p.passEvents(x, head, whole) {
+			return attempt.CallerGone{}
+		}
+		if (err != nil || body.Buffered() == 0) && !p.flush() {
+			return attempt.CallerGone{}
 		}
 		switch {
 		case ended:
@@ -192,20 +195,18 @@
 	}
 }
 
-// passEvents writes events and reports whether the caller took them.
-func (p *Reply) passEvents(x Exchange, head *http.Response, whole []byte, flush bool) bool {
+// passEvents writes events and reports whether the caller may still take more.
+func (p *Reply) passEvents(x Exchange, head *http.Response, whole []byte) bool {
 	if !p.Began() {
 		f := framing.Chunked
 		if p.answer.Framed == framing.UntilClose {
 			f = framing.UntilClose
 		}
 		p.begin(head.StatusCode, head.Header, f, 0)
+		p.streams = true
 	}
 	x.Pass(p.split.Count())
-	if err := p.write(whole); err != nil {
-		return false
-	}
-	return !flush || p.rc.Flush() == nil
+	return p.write(whole) == nil
 }
 
 // brokenOr is the outcome of a read that failed.
--- a/gate/relay/reply.go
+++ b/gate/relay/reply.go
@@ -32,10 +32,14 @@
 	status int
 	// framed is how the reply is framed, "" until the head is written.
 	framed framing.Framing
+	// streams is true once events were written, which those of another engine may follow.
+	streams bool
 	// brokenOff is true once the reply can only be broken off.
 	brokenOff bool
 	// split holds what the caller has of a stream.
 	split events.Splitter
+	// unsent is true while the library may hold something that was written.
+	unsent bool
 	// answer is what is known of the latest engine's answer.
 	answer Answer
 
@@ -67,6 +71,9 @@
 // Status returns the status, 0 before the head was written.
 func (p *Reply) Status() int { return p.status }
 
+// MayGoOn reports whether another engine's answer may be the reply, or the rest of it.
+func (p *Reply) MayGoOn() bool { return !p.Began() || p.streams }
+
 // BreakOff has the reply end so that no caller can take it for whole.
 func (p *Reply) BreakOff() { p.brokenOff = true }
 
@@ -136,8 +143,18 @@
 	p.cfg.W.WriteHeader(status)
 }
 
+// flush sends what was written and reports whether the caller may still take more.
+func (p *Reply) flush() bool {
+	if !p.unsent {
+		return true
+	}
+	p.unsent = false
+	return p.rc.Flush() == nil
+}
+
 // write writes bytes of the body.
 func (p *Reply) write(b []byte) error {
+	p.unsent = true
 	n, err := p.cfg.W.Write(b)
 	if n == 0 {
 		return err
--- a/gate/send.go
+++ b/gate/send.go
@@ -10,7 +10,6 @@
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/upstream"
-	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -184,8 +183,7 @@
 		free = c.refused < mostRefused
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s refused", c.refused, c.service)
 	case attempt.Broken:
-		// Of what has begun only a stream can go on elsewhere.
-		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && (!c.reply.Began() || c.route.Kind == table.Stream)
+		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && c.reply.MayGoOn()
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.Err)
 	case attempt.Failed:
 		free = c.route.Repeatable() && c.ran < c.route.Attempts
