entry: Reset the connection of HTTP/1.0 callers whose answer broke off

The entry ended an answer that broke off by closing the connection without a last chunk. HTTP/1.0 has no chunks: its callers got a FIN, which is also how a whole answer without a length ends. The new test printed for HTTP/1.0 (a missing last chunk, a cut chunk, less than the length, a reset):

got status 200 and 4 bytes, framed close, want an answer that breaks off

Now callers.BreakOff ends it, which resets the connection where only its end ends the answer. A reset may overtake what the caller has not read yet, the event with the error of a stream too; a caller that misses it still sees no [DONE].

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -253,7 +253,7 @@
 		defer callers.Follow(ctx, cancel)()
 		e.serve(ctx, c)
 		if c.cut {
-			panic(http.ErrAbortHandler)
+			callers.BreakOff(w, r)
 		}
 		if c.err == nil {
 			c.finishStream()
