daemon, entry: Pass an answer on that ends with its connection as one that does

A plain service may answer with neither a length nor chunks and end by a FIN. Callers of HTTP/1.1 got such an answer in chunks with a last one, so one that was cut off by a FIN looked complete. The new test printed for the four answers that end with their connection (short, empty, long, a long refusal):

got status 200, framed chunked, end <nil>, want 200, close, <nil>

The daemon marks the head of such an answer, and the entry answers with callers.UntilClose: neither a length nor a last chunk.

The mark is an entry of Head.Header, not a field of Head. Frames travel as MessagePack arrays of a fixed number of elements: an older entry could not decode a Head with one element more, and would drop the connection with every request on it.

The client of targets has DisableCompression on both transports and the entry passes no Accept-Encoding on, so no length or chunk is hidden by decompression.

relayService no longer reads a body again to learn why it ended: fill keeps the error of the body as it is.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/daemon/target"
 	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/link/wire"
@@ -98,29 +99,36 @@
 // relayService passes the answer of a plain service on as it comes.
 func (e *engine) relayService(a *attempt, res *http.Response) wire.Result {
 	head := e.headOf(res)
+	framed := framing.Of(res)
+	if framed == framing.UntilClose {
+		head.EndUntilClose()
+	}
 	for {
 		piece := make([]byte, pieceBytes)
-		n, err := io.ReadFull(res.Body, piece)
+		n, err := fill(res.Body, piece)
 		if n > 0 || head != nil {
 			a.add(head, piece[:n])
 			head = nil
 		}
 		switch {
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && cleanEnd(res):
-			return wire.Result{Verdict: verdict.Ran}
-		case err != nil:
+		case err == nil:
+		case framed.End(err) == framing.Incomplete:
 			return e.lost(a, err)
+		default:
+			return wire.Result{Verdict: verdict.Ran}
 		}
 	}
 }
 
-// cleanEnd tells the short last piece, for which io.ReadFull returns
-// ErrUnexpectedEOF too, from a body that was cut: reading on after a clean end
-// returns EOF again.
-func cleanEnd(res *http.Response) bool {
-	var b [1]byte
-	_, err := res.Body.Read(b[:])
-	return errors.Is(err, io.EOF)
+// fill reads until p is full or r ends. Unlike io.ReadFull it returns the error of r as it
+// is: a short last piece does not look like a body that was cut.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
 }
 
 // relayRefusal passes the error of an engine on when the request is at fault;
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
@@ -66,6 +67,9 @@
 	for k, v := range h.Header {
 		header.Set(k, v)
 	}
+	if h.EndsUntilClose() {
+		callers.UntilClose(c.w)
+	}
 	header.Set(chats.HeaderRequest, c.id)
 	if c.chatKey != 0 {
 		header.Set(chats.HeaderHint, c.offered)
--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -124,6 +124,47 @@
 	return request{entry: f.Entries[0], path: "/services/desk" + path, key: fleettest.Key("planning", "ws0"), body: "body"}
 }
 
+// The answer of a plain service that ended with its connection reached callers as complete,
+// though the service never said that it was.
+func TestAServicesAnswerThatEndsWithItsConnectionIsNotToldAsComplete(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	f := fleettest.Start(t, fleettest.Spec{Entries: 1, Direct: true})
+	replies := map[string]rawReply{
+		"/short":        {body: "well"},
+		"/empty":        {},
+		"/long":         {body: long},
+		"/long-refusal": {body: long, status: http.StatusNotFound},
+		"/length":       {head: "Content-Length: 4\r\n", body: "well"},
+		"/chunked":      {head: "Transfer-Encoding: chunked\r\n", body: "4\r\nwell\r\n0\r\n\r\n"},
+	}
+	newRaw(t, f, "desk", replies)
+	for path, want := range map[string]seen{
+		"/short":        {http.StatusOK, framing.UntilClose, "well", nil},
+		"/empty":        {http.StatusOK, framing.UntilClose, "", nil},
+		"/long":         {http.StatusOK, framing.UntilClose, long, nil},
+		"/long-refusal": {http.StatusNotFound, framing.UntilClose, long, nil},
+		"/length":       {http.StatusOK, framing.Chunked, "well", nil},
+		"/chunked":      {http.StatusOK, framing.Chunked, "well", nil},
+	} {
+		for _, proto := range protos {
+			t.Run(path[1:]+", "+proto, func(t *testing.T) {
+				want := want
+				if proto == "HTTP/1.0" {
+					// It has no chunks.
+					want.framed = framing.UntilClose
+				}
+				got := service(f, path).sendRaw(t, proto)
+				if got.status != want.status || got.framed != want.framed || got.end != want.end {
+					t.Errorf("got status %d, framed %s, end %v, want %d, %s, %v", got.status, got.framed, got.end, want.status, want.framed, want.end)
+				}
+				if got.body != want.body {
+					t.Errorf("got %d bytes, want the %d of the service", len(got.body), len(want.body))
+				}
+			})
+		}
+	}
+}
+
 // An answer that was known to be broken off ended for callers of HTTP/1.0 as a whole one does.
 func TestABrokenAnswerIsToldAsBrokenOffToEachCaller(t *testing.T) {
 	long := strings.Repeat("x", 300<<10)
--- a/link/wire/wire.go
+++ b/link/wire/wire.go
@@ -128,6 +128,21 @@
 	Loads []Load `json:"l,omitempty"`
 }
 
+// The header that marks a Head of an answer that ends with the engine's connection. It is no
+// field, since processes without that field could not read the frame. They pass the header
+// on, and net/http then ends their answer with its connection, too.
+const (
+	transferEncoding = "Transfer-Encoding"
+	identity         = "identity"
+)
+
+// EndUntilClose marks the answer as one that ends with the engine's connection, so that
+// nobody knows whether it is complete.
+func (h *Head) EndUntilClose() { h.Header[transferEncoding] = identity }
+
+// EndsUntilClose reports whether the answer ends with the engine's connection.
+func (h *Head) EndsUntilClose() bool { return h.Header[transferEncoding] == identity }
+
 // Frame is a piece of an answer. Seq counts from zero without gaps. Frames
 // travel as MessagePack arrays, in the order of these fields.
 type Frame struct {
