daemon: Take a chat's answer that ends with its connection for whole by its syntax

A plain chat answer, and the refusal of a chat, are held until they are here. One without a length or chunks ended with a FIN wherever that was, and reached the caller with a last chunk of our own.

Both are JSON, and no part of a JSON object is one: an object is complete by its own syntax, whatever ended its connection. A plain answer that is none has broken off; it is asked for again at the engine as after a reset, else told as engine_failed. A refusal that is none may be text: it is passed on as what it is, an answer that ends with its connection. Answers with a length or chunks are passed on as before, whatever they contain.

Streams were right already: without [DONE] in a whole event they are resumed, else broken off, also after a last chunk. The rows stream-* show it.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -138,13 +138,23 @@
 	if err != nil {
 		return e.lost(a, err)
 	}
+	head := e.headOf(res)
+	if framing.Of(res) == framing.UntilClose && !completeJSON(body) {
+		head.EndUntilClose()
+	}
 	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
 		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
 	}
-	a.add(e.headOf(res), body)
+	a.add(head, body)
 	return wire.Result{Verdict: verdict.Ran}
 }
 
+// completeJSON reports whether a body is a JSON object. No part of one is one, so that it is
+// complete by its own syntax.
+func completeJSON(body []byte) bool {
+	return bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) && json.Valid(body)
+}
+
 type usageBody struct {
 	Usage *struct {
 		Prompt     int `json:"prompt_tokens"`
@@ -163,15 +173,25 @@
 	return wire.Usage{Prompt: u.Usage.Prompt, Completion: u.Usage.Completion, Cached: u.Usage.Details.Cached}
 }
 
+// plainOf reads a plain chat answer. One that ends with its connection has broken off unless
+// it is complete by its own syntax.
+func plainOf(res *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	if err == nil && framing.Of(res) == framing.UntilClose && !completeJSON(body) {
+		err = fmt.Errorf("the connection ended after %d bytes: %w", len(body), io.ErrUnexpectedEOF)
+	}
+	return body, err
+}
+
 // relayPlain passes a plain chat answer on when the whole is here.
 func (e *engine) relayPlain(a *attempt, res *http.Response) wire.Result {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	body, err := plainOf(res)
 	for try := 0; err != nil && try < resumeTries; try++ {
 		var again *http.Response
 		if again, err = e.resume(a, 0, true, try); err != nil {
 			break
 		}
-		body, err = io.ReadAll(io.LimitReader(again.Body, maxPlain))
+		body, err = plainOf(again)
 		_ = again.Body.Close()
 	}
 	if err != nil {
--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -24,10 +24,14 @@
 	reset bool
 }
 
+// resumed is the name of the answer to those who ask for one again.
+const resumed = "resumed"
+
 // raw is a target that answers with what it is told, and ends the connection.
 type raw struct {
 	ln net.Listener
-	// replies has an answer for each path, or for each word that a chat may contain.
+	// replies has an answer for each path, or for each word that may be a message of a chat.
+	// That under resumed is for whoever asks for an answer again.
 	replies map[string]rawReply
 }
 
@@ -74,11 +78,14 @@
 }
 
 func (s *raw) replyTo(path, body string) rawReply {
+	if strings.HasPrefix(path, "/v1/streams/") {
+		path = resumed
+	}
 	if reply, ok := s.replies[path]; ok {
 		return reply
 	}
 	for word, reply := range s.replies {
-		if strings.Contains(body, `"`+word+`"`) {
+		if strings.Contains(body, `"content":"`+word+`"`) {
 			return reply
 		}
 	}
@@ -186,3 +193,87 @@
 		}
 	}
 }
+
+// A chat's answer that ended with its connection reached its caller as complete, also if it
+// was not.
+func TestAChatsAnswerThatEndsWithItsConnectionIsCompleteByItsOwnSyntax(t *testing.T) {
+	const refusal, plain = `{"error":{"message":"too long"}}`, `{"choices":[{"message":{"content":"well"}}]}`
+	event := func(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+	stream := event(0, `{"choices":[{"delta":{"content":"a"}}]}`) + event(1, `{"choices":[{"delta":{"content":"b"}}]}`)
+	const sse = "Content-Type: text/event-stream\r\n"
+	cases := map[string]struct {
+		stream bool
+		reply  rawReply
+		want   seen
+		// whole is true if the caller must be able to tell that it has all of a stream.
+		whole bool
+	}{
+		"refusal":             {reply: rawReply{status: 422, body: refusal}, want: seen{422, framing.Chunked, refusal, nil}},
+		"refusal-cut":         {reply: rawReply{status: 422, body: refusal[:9]}, want: seen{422, framing.UntilClose, refusal[:9], nil}},
+		"refusal-text":        {reply: rawReply{status: 422, body: "too long"}, want: seen{422, framing.UntilClose, "too long", nil}},
+		"refusal-text-length": {reply: rawReply{status: 422, head: "Content-Length: 8\r\n", body: "too long"}, want: seen{422, framing.Chunked, "too long", nil}},
+		"plain":               {reply: rawReply{body: plain}, want: seen{200, framing.Chunked, plain, nil}},
+		"plain-cut":           {reply: rawReply{body: plain[:len(plain)-1]}, want: seen{status: 502}},
+		"plain-cut-in-number": {reply: rawReply{body: "12"}, want: seen{status: 502}},
+		"plain-empty":         {want: seen{status: 502}},
+		"stream":              {stream: true, reply: rawReply{head: sse, body: stream + event(2, "[DONE]")}, want: seen{status: 200}, whole: true},
+		"stream-cut-between":  {stream: true, reply: rawReply{head: sse, body: stream}, want: seen{status: 200}},
+		"stream-cut-inside":   {stream: true, reply: rawReply{head: sse, body: stream + "id: 2\ndata: {"}, want: seen{status: 200}},
+		"stream-cut-in-mark":  {stream: true, reply: rawReply{head: sse, body: stream + "id: 2\ndata: [DONE]\n"}, want: seen{status: 200}},
+		"stream-cut-at-once":  {stream: true, reply: rawReply{head: sse}, want: seen{status: 502}},
+		"stream-last-chunk": {
+			stream: true, want: seen{status: 200},
+			reply: rawReply{head: sse + "Transfer-Encoding: chunked\r\n", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(stream), stream)},
+		},
+	}
+	replies := map[string]rawReply{}
+	for word, tc := range cases {
+		replies[word] = tc.reply
+	}
+	f := fleettest.Start(t, fleettest.Spec{Entries: 1, Direct: true})
+	newRaw(t, f, "drafting", replies)
+	for word, tc := range cases {
+		t.Run(word, func(t *testing.T) {
+			got := chat(f.Entries[0], chatBody(tc.stream, 5, word)).sendRaw(t, "HTTP/1.1")
+			if got.status != tc.want.status {
+				t.Errorf("got status %d, want %d: %s", got.status, tc.want.status, got.body)
+			}
+			switch {
+			case tc.stream && got.status == http.StatusOK:
+				if whole := got.end == nil && strings.HasSuffix(got.body, "data: [DONE]\n\n"); whole != tc.whole {
+					t.Errorf("got whole %v, want %v: %q, %v", whole, tc.whole, got.body, got.end)
+				}
+				if !strings.HasPrefix(got.body, strings.ReplaceAll(strings.ReplaceAll(stream, "id: 0\n", ""), "id: 1\n", "")) {
+					t.Errorf("got %q, want it to begin with the events that came", got.body)
+				}
+			case got.status != http.StatusBadGateway:
+				if got.framed != tc.want.framed || got.body != tc.want.body || got.end != nil {
+					t.Errorf("got %q, framed %s, end %v, want %q, %s", got.body, got.framed, got.end, tc.want.body, tc.want.framed)
+				}
+			}
+		})
+	}
+}
+
+func TestAChatsAnswerThatBrokeOffIsTakenUpAgain(t *testing.T) {
+	const plain = `{"choices":[{"message":{"content":"well"}}]}`
+	for name, tc := range map[string]struct {
+		stream             bool
+		first, again, want string
+	}{
+		"plain":                     {false, plain[:20], plain, plain},
+		"stream, inside an event":   {true, "id: 0\ndata: a\n\nid: 1\ndata: b\n", "id: 1\ndata: bc\n\ndata: [DONE]\n\n", "data: a\n\ndata: bc\n\ndata: [DONE]\n\n"},
+		"stream, between two":       {true, "id: 0\ndata: a\n\n", "id: 1\ndata: bc\n\ndata: [DONE]\n\n", "data: a\n\ndata: bc\n\ndata: [DONE]\n\n"},
+		"stream, before any":        {true, "", "id: 0\ndata: a\n\ndata: [DONE]\n\n", "data: a\n\ndata: [DONE]\n\n"},
+		"stream, inside its number": {true, "id: 0\ndata: a\n\nid: 1", "id: 1\ndata: bc\n\ndata: [DONE]\n\n", "data: a\n\ndata: bc\n\ndata: [DONE]\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleettest.Start(t, fleettest.Spec{Entries: 1, Direct: true})
+			newRaw(t, f, "drafting", map[string]rawReply{"/v1/chat/completions": {head: "Content-Type: text/event-stream\r\n", body: tc.first}, resumed: {body: tc.again}})
+			got := chat(f.Entries[0], chatBody(tc.stream, 5, "x")).sendRaw(t, "HTTP/1.1")
+			if got.body != tc.want || got.end != nil || got.status != http.StatusOK || got.framed != framing.Chunked {
+				t.Errorf("got %+v, want %q", got, tc.want)
+			}
+		})
+	}
+}
