common/whole: Say of an answer over a limit that it is too large, and name the limit

Four readers cut what they read at a limit without a word: plain chat answers (32 MiB), batches of the settings service (8 MiB), reports and prefixes of engines (64 MiB), pages of a process (64 MiB). The rest was then not JSON, or, for a chat, would have been passed on as whole.

No cut chat answer reached a caller: 32 MiB do not fit into one message of a link (12 MiB), so the attempt ended with an empty result.

All four use whole.Read, whose errors now name the limit. An answer whose length says that it is too large is not read at all, and one that is not resumed.

--- /dev/null
+++ b/commands/export_test.go
@@ -0,0 +1,4 @@
+package commands
+
+// MaxPage is maxPage, for the tests.
+const MaxPage = maxPage
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -12,6 +12,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/settings"
 )
 
@@ -133,7 +134,7 @@
 		return fmt.Errorf("get %s: %w", u, err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPage))
+	body, err := whole.Read(res.Body, res.ContentLength, maxPage)
 	if err != nil {
 		return fmt.Errorf("get %s: %w", u, err)
 	}
--- a/common/whole/whole_test.go
+++ b/common/whole/whole_test.go
@@ -26,7 +26,10 @@
 			t.Errorf("%s: got %q and %v, want %q and %v", tc.name, got, err, tc.want, tc.err)
 		}
 	}
-	if _, err := whole.Read(strings.NewReader("a long body"), -1, 8); !errors.Is(err, whole.ErrTooLarge) {
-		t.Errorf("got %v for a body over the limit, want %v", err, whole.ErrTooLarge)
+	for _, length := range []int64{-1, 11} {
+		_, err := whole.Read(strings.NewReader("a long body"), length, 8)
+		if !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), "8") {
+			t.Errorf("got %v for a body over the limit, want %v with the limit", err, whole.ErrTooLarge)
+		}
 	}
 }
--- /dev/null
+++ b/daemon/export_test.go
@@ -0,0 +1,4 @@
+package daemon
+
+// MaxPlain is maxPlain, for the tests.
+const MaxPlain = maxPlain
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/daemon/target"
 	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/link/wire"
@@ -134,7 +135,7 @@
 // relayRefusal passes the error of an engine on when the request is at fault;
 // otherwise it is the engine's failure.
 func (e *engine) relayRefusal(a *attempt, res *http.Response) wire.Result {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	body, err := whole.Read(res.Body, res.ContentLength, maxPlain)
 	if err != nil {
 		return e.lost(a, err)
 	}
@@ -176,7 +177,7 @@
 // plainOf reads a plain chat answer. One that ends with its connection has broken off unless
 // it is complete by its own syntax.
 func plainOf(res *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	body, err := whole.Read(res.Body, res.ContentLength, maxPlain)
 	if err == nil && framing.Of(res) == framing.UntilClose && !completeJSON(body) {
 		err = fmt.Errorf("the connection ended after %d bytes: %w", len(body), io.ErrUnexpectedEOF)
 	}
@@ -186,7 +187,7 @@
 // relayPlain passes a plain chat answer on when the whole is here.
 func (e *engine) relayPlain(a *attempt, res *http.Response) wire.Result {
 	body, err := plainOf(res)
-	for try := 0; err != nil && try < resumeTries; try++ {
+	for try := 0; err != nil && !errors.Is(err, whole.ErrTooLarge) && try < resumeTries; try++ {
 		var again *http.Response
 		if again, err = e.resume(a, 0, true, try); err != nil {
 			break
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +17,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/dial"
+	"github.com/weldfall/weldfall/common/whole"
 )
 
 // Headers of the engines' protocol.
@@ -246,7 +246,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxControlAnswer)).Decode(out); err != nil {
+	text, err := whole.Read(res.Body, res.ContentLength, maxControlAnswer)
+	if err == nil {
+		err = json.Unmarshal(text, out)
+	}
+	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	return nil
--- a/daemon/target/target_test.go
+++ b/daemon/target/target_test.go
@@ -1,11 +1,18 @@
 package target_test
 
 import (
+	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/daemon/target"
 )
 
@@ -46,3 +53,35 @@
 		})
 	}
 }
+
+func TestAReportThatIsTooLargeIsCalledThat(t *testing.T) {
+	const length = target.MaxControlAnswer + 1
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		piece := []byte(strings.Repeat(" ", 1<<20))
+		var err error
+		for n := 0; n < length && err == nil; n += len(piece) {
+			_, err = w.Write(piece[:min(len(piece), length-n)])
+		}
+	}))
+	defer srv.Close()
+	_, err := target.New(srv.Listener.Addr().String()).Load(t.Context())
+	if want := strconv.Itoa(target.MaxControlAnswer); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
+		t.Errorf("got %v, want an error that names the limit of %s bytes", err, want)
+	}
+}
+
+// A prefix or a report that ends with its connection is not taken for a shorter one.
+func TestAnExportThatIsCutIsNoExport(t *testing.T) {
+	const prefix = `{"hashes":[1,2,3],"tokens":30}`
+	for n := range len(prefix) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			callers.UntilClose(w)
+			_, _ = w.Write([]byte(prefix[:n]))
+		}))
+		if got, err := target.New(srv.Listener.Addr().String()).Export(t.Context(), "1"); err == nil {
+			t.Errorf("got %q, want an error", got)
+		}
+		srv.Close()
+	}
+}
--- a/fleet/source/client.go
+++ b/fleet/source/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +19,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/dial"
 	"github.com/weldfall/weldfall/common/silence"
+	"github.com/weldfall/weldfall/common/whole"
 )
 
 // Topic names a sequence of values of the platform.
@@ -150,7 +150,7 @@
 	}
 	guard.Begin()
 	begun()
-	body, err := io.ReadAll(io.LimitReader(guard.Reader(res.Body), maxAnswer))
+	body, err := whole.Read(guard.Reader(res.Body), res.ContentLength, maxAnswer)
 	if err != nil {
 		return Batch{}, fmt.Errorf("platform %s: %w", t, cmp.Or(context.Cause(ctx), err))
 	}
--- a/fleet/source/client_test.go
+++ b/fleet/source/client_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/internal/clocktest"
 	"github.com/weldfall/weldfall/internal/linktest"
@@ -57,3 +61,40 @@
 		t.Errorf("got %d calls, want 2, the second on a new connection", got)
 	}
 }
+
+// over answers with JSON that goes on beyond a limit in bytes.
+func over(limit int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(limit+1))
+		piece := []byte(strings.Repeat(" ", 1<<20))
+		var err error
+		for n := 0; n <= limit && err == nil; n += len(piece) {
+			_, err = w.Write(piece[:min(len(piece), limit+1-n)])
+		}
+	})
+}
+
+func TestABatchThatIsTooLargeIsCalledThat(t *testing.T) {
+	srv := httptest.NewServer(over(source.MaxAnswer))
+	defer srv.Close()
+	_, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
+	if want := strconv.Itoa(source.MaxAnswer); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
+		t.Errorf("got %v, want an error that names the limit of %s bytes", err, want)
+	}
+}
+
+// A batch that ends with its connection is not taken for a shorter one.
+func TestABatchThatIsCutIsNoBatch(t *testing.T) {
+	const batch = `{"rev":2,"items":[{"key":"a","rev":1,"value":"1"},{"key":"b","rev":2,"value":"2"}]}`
+	for n := range len(batch) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			callers.UntilClose(w)
+			_, _ = w.Write([]byte(batch[:n]))
+		}))
+		got, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
+		if err == nil {
+			t.Errorf("got %+v of %q, want an error", got, batch[:n])
+		}
+		srv.Close()
+	}
+}
--- /dev/null
+++ b/fleet/source/export_test.go
@@ -0,0 +1,4 @@
+package source
+
+// MaxAnswer is maxAnswer, for the tests.
+const MaxAnswer = maxAnswer
