daemon: Pass a long plain answer on in pieces that a link can carry

A plain chat answer or a refusal of more than 12 MiB, the most of one message of a link, was within the daemon's limit of 32 MiB but went as one frame. It could not be sent, and the attempt ended with an empty result. The new test printed, for a length of 12 MiB and one byte:

status 200: got {Verdict: Reason: Message: ... Frames:0 ...}, 0 frames and 0 bytes

Its caller got a failure without a reason. Held answers now go in the pieces of those of plain services.

--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -71,6 +71,14 @@
 	a.wake()
 }
 
+// addHeld appends the whole of an answer. One message of a link may not hold it.
+func (a *attempt) addHeld(head *wire.Head, body []byte) {
+	a.add(head, body[:min(len(body), pieceBytes)])
+	for n := pieceBytes; n < len(body); n += pieceBytes {
+		a.add(nil, body[n:min(len(body), n+pieceBytes)])
+	}
+}
+
 // end sets the result, once; it reports whether this call did.
 func (a *attempt) end(res wire.Result, now clock.Millis) bool {
 	a.mu.Lock()
--- a/daemon/large_test.go
+++ b/daemon/large_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/weldfall/weldfall/daemon"
+	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -47,3 +48,13 @@
 		}
 	}
 }
+
+// An answer that is longer than a message of a link ended with a result that said nothing.
+func TestALongAnswerIsPassedOnWhole(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest} {
+		s := &sink{}
+		if got := startLarge(t, s, status, link.MaxMessage+1); got.Verdict != verdict.Ran || got.Frames == 0 || s.frames != got.Frames || s.bytes != link.MaxMessage+1 {
+			t.Errorf("status %d: got %+v, %d frames and %d bytes, want all %d bytes", status, got, s.frames, s.bytes, link.MaxMessage+1)
+		}
+	}
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -26,7 +26,7 @@
 	resumeWait clock.Millis = 50
 	// maxPlain bounds a plain chat answer in bytes.
 	maxPlain = 32 << 20
-	// pieceBytes is the size of the pieces of a plain service's answer.
+	// pieceBytes is the size of the pieces of an answer that is no stream.
 	pieceBytes = 32 << 10
 )
 
@@ -146,7 +146,7 @@
 	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
 		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
 	}
-	a.add(head, body)
+	a.addHeld(head, body)
 	return wire.Result{Verdict: verdict.Ran}
 }
 
@@ -198,7 +198,7 @@
 	if err != nil {
 		return e.lost(a, err)
 	}
-	a.add(e.headOf(res), body)
+	a.addHeld(e.headOf(res), body)
 	return wire.Result{Verdict: verdict.Ran, Usage: usageOf(body)}
 }
 
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -19,14 +19,17 @@
 	"github.com/weldfall/weldfall/verdict"
 )
 
-// sink counts the frames that an entry would get.
-type sink struct{ frames int }
+// sink counts the frames that an entry would get, and their bytes.
+type sink struct{ frames, bytes int }
 
 func (*sink) Call(context.Context, *link.Conn, string, json.RawMessage) (any, error) { return nil, nil }
 
 func (*sink) Notify(*link.Conn, string, json.RawMessage) {}
 
-func (s *sink) Frame(f wire.Frame) { s.frames += max(1, f.Count) }
+func (s *sink) Frame(f wire.Frame) {
+	s.frames += max(1, f.Count)
+	s.bytes += len(f.Data)
+}
 
 func listen(tb testing.TB) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
