callers: Refuse a request of HTTP/1.0 that has chunks

net/http ignores the Transfer-Encoding of a request of HTTP/1.0 and takes it for one without a body. Handlers had it as a whole request, and engines ran it, whatever part of its body had come, without any of it.

RFC 9112, section 6.1, has the framing of such a message as faulty. Its connection notices the field as it notices that of the length; a request without a length on a connection that named a coding is answered with 400 and the connection closed. One with a length keeps it, so that a body with such a line in it is still served.

--- a/callers/server.go
+++ b/callers/server.go
@@ -58,7 +58,7 @@
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, open: map[*conn]bool{}, silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`)}
 	s.http = &http.Server{
-		ConnState: s.state, ConnContext: withConn, Handler: closeBothLengths(cfg.Handler), MaxHeaderBytes: cfg.MaxHeader,
+		ConnState: s.state, ConnContext: withConn, Handler: checkLengths(cfg.Handler), MaxHeaderBytes: cfg.MaxHeader,
 		ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
 	}
 	return s
