--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -277,3 +277,46 @@
 		})
 	}
 }
+
+// The body of a caller who ends it early reaches no engine.
+func TestARequestThatIsCutReachesNoTarget(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Spec{Engines: 1, Services: 1, Entries: 1, Direct: true})
+	turn := chatBody(false, 2, "x")
+	for _, path := range []string{"/services/desk/fees", "/v1/chat/completions"} {
+		length, chunked := fmt.Sprintf("Content-Length: %d\r\n", len(turn)+1), "Transfer-Encoding: chunked\r\n"
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(turn), turn)
+		for _, tc := range []struct{ name, proto, framing, body string }{
+			{"less than its length", "HTTP/1.1", length, turn},
+			{"less than its length", "HTTP/1.0", length, turn},
+			{"no chunk", "HTTP/1.1", chunked, ""},
+			{"inside a chunk", "HTTP/1.1", chunked, chunk[:len(chunk)-4]},
+			{"after a chunk", "HTTP/1.1", chunked, chunk},
+			{"inside the last chunk", "HTTP/1.1", chunked, chunk + "0\r\n"},
+			{"chunks in HTTP/1.0", "HTTP/1.0", chunked, chunk},
+		} {
+			t.Run(path[1:]+", "+tc.proto+", "+tc.name, func(t *testing.T) {
+				before := len(f.RunsOf(f.Engines[0])) + len(f.RunsOf(f.Services[0]))
+				nc, err := net.Dial("tcp", f.Entries[0].Callers)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = nc.Close() }()
+				_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+				_, err = fmt.Fprintf(nc, "POST %s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n%s", path, tc.proto, fleettest.Key("planning", "ws0"), tc.framing, tc.body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
+					t.Fatal(err)
+				}
+				answer, err := io.ReadAll(nc)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := len(f.RunsOf(f.Engines[0])) + len(f.RunsOf(f.Services[0])) - before; got != 0 {
+					t.Errorf("got %d runs and the answer %q, want none", got, answer)
+				}
+			})
+		}
+	}
+}
