--- a/gate/call.go
+++ b/gate/call.go
@@ -97,6 +97,8 @@
 	framed  framing.Framing
 	ended   framing.End
 	partial int
+	// told is how the answer to the caller is framed, "" before it has begun.
+	told framing.Framing
 	// cut is true when the answer must be broken off.
 	cut    bool
 	filter string
@@ -138,7 +140,21 @@
 // noteEnd records what is known of the end of an engine's answer by the error that ended
 // its reading.
 func (c *call) noteEnd(err error) {
-	c.ended, c.partial = c.framed.End(err), len(c.split.Pending())
+	c.ended, c.partial = c.framed.End(err), 0
+	if c.split.Inside() {
+		c.ended, c.partial = framing.Incomplete, len(c.split.Pending())
+	}
+}
+
+// toldEnd returns what the caller can know of the end of its answer.
+func (c *call) toldEnd() framing.End {
+	switch {
+	case c.cut:
+		return framing.Incomplete
+	case c.told == framing.UntilClose:
+		return framing.Closed
+	}
+	return framing.Complete
 }
 
 // late tells what of a whole answer was late by the route's goals: "first" for
