proxy: Pass an end on as a reset once bytes were lost

A link that had dropped bytes of a connection passed a FIN after them on as a FIN. A receiver of an answer without a length then had part of it and an orderly end, which TCP cannot give: what arrives before a FIN is all. The connection is reset now, as it is when the fault is over.

TestAnEndAfterLostBytesIsPassedOnAsAReset fails on the code before (an orderly end). Connections that are silent for good tell of no end, as before.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -270,7 +270,7 @@
 			}
 		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !l.isSilent(p, w) {
+			if (!errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) || l.lostBytes(p)) && !l.isSilent(p, w) {
 				p.reset()
 			}
 			l.end(p, w, to)
@@ -310,6 +310,14 @@
 	return drop, l.fault == Delayed && !drop
 }
 
+// lostBytes reports whether a fault dropped bytes of a connection. An end that followed them
+// would make what came before look whole.
+func (l *Link) lostBytes(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return p.lost
+}
+
 func (l *Link) isSilent(p *pair, w Way) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -225,3 +225,41 @@
 		})
 	}
 }
+
+// A link that lost bytes told the end after them on, so that what came before looked whole.
+func TestAnEndAfterLostBytesIsPassedOnAsAReset(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	l, err := proxy.New(ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(far, "kept"); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 4)
+	if _, err := io.ReadFull(near, got); err != nil {
+		t.Fatal(err)
+	}
+	l.Set(proxy.DeafFrom)
+	if _, err := io.WriteString(far, "lost"); err != nil {
+		t.Fatal(err)
+	}
+	_ = far.Close()
+	if n, err := near.Read(got); n != 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %d bytes and %v, want a reset", n, err)
+	}
+}
