soak: Hold how answers end for callers against how their engines ended them

The soak took each answer without an error for whole, also one that ended with its connection, and its engines never ended one by a FIN in its middle. A gate that told such answers as complete passed.

A new play, breaking: engines break answers off by a FIN, a reset or a last chunk, with and without a length or chunks, close their connections halfway, and end whole answers with their connections, beside a few other troubles; some callers ask for plain answers of 320 KB, which gates do not hold. In all plays callers are drawn by the seed from the library's client (callers of versions and of deadly requests always are), plain sockets in HTTP/1.1 and plain sockets in HTTP/1.0, which read the frames themselves. The rule: an answer is told as complete only if its engine sent it whole by its own framing, and not up to inside an event; one that ended with its engine's connection arrives as such, with as much as was sent; what broke off is told by an error. A killed gate's connections end as such answers do, which excuses that and no more. The judge reads engines' own records and shares no code with gate/.

Old seeds draw the schedules that they drew: the new ways have draws of their own (TestKeptSeedsDrawWhatTheyDrew). Their callers send the same requests, two thirds now over sockets of their own.

--- a/measure/soak/callers.go
+++ b/measure/soak/callers.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -52,7 +53,7 @@
 func (w *world) call(g, c int) {
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(g*callers+c)))
 	paths := []string{"/safe/x", "/unsafe/x", "/chat/x", "/resume/x"}
-	w.callWith(callerPatience, func(n int) asked {
+	w.callWith(callerPatience, w.protoOf(g, c), func(n int) asked {
 		a := asked{gate: g, id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: paths[rng.IntN(len(paths))], key: keyKept, sent: time.Now()}
 		if rng.IntN(4) == 0 {
 			a.key = keyRevoked
@@ -65,7 +66,7 @@
 // the most that may come out.
 func (w *world) callLong(g, c int) {
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(longCallersFrom+g*longCallers+c)))
-	w.callWith(longPatience, func(n int) asked {
+	w.callWith(longPatience, w.protoOf(g, c), func(n int) asked {
 		a := asked{gate: g, id: fmt.Sprintf("g%dc%dn%d", g, c, n), path: longPath + "x", key: keyKept, tokens: longTokens, sent: time.Now()}
 		if rng.IntN(2) == 0 {
 			a.tokens = standin.Stride * (1 + rng.IntN(longMost))
@@ -77,24 +78,55 @@
 // longCallersFrom keeps the draws of longCallers from those of the others.
 const longCallersFrom = 1 << 32
 
+// protoOf draws how a caller of a gate sends. The draws of its requests do not depend on it.
+func (w *world) protoOf(g, c int) proto {
+	return protos[rand.New(rand.NewPCG(w.cfg.Seed, uint64(protosFrom+g*protosOfGate+c))).IntN(len(protos))]
+}
+
+const (
+	// protosFrom keeps these draws from those of callers, protosOfGate those of gates from
+	// one another.
+	protosFrom   = 1 << 35
+	protosOfGate = 64
+)
+
 // callWith sends what next returns until the run is over.
-func (w *world) callWith(patience time.Duration, next func(n int) asked, rng *rand.Rand) {
+func (w *world) callWith(patience time.Duration, by proto, next func(n int) asked, rng *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: patience}
 	defer client.CloseIdleConnections()
 	for n := 0; w.ctx.Err() == nil; n++ {
 		a := next(n)
-		a = w.ask(client, w.gates[a.gate].callers, a)
-		a.ended = time.Now()
-		w.rec.add(a)
+		a.by = by
+		if by == library {
+			a = w.ask(client, w.gates[a.gate].callers, a)
+		} else {
+			a = w.askRaw(patience, w.gates[a.gate].callers, a)
+		}
+		w.rec.add(a.done())
 		time.Sleep(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
 	}
 }
 
-func (w *world) ask(client *http.Client, addr string, a asked) asked {
+// done returns the request once nothing more comes of it. The body is dropped where it is
+// the whole of the request's own answer.
+func (a asked) done() asked {
+	a.ended, a.bytes = time.Now(), len(a.body)
+	a.whole = a.end == framing.Complete || a.end == framing.Closed
+	if a.own = a.body == a.want(); a.own {
+		a.body = ""
+	}
+	return a
+}
+
+func (w *world) request(addr string, a asked) (*http.Request, error) {
 	prompt := fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id)
-	req, err := standin.NewRequest(standin.Ask{
+	return standin.NewRequest(standin.Ask{
 		URL: "http://" + addr + a.path, Host: host, ID: a.id, Key: a.key, Prompt: prompt, Deadline: a.deadline(), Tokens: a.tokens, Body: a.marked,
 	})
+}
+
+func (w *world) ask(client *http.Client, addr string, a asked) asked {
+	req, err := w.request(addr, a)
 	if err != nil {
 		return a
 	}
@@ -105,7 +137,15 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	a.status, a.body, a.whole, a.signature = res.StatusCode, string(body), err == nil, standin.Signature(res.Header)
+	a.status, a.body, a.signature = res.StatusCode, string(body), standin.Signature(res.Header)
+	switch {
+	case err != nil:
+		a.end = framing.Incomplete
+	case res.ContentLength < 0 && len(res.TransferEncoding) == 0:
+		a.end = framing.Closed
+	default:
+		a.end = framing.Complete
+	}
 	a.gaveUp = timedOut(err)
 	return a
 }
--- a/measure/soak/ending.go
+++ b/measure/soak/ending.go
@@ -46,10 +46,9 @@
 	path := fmt.Sprintf("%s%s%d", endingPaths[k%len(endingPaths)], endingMark, k)
 	for n := 0; w.ctx.Err() == nil; n++ {
 		g := rng.IntN(len(w.gates))
-		a := asked{gate: g, id: fmt.Sprintf("e%dn%d", k, n), path: path, marked: path, key: keyKept, sent: time.Now()}
+		a := asked{gate: g, id: fmt.Sprintf("e%dn%d", k, n), path: path, marked: path, key: keyKept, by: library, sent: time.Now()}
 		a = w.ask(client, w.gates[g].callers, a)
-		a.ended = time.Now()
-		w.rec.add(a)
+		w.rec.add(a.done())
 		time.Sleep(time.Duration(rng.Int64N(int64(endingEvery))))
 	}
 }
@@ -115,7 +114,7 @@
 func (r *record) noteCrashes(engines []*standin.Engine) {
 	for _, e := range engines {
 		for _, at := range e.Crashes() {
-			r.trouble(everyGate, at.Add(-time.Millisecond), at.Add(endedDown))
+			r.trouble(trouble{kind: Again, gate: everyGate, from: at.Add(-time.Millisecond), until: at.Add(endedDown)})
 		}
 	}
 }
--- a/measure/soak/export_test.go
+++ b/measure/soak/export_test.go
@@ -1,6 +1,15 @@
 package soak
 
-import "time"
+import (
+	"bufio"
+	"cmp"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/platform/standin"
+)
 
 // Schedule draws the steps of a run.
 func Schedule(seed uint64, length time.Duration, play Play) []Step {
@@ -42,3 +51,48 @@
 
 // EveryGate is a trouble that reaches all gates.
 const EveryGate = everyGate
+
+// ReadMessage reads an answer as a caller on a plain socket does.
+func ReadMessage(answer, by string) (body string, end framing.End, fault string) {
+	m := readMessage(bufio.NewReader(strings.NewReader(answer)), proto(by))
+	return string(m.body), m.end, m.fault
+}
+
+// WantOf returns the whole answer to request a of a path.
+func WantOf(path string) string { return asked{id: "a", path: path}.want() }
+
+// EndedAnswer is an answer with status 200 to request a, 100 ms after it was sent if Took is
+// 0, and the one run of it. There is no trouble where Until is 0.
+type EndedAnswer struct {
+	Path, By string
+	// Body is what came, and Sent how much the engine sent: all if they are zero.
+	Body        string
+	Sent        int
+	End, Ran    framing.End
+	Unsigned    bool
+	Fault       string
+	Took        time.Duration
+	Trouble     Kind
+	From, Until time.Duration
+}
+
+// JudgeEnd returns the promises that the end of an answer breaks.
+func JudgeEnd(c EndedAnswer) []string {
+	start := time.Now()
+	a := asked{id: "a", path: cmp.Or(c.Path, "/unsafe/x"), by: proto(cmp.Or(c.By, "HTTP/1.1")), sent: start, status: http.StatusOK, end: c.End, signature: "sig-a", fault: c.Fault}
+	a.body = cmp.Or(c.Body, a.want())
+	a = a.done()
+	a.ended = start.Add(cmp.Or(c.Took, 100*time.Millisecond))
+	if c.Unsigned {
+		a.signature = ""
+	}
+	r := &record{}
+	if c.Until != 0 {
+		r.trouble(trouble{kind: c.Trouble, gate: everyGate, from: start.Add(c.From), until: start.Add(c.Until)})
+	}
+	r.judgeEnd(a, []*standin.Run{{At: start, Ended: c.Ran, Sent: cmp.Or(c.Sent, len(a.want()))}})
+	return r.broken
+}
+
+// BreakWays are the ways in which engines break.
+var BreakWays = breakWays
--- a/measure/soak/fail.go
+++ b/measure/soak/fail.go
@@ -75,7 +75,7 @@
 func (w *world) callFailing(g, c int) {
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, uint64(failingCallersFrom+g*failingCallers+c)))
 	paths := []string{"/safe/x", "/unsafe/x"}
-	w.callWith(callerPatience, func(n int) asked {
+	w.callWith(callerPatience, w.protoOf(g, callers+c), func(n int) asked {
 		return asked{gate: g, id: fmt.Sprintf("g%dc%dn%d", g, callers+c, n), path: paths[rng.IntN(len(paths))], key: keyKept, sent: time.Now()}
 	}, rng)
 }
--- /dev/null
+++ b/measure/soak/frames_test.go
@@ -0,0 +1,83 @@
+package soak_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/measure/soak"
+)
+
+func TestCallersReadFrames(t *testing.T) {
+	cases := []struct {
+		name, proto, answer, body string
+		end                       framing.End
+		faulty                    bool
+	}{
+		{name: "length", answer: "Content-Length: 4\r\n\r\nbody", body: "body", end: framing.Complete},
+		{name: "length in 1.0", proto: "HTTP/1.0", answer: "Content-Length: 4\r\n\r\nbody", body: "body", end: framing.Complete},
+		{name: "less than its length", answer: "Content-Length: 5\r\n\r\nbody", body: "body", end: framing.Incomplete},
+		{name: "empty", answer: "Content-Length: 0\r\n\r\n", end: framing.Complete},
+		{name: "neither", answer: "\r\nbody", body: "body", end: framing.Closed},
+		{name: "chunks", answer: "Transfer-Encoding: chunked\r\n\r\n3\r\nbod\r\n1;x=y\r\ny\r\n0\r\n\r\n", body: "body", end: framing.Complete},
+		{name: "trailers", answer: "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n", body: "body", end: framing.Complete},
+		{name: "no last chunk", answer: "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", body: "body", end: framing.Incomplete},
+		{name: "no end of the last chunk", answer: "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", body: "body", end: framing.Incomplete},
+		{name: "a chunk cut short", answer: "Transfer-Encoding: chunked\r\n\r\n4\r\nbo", body: "bo", end: framing.Incomplete},
+		{name: "a chunk longer than its size", answer: "Transfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n", body: "bod", end: framing.Incomplete},
+		{name: "no end of the head", answer: "Content-Length: 4\r\n", end: framing.Incomplete},
+		{name: "both", answer: "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", end: framing.Incomplete, faulty: true},
+		{name: "two lengths", answer: "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody", end: framing.Incomplete, faulty: true},
+		{name: "chunks in 1.0", proto: "HTTP/1.0", answer: "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", end: framing.Incomplete, faulty: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.proto == "" {
+				tc.proto = "HTTP/1.1"
+			}
+			body, end, fault := soak.ReadMessage("HTTP/1.1 200 OK\r\n"+tc.answer, tc.proto)
+			if body != tc.body || end != tc.end || (fault != "") != tc.faulty {
+				t.Errorf("got %q, %s, fault %q, want %q, %s, a fault %v", body, end, fault, tc.body, tc.end, tc.faulty)
+			}
+		})
+	}
+}
+
+func TestHowAnswersEndIsHeldAgainstTheirEngines(t *testing.T) {
+	const ms = time.Millisecond
+	whole := soak.WantOf("/unsafe/x")
+	killed := soak.EndedAnswer{Trouble: soak.Kill, From: -100 * ms, Until: 200 * ms}
+	for name, c := range map[string]struct {
+		answer soak.EndedAnswer
+		broken int
+	}{
+		"complete by both":                        {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Complete}},
+		"closed told as complete":                 {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed}, broken: 1},
+		"incomplete told as complete":             {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Incomplete}, broken: 1},
+		"not ended and told as complete":          {answer: soak.EndedAnswer{End: framing.Complete}, broken: 1},
+		"closed by both":                          {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Closed}},
+		"incomplete told as closed":               {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Incomplete}, broken: 1},
+		"incomplete told as closed to 1.0":        {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Ran: framing.Incomplete}, broken: 1},
+		"complete told as closed":                 {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Complete}, broken: 1},
+		"complete told as closed to 1.0":          {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Ran: framing.Complete}},
+		"closed early by both":                    {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Closed, Body: whole[:3], Sent: 3}},
+		"closed earlier than by the engine":       {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Closed, Body: whole[:3]}, broken: 1},
+		"closed with another body":                {answer: soak.EndedAnswer{End: framing.Closed, Ran: framing.Closed, Body: "xxx", Sent: 3}, broken: 1},
+		"a stream closed early":                   {answer: soak.EndedAnswer{Path: "/chat/x", End: framing.Closed, Ran: framing.Closed, Body: "id: 1\n", Sent: 6}, broken: 1},
+		"incomplete told as such":                 {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Incomplete}},
+		"closed told as incomplete":               {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed}, broken: 1},
+		"closed and another answer":               {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed, Unsigned: true}, broken: 1},
+		"closed told as incomplete, late":         {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Took: 4000 * ms}},
+		"closed told as incomplete, engines' way": {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Trouble: soak.Break, Until: 200 * ms}, broken: 1},
+		"closed told as incomplete, link":         {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Trouble: soak.EngineLink, Until: 200 * ms}},
+		"a killed gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}},
+		"a paused gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Pause, From: killed.From, Until: killed.Until}, broken: 1},
+		"a killed gate's whole answer":            {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}, broken: 1},
+		"frames with a fault":                     {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Incomplete, Fault: "two lengths"}, broken: 1},
+	} {
+		if got := soak.JudgeEnd(c.answer); len(got) != c.broken {
+			t.Errorf("%s: got %q, want %d", name, strings.Join(got, "; "), c.broken)
+		}
+	}
+}
--- a/measure/soak/grow.go
+++ b/measure/soak/grow.go
@@ -75,7 +75,7 @@
 // callVersions asks a gate for the routes of the newest version and the one before
 // until the run is over.
 func (w *world) callVersions(g int) {
-	w.callWith(callerPatience, func(n int) asked {
+	w.callWith(callerPatience, library, func(n int) asked {
 		w.mu.Lock()
 		version := max(1, w.version-n%2)
 		w.mu.Unlock()
--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -26,10 +27,20 @@
 	status int
 	// gaveUp is true when the caller's patience was over.
 	gaveUp bool
-	// whole is true when the answer came to its end.
-	whole     bool
+	// by is how the caller sent it.
+	by proto
+	// end is how the answer ended for the caller by its framing, "" if it did not begin.
+	end framing.End
+	// whole is true when the answer came to an end that is no error.
+	whole bool
+	// own is true when the body is the whole of the request's own answer; body is empty
+	// then. bytes is how long it was.
+	own       bool
+	bytes     int
 	body      string
 	signature string
+	// fault is what the frames must not have had, "" if they were sound.
+	fault string
 }
 
 // repeatable reports whether the request may run more than once.
@@ -58,6 +69,9 @@
 
 // want is the whole answer to a request.
 func (a asked) want() string {
+	if strings.HasSuffix(a.path, longPlain) {
+		return "for " + a.id + longPlainRest
+	}
 	if !a.stream() {
 		return "for " + a.id
 	}
@@ -146,6 +160,7 @@
 	failed := map[int]int{}
 	for _, a := range r.asked {
 		r.judgeOne(a, ran[a.id])
+		r.judgeEnd(a, ran[a.id])
 		if reached[a.id] {
 			r.judgeStop(a)
 		}
@@ -190,8 +205,8 @@
 
 func (r *record) judgeOne(a asked, runs []*standin.Run) {
 	if a.status == http.StatusOK && a.whole {
-		if a.body != a.want() {
-			r.breaks("%s %s: got %q as a whole answer, want its own", a.path, a.id, a.body)
+		if a.end == framing.Complete && !a.own {
+			r.breaks("%s %s: got %.200q as a whole answer of %d bytes, want its own", a.path, a.id, a.body, a.bytes)
 		}
 		if !strings.HasSuffix(a.signature, "-"+a.id) {
 			r.breaks("%s %s: got signature %q of another answer", a.path, a.id, a.signature)
--- /dev/null
+++ b/measure/soak/judge_end.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/platform/standin"
+)
+
+// judgeEnd holds how an answer ended for its caller against how its engines ended it. The
+// last of the runs is the one whose answer may have come to its end.
+func (r *record) judgeEnd(a asked, runs []*standin.Run) {
+	if a.fault != "" {
+		r.breaks("%s %s by %s: got %s", a.path, a.id, a.by, a.fault)
+	}
+	if len(runs) == 0 {
+		return
+	}
+	last := slices.MaxFunc(runs, func(x, y *standin.Run) int { return x.At.Compare(y.At) })
+	passed := a.signature != ""
+	switch {
+	case !passed, a.end == framing.Incomplete:
+		if last.Ended == framing.Closed && !a.gaveUp && a.ended.Sub(a.sent) < a.deadline() && !r.disturbedBeyondEngines(a) {
+			r.breaks("%s %s by %s: got status %d, %q after %d bytes, want the %d after which the engine ended its connection", a.path, a.id, a.by, a.status, a.end, a.bytes, last.Sent)
+		}
+	case a.end == framing.Complete:
+		if last.Ended != framing.Complete {
+			r.breaks("%s %s by %s: got status %d as complete, %d bytes, want it told as the engine ended it: %q after %d bytes", a.path, a.id, a.by, a.status, a.bytes, last.Ended, last.Sent)
+		}
+	case a.end == framing.Closed:
+		r.judgeClosed(a, last)
+	}
+}
+
+// judgeClosed holds an answer that ended with the caller's connection against its engine's.
+// The end of a killed process looks no different, and HTTP/1.0 knows no chunks.
+func (r *record) judgeClosed(a asked, last *standin.Run) {
+	if r.killed(a) {
+		return
+	}
+	ended := last.Ended == framing.Closed || (last.Ended == framing.Complete && a.by == raw10)
+	switch {
+	case !ended:
+		r.breaks("%s %s by %s: got status %d as ended with its connection, %d bytes, want it told as the engine ended it: %q after %d bytes", a.path, a.id, a.by, a.status, a.bytes, last.Ended, last.Sent)
+	case a.status == http.StatusOK && !a.own && (a.stream() || a.body != a.want()[:min(last.Sent, len(a.want()))]):
+		r.breaks("%s %s by %s: got %d bytes of an answer that ended with its connection, want the %d of its own", a.path, a.id, a.by, a.bytes, last.Sent)
+	}
+}
+
+// killed reports whether the caller's gate was killed while it answered.
+func (r *record) killed(a asked) bool {
+	return slices.ContainsFunc(r.troubles, func(t trouble) bool {
+		return (t.kind == Kill || t.kind == Herd) && (t.gate == everyGate || t.gate == a.gate) && t.from.Before(a.ended) && t.until.After(a.sent)
+	})
+}
+
+// disturbedBeyondEngines reports whether anything but other ways of engines to answer, a stop
+// of its gate included, could be felt while a request ran.
+func (r *record) disturbedBeyondEngines(a asked) bool {
+	struck := slices.ContainsFunc(r.troubles, func(t trouble) bool {
+		return t.kind != Engine && t.kind != Engines && t.kind != Break && t.felt(a)
+	})
+	return struck || slices.ContainsFunc(r.stops, func(s stopped) bool { return s.reaches(a) })
+}
--- a/measure/soak/judge_stop.go
+++ b/measure/soak/judge_stop.go
@@ -16,6 +16,7 @@
 
 // trouble is what was not planned.
 type trouble struct {
+	kind Kind
 	// gate is the number of the only gate that it could reach, or everyGate.
 	gate        int
 	from, until time.Time
@@ -29,10 +30,10 @@
 	r.stops = append(r.stops, s)
 }
 
-func (r *record) trouble(gate int, from, until time.Time) {
+func (r *record) trouble(t trouble) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.troubles = append(r.troubles, trouble{gate: gate, from: from, until: until})
+	r.troubles = append(r.troubles, t)
 }
 
 // Bounds of the promise that a planned stop cuts nothing, as the users have
@@ -65,7 +66,7 @@
 	}
 	at := r.stops[i].at
 	r.breaks("%s %s was cut by gate %d %v after it was told to stop: status %d, %d bytes of %d, sent %v after the stop",
-		a.path, a.id, a.gate, a.ended.Sub(at), a.status, len(a.body), len(a.want()), a.sent.Sub(at))
+		a.path, a.id, a.gate, a.ended.Sub(at), a.status, a.bytes, len(a.want()), a.sent.Sub(at))
 }
 
 // reaches reports whether the request was sent to the process that was stopped
@@ -84,7 +85,10 @@
 // troubled reports whether a trouble could be felt from before the request
 // until its end.
 func (r *record) troubled(a asked) bool {
-	return slices.ContainsFunc(r.troubles, func(t trouble) bool {
-		return (t.gate == everyGate || t.gate == a.gate) && t.from.Before(a.ended) && t.until.After(a.sent.Add(-troubleReach))
-	})
+	return slices.ContainsFunc(r.troubles, func(t trouble) bool { return t.felt(a) })
+}
+
+// felt reports whether the trouble could be felt from before the request until its end.
+func (t trouble) felt(a asked) bool {
+	return (t.gate == everyGate || t.gate == a.gate) && t.from.Before(a.ended) && t.until.After(a.sent.Add(-troubleReach))
 }
--- a/measure/soak/parts_test.go
+++ b/measure/soak/parts_test.go
@@ -104,3 +104,23 @@
 		}
 	}
 }
+
+func TestBreakingPlaysDrawAllWays(t *testing.T) {
+	ways, all := map[string]bool{}, false
+	for seed := range uint64(20) {
+		for _, s := range soak.Schedule(seed, 18*time.Second, soak.Breaking) {
+			if s.Kind == soak.Break {
+				ways[s.How] = true
+				all = all || s.Many > 1
+			}
+		}
+	}
+	for _, way := range soak.BreakWays {
+		if !ways[way] {
+			t.Errorf("got no break %q in 20 seeds", way)
+		}
+	}
+	if !all {
+		t.Error("got no break of all engines in 20 seeds")
+	}
+}
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -23,7 +23,7 @@
 			from := time.Now()
 			w.strike(s)
 			if !s.planned() {
-				w.rec.trouble(w.struck(s), from, time.Now())
+				w.rec.trouble(trouble{kind: s.Kind, gate: w.struck(s), from: from, until: time.Now()})
 			}
 			if s.disturbs() {
 				w.rec.setDisturbed(time.Now())
@@ -131,6 +131,8 @@
 		e.SetReply(w.behave(s.How))
 		time.Sleep(s.For)
 		e.SetReply(w.behave(""))
+	case Break:
+		w.breakOff(s, i)
 	case Engines:
 		w.setAll(w.behave(s.How))
 		time.Sleep(s.For)
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -79,7 +79,7 @@
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing, Failing}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing, Failing, Breaking}
 
 func (p Play) uneven() bool { return p == Planned || p == Mixed }
 
@@ -164,6 +164,8 @@
 		return newHushing(rng, length)
 	case Failing:
 		return newFailing(rng, length)
+	case Breaking:
+		return newBreaking(rng, length)
 	}
 	from := kinds
 	switch play {
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -187,6 +187,11 @@
 				w.wg.Go(func() { w.callEnding(k) })
 			}
 		}
+		if w.cfg.Play == Breaking {
+			for c := range breakingCallers {
+				w.wg.Go(func() { w.callBreaking(i, c) })
+			}
+		}
 		if w.cfg.Play == Failing {
 			for c := range failingCallers {
 				w.wg.Go(func() { w.callFailing(i, c) })
@@ -284,6 +289,9 @@
 		if strings.HasPrefix(run.URI, longPath) {
 			p = standin.Reply{Events: longEvents(run.ID, run.Tokens()), Pause: longPause, Load: "1,0,8"}
 		}
+		if strings.HasSuffix(run.URI, longPlain) {
+			p.Body += longPlainRest
+		}
 		if way == "" || run.ID == "" || run.ID[len(run.ID)-1]%2 == 0 {
 			return p
 		}
@@ -306,6 +314,8 @@
 			p.Wait = 700 * time.Millisecond
 		case "error":
 			p = standin.Reply{Status: http.StatusInternalServerError, Body: "oops"}
+		default:
+			p = breaks(way, p)
 		}
 		return p
 	}
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -49,6 +49,9 @@
 		"gates that are killed or stand still while engines fail": {2, soak.Failing},
 		// The pace of one route stood for that of a slower one.
 		"streams slower than others of their service": {913, soak.Planned},
+		// An answer that ended with its engine's connection, also inside an event, was told as
+		// complete.
+		"answers that end with their connections": {2, soak.Breaking},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/measure/soak/weldsoak/main.go
+++ b/measure/soak/weldsoak/main.go
@@ -3,9 +3,10 @@
 // and the place of the logs.
 //
 // Without --play the seeds take turns: every second is a planned play, every eighth one of
-// settings that grow, one of all troubles and one of engines that start again, every
-// sixteenth one of requests that end engines, every thirty-second one of copies of the
-// store, every sixty-fourth one of engines that fail, and the rest one of silent stores.
+// settings that grow and one of engines that start again, every sixteenth one of all
+// troubles, one of answers that break off and one of requests that end engines, every
+// thirty-second one of copies of the store, every sixty-fourth one of engines that fail, and
+// the rest one of silent stores.
 package main
 
 import (
@@ -33,7 +34,7 @@
 	Minutes   float64 `arg:"--minutes" default:"1" help:"how long seeds are tried"`
 	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run, 15 at least"`
 	Processes int     `arg:"--processes" default:"4" help:"gates, 1 to 200"`
-	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending, copying, hushing or failing; the last eight in turn if empty"`
+	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending, copying, hushing, failing or breaking; the last nine in turn if empty"`
 	Shrink    int     `arg:"--shrink" default:"16" help:"runs that look for a smaller schedule once a promise broke"`
 	Dir       string  `arg:"--dir" help:"where settings files and logs are kept, made if it is missing; a temporary one if empty"`
 }
@@ -96,7 +97,9 @@
 		return soak.Planned
 	case seed%8 == 1:
 		return soak.Growing
-	case seed%8 == 5:
+	case seed%16 == 13:
+		return soak.Breaking
+	case seed%16 == 5:
 		return soak.Mixed
 	case seed%8 == 3:
 		return soak.Restarting
