--- a/measure/soak/export_test.go
+++ b/measure/soak/export_test.go
@@ -74,6 +74,8 @@
 	Took        time.Duration
 	Trouble     Kind
 	From, Until time.Duration
+	// Before is how an earlier run was framed that broke off, "" if there was none.
+	Before framing.Framing
 }
 
 // JudgeEnd returns the promises that the end of an answer breaks.
@@ -90,7 +92,11 @@
 	if c.Until != 0 {
 		r.trouble(trouble{kind: c.Trouble, gate: everyGate, from: start.Add(c.From), until: start.Add(c.Until)})
 	}
-	r.judgeEnd(a, []*standin.Run{{At: start, Ended: c.Ran, Sent: cmp.Or(c.Sent, len(a.want()))}})
+	runs := []*standin.Run{{At: start, Ended: c.Ran, Sent: cmp.Or(c.Sent, len(a.want()))}}
+	if c.Before != "" {
+		runs = append(runs, &standin.Run{At: start.Add(-time.Millisecond), Framed: c.Before, Ended: framing.Incomplete})
+	}
+	r.judgeEnd(a, runs)
 	return r.broken
 }
 
--- a/measure/soak/frames_test.go
+++ b/measure/soak/frames_test.go
@@ -74,6 +74,13 @@
 		"a killed gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}},
 		"a paused gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Pause, From: killed.From, Until: killed.Until}, broken: 1},
 		"a killed gate's whole answer":            {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}, broken: 1},
+		"taken up, complete told as closed":       {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Closed, Ran: framing.Complete, Before: framing.UntilClose}},
+		"taken up from chunks, told as closed":    {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Closed, Ran: framing.Complete, Before: framing.Chunked}, broken: 1},
+		"taken up in part, told as closed":        {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Closed, Ran: framing.Complete, Before: framing.UntilClose, Body: "id: 1\n"}, broken: 1},
+		"taken up, closed told as incomplete":     {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Incomplete, Ran: framing.Closed, Before: framing.Chunked}},
+		"taken up, closed told as complete":       {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Complete, Ran: framing.Closed, Before: framing.Chunked}, broken: 1},
+		"taken up in 1.0, told as incomplete":     {answer: soak.EndedAnswer{Path: "/resume/x", By: "HTTP/1.0", End: framing.Incomplete, Ran: framing.Closed, Before: framing.Chunked}, broken: 1},
+		"run again, closed told as incomplete":    {answer: soak.EndedAnswer{Path: "/safe/x", End: framing.Incomplete, Ran: framing.Closed, Before: framing.Length}, broken: 1},
 		"frames with a fault":                     {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Incomplete, Fault: "two lengths"}, broken: 1},
 	} {
 		if got := soak.JudgeEnd(c.answer); len(got) != c.broken {
--- a/measure/soak/judge_end.go
+++ b/measure/soak/judge_end.go
@@ -21,7 +21,9 @@
 	passed := a.signature != ""
 	switch {
 	case !passed, a.end == framing.Incomplete:
-		if last.Ended == framing.Closed && !a.gaveUp && a.ended.Sub(a.sent) < a.deadline() && !r.disturbedBeyondEngines(a) {
+		// What began by chunks cannot end as an answer that nobody knows to be complete.
+		chunked := a.by != raw10 && a.stream() && framedBy(runs, framing.Chunked)
+		if last.Ended == framing.Closed && !chunked && !a.gaveUp && a.ended.Sub(a.sent) < a.deadline() && !r.disturbedBeyondEngines(a) {
 			r.breaks("%s %s by %s: got status %d, %q after %d bytes, want the %d after which the engine ended its connection", a.path, a.id, a.by, a.status, a.end, a.bytes, last.Sent)
 		}
 	case a.end == framing.Complete:
@@ -29,17 +31,18 @@
 			r.breaks("%s %s by %s: got status %d as complete, %d bytes, want it told as the engine ended it: %q after %d bytes", a.path, a.id, a.by, a.status, a.bytes, last.Ended, last.Sent)
 		}
 	case a.end == framing.Closed:
-		r.judgeClosed(a, last)
+		r.judgeClosed(a, last, a.stream() && framedBy(runs, framing.UntilClose))
 	}
 }
 
 // judgeClosed holds an answer that ended with the caller's connection against its engine's.
-// The end of a killed process looks no different, and HTTP/1.0 knows no chunks.
-func (r *record) judgeClosed(a asked, last *standin.Run) {
+// The end of a killed process looks no different, HTTP/1.0 knows no chunks, and a stream that
+// began without them stays so where another engine takes it up.
+func (r *record) judgeClosed(a asked, last *standin.Run, unframed bool) {
 	if r.killed(a) {
 		return
 	}
-	ended := last.Ended == framing.Closed || (last.Ended == framing.Complete && a.by == raw10)
+	ended := last.Ended == framing.Closed || (last.Ended == framing.Complete && (a.by == raw10 || unframed))
 	switch {
 	case !ended:
 		r.breaks("%s %s by %s: got status %d as ended with its connection, %d bytes, want it told as the engine ended it: %q after %d bytes", a.path, a.id, a.by, a.status, a.bytes, last.Ended, last.Sent)
@@ -48,6 +51,11 @@
 	}
 }
 
+// framedBy reports whether one of the runs answered in a framing.
+func framedBy(runs []*standin.Run, f framing.Framing) bool {
+	return slices.ContainsFunc(runs, func(run *standin.Run) bool { return run.Framed == f })
+}
+
 // killed reports whether the caller's gate was killed while it answered.
 func (r *record) killed(a asked) bool {
 	return slices.ContainsFunc(r.troubles, func(t trouble) bool {
