standin: End answers with their connections

The stand-ins of the own path framed each answer by a length or chunks, so that no test there could show what becomes of one that has neither, or of one that a FIN cuts off. Config.Ending says for each attempt how its answer ends: framed as before, until close, or cut off in the middle (a stream after its first event, inside the second).

The service writes its answer once marshalled, where it encoded it into the connection; its bytes are the same.

No test of the own path uses it yet.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -40,7 +40,9 @@
 	EventGap int
 	// Started is called for each request that starts, may be nil.
 	Started func(Run)
-	Clock   *clock.Clock
+	// Ending returns how an answer to an attempt ends, may be nil for Framed.
+	Ending func(attempt string) Ending
+	Clock  *clock.Clock
 }
 
 // Run is what the stand-in knows of one request that started.
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -107,10 +107,10 @@
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
 	go e.generate(ctx, s, req, body, attempt, r.Header.Get(HeaderKey), r.Header.Get(HeaderCallerKey), priority)
 	if req.Stream {
-		e.follow(w, r, s, 0)
+		e.follow(w, r, s, 0, EndingOf(e.cfg.Ending, attempt))
 		return
 	}
-	e.followPlain(w, r, s)
+	e.followPlain(w, r, s, EndingOf(e.cfg.Ending, attempt))
 }
 
 func (e *Engine) generate(ctx context.Context, s *stream, req chatRequest, body []byte, attempt, key, callerKey string, priority int) {
@@ -255,8 +255,9 @@
 }
 
 // follow writes the events of a stream from a number on, as they come.
-func (e *Engine) follow(w http.ResponseWriter, r *http.Request, s *stream, from int) {
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, s *stream, from int, ending Ending) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	ending.Frame(w)
 	s.read(+1)
 	defer s.abandon()
 	rc := http.NewResponseController(w)
@@ -265,7 +266,11 @@
 		events, done, grown := s.events, s.done, s.grown
 		s.mu.Unlock()
 		for ; from < len(events); from++ {
-			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", from, events[from]); err != nil {
+			event := fmt.Appendf(nil, "id: %d\ndata: %s\n\n", from, events[from])
+			if from > 0 {
+				event = ending.Part(event)
+			}
+			if _, err := w.Write(event); err != nil || (from > 0 && ending == CutOff) {
 				return
 			}
 		}
@@ -280,7 +285,7 @@
 	}
 }
 
-func (e *Engine) followPlain(w http.ResponseWriter, r *http.Request, s *stream) {
+func (e *Engine) followPlain(w http.ResponseWriter, r *http.Request, s *stream, ending Ending) {
 	s.read(+1)
 	defer s.abandon()
 	for {
@@ -293,7 +298,8 @@
 		}
 		if done {
 			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(plain)
+			ending.Frame(w)
+			_, _ = w.Write(ending.Part(plain))
 			return
 		}
 		select {
@@ -341,11 +347,11 @@
 		return
 	}
 	if r.URL.Query().Get("plain") != "" {
-		e.followPlain(w, r, s)
+		e.followPlain(w, r, s, EndingOf(e.cfg.Ending, mux.Vars(r)["attempt"]))
 		return
 	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	e.follow(w, r, s, from)
+	e.follow(w, r, s, from, EndingOf(e.cfg.Ending, mux.Vars(r)["attempt"]))
 }
 
 // cancel ends a stream and says whether it had started.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,6 +25,8 @@
 	AnswerBytes int
 	// Started is called for each request that starts, may be nil.
 	Started func(engine.Run)
+	// Ending returns how an answer to an attempt ends, may be nil for engine.Framed.
+	Ending func(attempt string) engine.Ending
 }
 
 // Service is the stand-in; it is an http.Handler.
@@ -71,8 +73,16 @@
 	}
 	clock.Sleep(r.Context(), s.cfg.Delay)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
+	answer, err := json.Marshal(map[string]any{
 		"path": r.URL.RequestURI(), "method": r.Method, "bytes": len(body),
 		"echo": xxh3.Hash(body), "padding": strings.Repeat("x", s.cfg.AnswerBytes),
 	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	ending := engine.EndingOf(s.cfg.Ending, run.Attempt)
+	ending.Frame(w)
+	// A caller that is gone needs no answer.
+	_, _ = w.Write(ending.Part(append(answer, '\n')))
 }
