soak: Tell the end of a gate that the soak kills from one of its own

A gate that stood still for 4 s did not stop within the grace and a second more, and the soak killed it; two streams to HTTP/1.0 ended so by a FIN in their middle and were laid to the gate (restarting, 4 gates). Such a kill now excuses that an answer without a length or chunks looks as one that ended, and nothing else: stops are judged as before.

An answer that ended with its connection counts as whole only if it is the request's own, so that planned stops are held against such cuts as well.

--- a/measure/soak/frames_test.go
+++ b/measure/soak/frames_test.go
@@ -72,6 +72,8 @@
 		"closed told as incomplete, engines' way": {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Trouble: soak.Break, Until: 200 * ms}, broken: 1},
 		"closed told as incomplete, link":         {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Trouble: soak.EngineLink, Until: 200 * ms}},
 		"a killed gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}},
+		"the end of a gate killed at a stop":      {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Body: "for", Trouble: soak.Kill, From: killed.From, Until: killed.Until, Late: true}},
+		"told before a gate was killed":           {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Kill, From: 101 * ms, Until: 200 * ms, Late: true}, broken: 1},
 		"a paused gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Pause, From: killed.From, Until: killed.Until}, broken: 1},
 		"a killed gate's whole answer":            {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}, broken: 1},
 		"taken up, complete told as closed":       {answer: soak.EndedAnswer{Path: "/resume/x", End: framing.Closed, Ran: framing.Complete, Before: framing.UntilClose}},
--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -31,7 +31,8 @@
 	by proto
 	// end is how the answer ended for the caller by its framing, "" if it did not begin.
 	end framing.End
-	// whole is true when the answer came to an end that is no error.
+	// whole is true when the answer is told as complete, or ended with its connection and is
+	// the request's own.
 	whole bool
 	// own is true when the body is the whole of the request's own answer; body is empty
 	// then. bytes is how long it was.
@@ -103,6 +104,8 @@
 	// stops has when gates were told to stop, troubles what may excuse a cut.
 	stops    []stopped
 	troubles []trouble
+	// kills are those of gates that were told to stop and did not in time. They excuse no cut.
+	kills []trouble
 	// hushes are the silences of a hushing play, one after the other.
 	hushes []span
 	// restarted are the engines that started again, and still serve.
--- a/measure/soak/judge_stop.go
+++ b/measure/soak/judge_stop.go
@@ -36,6 +36,12 @@
 	r.troubles = append(r.troubles, t)
 }
 
+func (r *record) killedLate(t trouble) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kills = append(r.kills, t)
+}
+
 // Bounds of the promise that a planned stop cuts nothing, as the users have
 // them for a grace of 8 s, in parts of the soak's grace.
 const (
--- a/measure/soak/process.go
+++ b/measure/soak/process.go
@@ -159,8 +159,10 @@
 	select {
 	case <-done:
 	case <-time.After(restartLimit):
+		killed := time.Now()
 		g.signal(syscall.SIGKILL)
 		<-done
+		g.rec.killedLate(trouble{kind: Kill, gate: g.number, from: killed, until: time.Now()})
 	}
 	if s == syscall.SIGTERM {
 		g.rec.stopped(stopped{gate: g.number, at: at, gone: time.Now()})
