--- a/measure/soak/frames_test.go
+++ b/measure/soak/frames_test.go
@@ -73,6 +73,7 @@
 		"closed told as incomplete, link":         {answer: soak.EndedAnswer{End: framing.Incomplete, Ran: framing.Closed, Trouble: soak.EngineLink, Until: 200 * ms}},
 		"a killed gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}},
 		"the end of a gate killed at a stop":      {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Body: "for", Trouble: soak.Kill, From: killed.From, Until: killed.Until, Late: true}},
+		"another answer of a killed gate":         {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Body: "xxx", Trouble: soak.Kill, From: killed.From, Until: killed.Until}, broken: 1},
 		"told before a gate was killed":           {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Kill, From: 101 * ms, Until: 200 * ms, Late: true}, broken: 1},
 		"a paused gate's end":                     {answer: soak.EndedAnswer{By: "HTTP/1.0", End: framing.Closed, Trouble: soak.Pause, From: killed.From, Until: killed.Until}, broken: 1},
 		"a killed gate's whole answer":            {answer: soak.EndedAnswer{End: framing.Complete, Ran: framing.Closed, Trouble: killed.Trouble, From: killed.From, Until: killed.Until}, broken: 1},
--- a/measure/soak/judge_end.go
+++ b/measure/soak/judge_end.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/platform/standin"
@@ -40,6 +41,9 @@
 // began without them stays so where another engine takes it up.
 func (r *record) judgeClosed(a asked, last *standin.Run, unframed bool) {
 	if r.killed(a) {
+		if a.status == http.StatusOK && !a.own && !strings.HasPrefix(a.want(), a.body) {
+			r.breaks("%s %s by %s: got %.200q of a gate that was killed, want a part of its own", a.path, a.id, a.by, a.body)
+		}
 		return
 	}
 	ended := last.Ended == framing.Closed || (last.Ended == framing.Complete && (a.by == raw10 || unframed))
