--- a/measure/soak/judge_end.go
+++ b/measure/soak/judge_end.go
@@ -63,7 +63,7 @@
 // killed reports whether the caller's gate was killed while it answered.
 func (r *record) killed(a asked) bool {
 	return slices.ContainsFunc(slices.Concat(r.troubles, r.kills), func(t trouble) bool {
-		return (t.kind == Kill || t.kind == Herd) && (t.gate == everyGate || t.gate == a.gate) && t.from.Before(a.ended) && t.until.After(a.sent)
+		return t.kind == Kill && (t.gate == everyGate || t.gate == a.gate) && t.from.Before(a.ended) && t.until.After(a.sent)
 	})
 }
 
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -23,7 +23,7 @@
 			from := time.Now()
 			w.strike(s)
 			if !s.planned() {
-				w.rec.trouble(trouble{kind: s.Kind, gate: w.struck(s), from: from, until: time.Now()})
+				w.rec.trouble(trouble{kind: s.as(), gate: w.struck(s), from: from, until: time.Now()})
 			}
 			if s.disturbs() {
 				w.rec.setDisturbed(time.Now())
@@ -33,6 +33,14 @@
 	time.Sleep(time.Until(begin.Add(w.cfg.Length)))
 }
 
+// as returns the kind of trouble that a step is to each gate that it reaches.
+func (s Step) as() Kind {
+	if s.Kind == Herd && s.How == herdKilled {
+		return Kill
+	}
+	return s.Kind
+}
+
 // struck returns the number of the only gate that a trouble can reach, or
 // everyGate.
 func (w *world) struck(s Step) int {
