soak: Have what takes a stream up end with its connection

Where all engines break off by a FIN, the rest of a stream now ends with its connection. Schedules are drawn as before.

--- a/measure/soak/break.go
+++ b/measure/soak/break.go
@@ -73,8 +73,13 @@
 	return steps
 }
 
-// breaks returns an answer as a way of breakWays ends it.
-func breaks(way string, p standin.Reply) standin.Reply {
+// breaks returns an answer as a way of breakWays ends it. What takes a stream up that broke
+// off by a FIN ends with its connection.
+func breaks(way string, run standin.Run, p standin.Reply) standin.Reply {
+	if way == "fin" && run.Header.Get("Last-Event-Id") != "" {
+		p.Unframed = true
+		return p
+	}
 	p.Unframed = strings.HasPrefix(way, "unframed")
 	p.HalfClosed = strings.HasSuffix(way, "half_closed")
 	p.Orderly = !strings.HasSuffix(way, "reset")
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -315,7 +315,7 @@
 		case "error":
 			p = standin.Reply{Status: http.StatusInternalServerError, Body: "oops"}
 		default:
-			p = breaks(way, p)
+			p = breaks(way, run, p)
 		}
 		return p
 	}
