budget: Earn 0.8 of the ratio, so that processes in turn keep to it as one does

The tests of fleets asked for 1.0. With 0.8 three failed before: seed 251 of 1,000 drawn fleets (0.82), and two new rows, all entries killed while nothing succeeds (0.86), and the same after a cut (0.97).

Cause: the window's 0.8 binds one process. What several spend in turn, or one whose traffic goes to another, was bound by the bucket alone, and that granted the whole ratio: held before, taken in the lag, earned.

Now a request earns 0.8 of what it did, so that those three add up to 0.8 of the ratio whatever processes follow one another. 1,000 seeds: worst 0.78 (seed 36), none over 0.8; the new rows 0.69 and 0.78.

Four mutants passed all tests: a process that starts with its whole extra, a request that earns the whole ratio, 1.0 in place of 0.8 in a window, the lag left out of what a request earns. Each fails a row now, by 808 of 591, 4,246 of 3,255, 3,776 of 3,262 and 3,532 of 3,244 repeats.

--- a/engines/budget/bucket.go
+++ b/engines/budget/bucket.go
@@ -33,9 +33,9 @@
 // request adds what a request earns.
 func (b *bucket) request(cfg Config) { b.tokens += cfg.earned() }
 
-// earned returns what a request earns. It is less than the ratio, since what was held before
-// a window and what was earned in the lag before it may arrive in the window, too.
+// earned returns what a request earns. It is less than the share of the ratio, since what was
+// held before a window and what was earned in the lag before it may arrive in the window, too.
 func (c Config) earned() float64 {
 	lag := float64(min(c.Lag, c.Window)) / float64(max(1, c.Window))
-	return c.Ratio / (1 + burst + lag)
+	return share * c.Ratio / (1 + burst + lag)
 }
--- a/engines/budget/budget.go
+++ b/engines/budget/budget.go
@@ -18,9 +18,9 @@
 	"github.com/weldfall/weldfall/common/clock"
 )
 
-// windowShare is the part of the ratio that may be spent in a window. The rest is a margin for
-// what no process sees.
-const windowShare = 0.8
+// share is the part of the ratio that may be spent in a window, by a process and by those that
+// follow it. The rest is a margin for what no process sees.
+const share = 0.8
 
 // Config sets up a Budget.
 type Config struct {
@@ -82,7 +82,7 @@
 	b.window.at(b.cfg, now)
 	base := b.window.base(b.cfg)
 	b.bucket.fill(b.cfg, now, base)
-	return min(b.bucket.tokens, windowShare*b.cfg.Ratio*base+b.cfg.Extra-float64(b.window.repeats(b.cfg)))
+	return min(b.bucket.tokens, share*b.cfg.Ratio*base+b.cfg.Extra-float64(b.window.repeats(b.cfg)))
 }
 
 // Spend takes one repeat, or reports that none is left.
--- a/engines/budget/fleet_test.go
+++ b/engines/budget/fleet_test.go
@@ -19,6 +19,8 @@
 	// parts is the least number of parts of the extra, lives how many each entry has.
 	parts = 32
 	lives = 4
+	// aim is the part of what operators allow that repeats may come to in the worst window.
+	aim = 0.8
 )
 
 const (
@@ -39,6 +41,8 @@
 	failing float64
 	// mostRepeats is how often a request may be repeated.
 	mostRepeats int
+	// extra is what operators allow beyond the ratio.
+	extra float64
 	// held are spans in which nothing arrives at engines until their ends.
 	held []span
 	// sent has when callers sent requests, arrived when attempts arrived at engines, by
@@ -68,7 +72,7 @@
 
 // newFleet returns a fleet of n entries.
 func newFleet(seed uint64, n int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), failing: 0.6, mostRepeats: 1}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), failing: 0.6, mostRepeats: 1, extra: extra}
 	for range n {
 		f.add()
 	}
@@ -84,7 +88,7 @@
 }
 
 func (f *fleet) start(e *entry) {
-	e.budget = budget.New(budget.Config{Ratio: ratio, Extra: extra / float64(max(parts, lives*len(f.entries))), Window: window, Lag: heldMost, Since: f.now})
+	e.budget = budget.New(budget.Config{Ratio: ratio, Extra: f.extra / float64(max(parts, lives*len(f.entries))), Window: window, Lag: heldMost, Since: f.now})
 	e.down = false
 }
 
@@ -215,11 +219,11 @@
 	}
 	slices.Sort(again)
 	part := 0.0
-	allowed = extra
+	allowed = f.extra
 	for _, start := range again {
 		got := within(again, start)
 		requests := max(within(f.sent, start), within(f.sent, start-window/2), within(f.sent, start-window))
-		if most := ratio*float64(requests) + extra; float64(got)/most > part {
+		if most := ratio*float64(requests) + f.extra; float64(got)/most > part {
 			part, repeats, allowed, from = float64(got)/most, got, most, start
 		}
 	}
@@ -233,12 +237,12 @@
 	return end - first
 }
 
-// check holds the repeats of each window against what operators allow.
+// check holds the repeats of each window against the aim.
 func (f *fleet) check(t *testing.T) {
 	t.Helper()
 	got, most, from := f.worst()
-	if float64(got) > most {
-		t.Errorf("got %d repeats in the window from %d ms on, want at most %.0f", got, from, most)
+	if float64(got) > aim*most {
+		t.Errorf("got %d repeats in the window from %d ms on, want at most %.0f of the %.0f allowed", got, from, aim*most, most)
 	}
 	t.Logf("worst window: %d repeats, %.0f allowed (%.2f), from %d ms on", got, most, float64(got)/most, from)
 }
@@ -290,6 +294,8 @@
 		name    string
 		entries int
 		rate    float64
+		// extra is another than that of other fleets.
+		extra   float64
 		trouble func(f *fleet)
 	}{
 		{name: "none", entries: 4, rate: 400, trouble: func(*fleet) {}},
@@ -335,9 +341,39 @@
 		{name: "a process that falls behind and catches up", entries: 4, rate: 400, trouble: func(f *fleet) {
 			everyone(f, func(_ int, e *entry) { e.slow, e.slowPace = span{8000, 14_000}, 0.6 })
 		}},
+		{name: "entries that stand still while nothing succeeds", entries: 4, rate: 2000, trouble: func(f *fleet) {
+			f.failing, f.mostRepeats = 0, 2
+			f.at(12_000, func() { f.failing = 1 })
+			everyone(f, func(_ int, e *entry) { f.standStill(e, span{12_000, 17_000}) })
+		}},
+		{name: "all are killed while nothing succeeds", entries: 4, rate: 2000, trouble: func(f *fleet) {
+			f.failing, f.mostRepeats = 0, 2
+			f.at(12_000, func() { f.failing = 1 })
+			everyone(f, func(_ int, e *entry) { f.kill(e, span{17_000, 17_100}) })
+		}},
+		{name: "all are killed while nothing succeeds, after a cut", entries: 4, rate: 2000, trouble: func(f *fleet) {
+			f.failing, f.mostRepeats = 0, 2
+			f.at(12_000, func() { f.failing = 1 })
+			f.held = []span{{12_000, 12_000 + heldMost}}
+			everyone(f, func(_ int, e *entry) { f.kill(e, span{17_000, 17_100}) })
+		}},
+		{name: "entries that begin again and again while much is allowed beyond the ratio", entries: 4, rate: 100, trouble: func(f *fleet) {
+			f.failing, f.mostRepeats = 1, 10
+			everyone(f, func(_ int, e *entry) {
+				for t := clock.Millis(1000); t < day; t += 1000 {
+					f.kill(e, span{t, t + 100})
+				}
+			})
+		}, extra: 540},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFleet(1, tc.entries)
+			if tc.extra != 0 {
+				f.extra = tc.extra
+				for _, e := range f.entries {
+					f.start(e)
+				}
+			}
 			f.callers(span{0, day}, tc.rate)
 			tc.trouble(f)
 			f.run(day + window)
@@ -356,8 +392,8 @@
 		f := drawFleet(seed)
 		f.run(day + window)
 		got, allowed, from := f.worst()
-		if float64(got) > allowed {
-			t.Errorf("seed %d: got %d repeats in the window from %d ms on, want at most %.0f", seed, got, from, allowed)
+		if float64(got) > aim*allowed {
+			t.Errorf("seed %d: got %d repeats in the window from %d ms on, want at most %.0f of the %.0f allowed", seed, got, from, aim*allowed, allowed)
 		}
 		if part := float64(got) / allowed; part > most {
 			most = part
