callers: Reset an answer until close that the end of the process cuts

Callers got a FIN, which ends such an answer as a whole one, where the process closed what was still open at the end of its grace, or was killed: 4.0 of 64 MB to a slow caller on the platform's path, 96 KB of a service that was still sending on the own path. Answers that broke off while the process lived were reset already.

Now the connection is one that the kernel resets from when such an answer begins until its handler has returned, and so whatever ends the process; then the end is sent first and what still comes is read for a moment, since closing with something unread resets, too, and made a whole answer look broken.

Failed before: TestAnAnswerUntilCloseThatTheEndOfTheServerCutsIsToldAsBrokenOff, TestAnAnswerThatTheEndOfTheGraceCutsIsToldAsBrokenOff, TestAnAnswerThatTheEndOfADrainCutsIsToldAsBrokenOff, TestAWholeAnswerUntilCloseEndsInOrderThoughMoreWasSent.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/sock"
@@ -167,6 +168,11 @@
 	closing bool
 	ahead   aheadOf
 	lengths lengths
+	// resets is true while a request's handler has the connection end with a reset. Only
+	// the handler's goroutine uses it.
+	resets bool
+	// lingers is true once an answer is out that the end of the connection ends.
+	lingers atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -206,7 +212,11 @@
 func (c *conn) Close() error {
 	c.server.mu.Lock()
 	delete(c.server.open, c)
+	closing := c.server.closing
 	c.server.mu.Unlock()
+	if c.lingers.Load() && !closing {
+		c.linger()
+	}
 	return c.Conn.Close()
 }
 
--- a/callers/ending_test.go
+++ b/callers/ending_test.go
@@ -19,11 +19,12 @@
 		unflushed(w)
 		_ = http.NewResponseController(w).Flush()
 	}
-	plain := func(http.ResponseWriter) {}
-	length := func(w http.ResponseWriter) { w.Header().Set("Content-Length", "9") }
+	plain := func(http.ResponseWriter, *http.Request) {}
+	nothing := func(http.ResponseWriter) {}
+	length := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") }
 	cases := []struct {
 		name, proto string
-		frame       func(http.ResponseWriter)
+		frame       func(http.ResponseWriter, *http.Request)
 		write       func(http.ResponseWriter)
 		broken      bool
 		framed      framing.Framing
@@ -32,7 +33,7 @@
 	}{
 		{"until close", "1.1", callers.UntilClose, flushed, false, framing.UntilClose, nil},
 		{"until close, at once", "1.1", callers.UntilClose, unflushed, false, framing.UntilClose, nil},
-		{"until close, empty", "1.1", callers.UntilClose, plain, false, framing.UntilClose, nil},
+		{"until close, empty", "1.1", callers.UntilClose, nothing, false, framing.UntilClose, nil},
 		{"until close", "1.0", callers.UntilClose, flushed, false, framing.UntilClose, nil},
 		{"until close, at once", "1.0", callers.UntilClose, unflushed, false, framing.UntilClose, nil},
 		{"until close, broken off", "1.1", callers.UntilClose, flushed, true, framing.UntilClose, syscall.ECONNRESET},
@@ -48,7 +49,7 @@
 		t.Run(tc.name+" "+tc.proto, func(t *testing.T) {
 			goOn := make(chan struct{})
 			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, r *http.Request) {
-				tc.frame(w)
+				tc.frame(w, r)
 				tc.write(w)
 				if tc.broken {
 					// A reset may overtake what the caller has not read.
--- a/callers/server.go
+++ b/callers/server.go
@@ -52,13 +52,15 @@
 
 	mu   sync.Mutex
 	open map[*conn]bool
+	// closing is true once the server is closed with what is still open.
+	closing bool
 }
 
 // New returns a server that does not yet serve.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, open: map[*conn]bool{}, silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`)}
 	s.http = &http.Server{
-		ConnState: s.state, ConnContext: withConn, Handler: checkLengths(cfg.Handler), MaxHeaderBytes: cfg.MaxHeader,
+		ConnState: s.state, ConnContext: withConn, Handler: checkLengths(endInOrder(cfg.Handler)), MaxHeaderBytes: cfg.MaxHeader,
 		ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
 	}
 	return s
@@ -90,7 +92,12 @@
 }
 
 // Close closes the server with whatever is still open.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	_ = s.http.Close()
+}
 
 // listener hands out connections that the server knows.
 type listener struct {
--- a/callers/review_test.go
+++ b/callers/until_close_test.go
@@ -16,8 +16,8 @@
 	for name, proto := range map[string]string{"HTTP/1.1": "1.1", "HTTP/1.0": "1.0"} {
 		t.Run(name, func(t *testing.T) {
 			goOn := make(chan struct{})
-			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, _ *http.Request) {
-				callers.UntilClose(w)
+			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, r *http.Request) {
+				callers.UntilClose(w, r)
 				_, _ = io.WriteString(w, "part")
 				_ = http.NewResponseController(w).Flush()
 				<-goOn
@@ -77,8 +77,8 @@
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
 			defer close(release)
-			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, _ *http.Request) {
-				callers.UntilClose(w)
+			s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, r *http.Request) {
+				callers.UntilClose(w, r)
 				_, _ = io.WriteString(w, "part")
 				_ = http.NewResponseController(w).Flush()
 				<-release
--- a/daemon/target/target_test.go
+++ b/daemon/target/target_test.go
@@ -75,8 +75,8 @@
 func TestAnExportThatIsCutIsNoExport(t *testing.T) {
 	const prefix = `{"hashes":[1,2,3],"tokens":30}`
 	for n := range len(prefix) {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			callers.UntilClose(w)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			callers.UntilClose(w, r)
 			_, _ = w.Write([]byte(prefix[:n]))
 		}))
 		if got, err := target.New(srv.Listener.Addr().String()).Export(t.Context(), "1"); err == nil {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -68,7 +68,7 @@
 		header.Set(k, v)
 	}
 	if h.EndsUntilClose() {
-		callers.UntilClose(c.w)
+		callers.UntilClose(c.w, c.r)
 	}
 	header.Set(chats.HeaderRequest, c.id)
 	if c.chatKey != 0 {
--- a/fleet/source/client_test.go
+++ b/fleet/source/client_test.go
@@ -87,8 +87,8 @@
 func TestABatchThatIsCutIsNoBatch(t *testing.T) {
 	const batch = `{"rev":2,"items":[{"key":"a","rev":1,"value":"1"},{"key":"b","rev":2,"value":"2"}]}`
 	for n := range len(batch) {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			callers.UntilClose(w)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			callers.UntilClose(w, r)
 			_, _ = w.Write([]byte(batch[:n]))
 		}))
 		got, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
--- a/gate/relay/reply.go
+++ b/gate/relay/reply.go
@@ -136,7 +136,7 @@
 	case framing.Length:
 		p.cfg.W.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	case framing.UntilClose:
-		callers.UntilClose(p.cfg.W)
+		callers.UntilClose(p.cfg.W, p.cfg.R)
 	case framing.Chunked:
 	}
 	p.status, p.framed = status, callers.Framing(p.cfg.W, p.cfg.R)
