gate/relay, engines/events: Read streams as their lines, ids and codings are

Faults of how streams are told apart, each with the test that failed:

* Half a line end was taken for a whole one (TestAStreamThatEndsInsideALineEndIsToldAsBrokenOff).
* Events without ids came twice where a stream was taken up: it is taken up only behind an event that has one (TestEventsWithoutIdsReachTheCallerOnce).
* The length that an answer to HEAD tells was replaced by 0 (TestTheLengthOfAnAnswerToHEADIsTheEngines).

--- a/engines/events/events.go
+++ b/engines/events/events.go
@@ -19,6 +19,8 @@
 	pending []byte
 	// lastID is the id of the latest whole event that had one.
 	lastID string
+	// unnumbered is true if the latest whole event with data had no id.
+	unnumbered bool
 	// count is how many whole events came.
 	count int
 }
@@ -47,18 +49,35 @@
 // Pending returns the bytes that belong to no whole event yet.
 func (s *Splitter) Pending() []byte { return s.pending }
 
-// Inside reports whether the bytes that belong to no whole event are the beginning of
-// one, rather than empty lines or comments.
+// Inside reports whether the bytes that belong to no whole event are the beginning of one.
+// Empty lines, comments and whole lines of retry are none, and neither are events whose lines
+// end with carriage returns, which Add does not split.
 func (s *Splitter) Inside() bool {
-	for line := range bytes.FieldsFuncSeq(s.pending, isLineEnd) {
-		if line[0] != ':' {
+	rest := bytes.TrimPrefix(s.pending, byteOrderMark)
+	if bytes.IndexByte(rest, '\n') < 0 {
+		rest = bytes.ReplaceAll(rest, []byte("\r"), []byte("\n"))
+	}
+	// Where other lines end with a line feed, a last carriage return is half of an end.
+	rest = bytes.ReplaceAll(rest, []byte("\r\n"), []byte("\n"))
+	if i := bytes.LastIndex(rest, []byte("\n\n")); i >= 0 {
+		rest = rest[i+2:]
+	}
+	for line := range bytes.Lines(rest) {
+		comment := line[0] == ':'
+		retry := bytes.HasPrefix(line, []byte("retry:")) && line[len(line)-1] == '\n'
+		if line[0] != '\n' && !comment && !retry {
 			return true
 		}
 	}
 	return false
 }
 
-func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+// byteOrderMark may stand before a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// Numbered reports whether a stream can be taken up after its latest whole event: it has an
+// id, or there is no event yet.
+func (s *Splitter) Numbered() bool { return !s.unnumbered }
 
 // Drop forgets the bytes that belong to no whole event: the engine that sent
 // them broke off.
@@ -72,11 +91,16 @@
 
 func (s *Splitter) take(event []byte) {
 	s.count++
+	id, data := false, false
 	for line := range bytes.Lines(event) {
 		rest, ok := bytes.CutPrefix(line, []byte("id:"))
 		if ok {
-			s.lastID = string(bytes.TrimSpace(rest))
+			s.lastID, id = string(bytes.TrimSpace(rest)), true
 		}
+		data = data || bytes.HasPrefix(line, []byte("data"))
+	}
+	if id || data {
+		s.unnumbered = !id
 	}
 }
 
--- a/gate/relay/reply.go
+++ b/gate/relay/reply.go
@@ -72,7 +72,7 @@
 func (p *Reply) Status() int { return p.status }
 
 // MayGoOn reports whether another engine's answer may be the reply, or the rest of it.
-func (p *Reply) MayGoOn() bool { return !p.Began() || p.streams }
+func (p *Reply) MayGoOn() bool { return !p.Began() || p.streams && p.split.Numbered() }
 
 // BreakOff has the reply end so that no caller can take it for whole.
 func (p *Reply) BreakOff() { p.brokenOff = true }
@@ -117,7 +117,15 @@
 	if h.End == framing.Closed {
 		f = framing.UntilClose
 	}
-	p.begin(h.Status, h.Header, f, int64(len(h.Body)))
+	length := int64(len(h.Body))
+	if p.cfg.R.Method == http.MethodHead {
+		// The length of what was asked about.
+		n, err := strconv.ParseInt(h.Header.Get("Content-Length"), 10, 64)
+		if length = n; err != nil {
+			f = framing.Chunked
+		}
+	}
+	p.begin(h.Status, h.Header, f, length)
 	// A caller that is gone needs no answer; the count of bytes shows it.
 	_ = p.write(h.Body)
 }
