gate, entry, engines/offer: Learn from answers that are known to be complete

An answer that ended with its engine's connection counted as one that ran well, which takes strikes of its request back, and taught how long answers take, though its engine may have ended in its middle. Now Answered.End is what daemons say of it, too, and only complete answers teach.

Two faults that the review showed stay, listed: no end is asked about behind an answer that ended with its connection, and a body that speaks of transfer codings costs a later request of HTTP/1.0 on its connection.

--- a/engines/offer/offer.go
+++ b/engines/offer/offer.go
@@ -72,7 +72,7 @@
 		return attempt.Unsent{Err: verdict.New(verdict.NotRun, verdict.Unreachable, "daemon %s: %w", to.ID, err)}, wire.Result{}
 	}
 	run.Attempt = max(1, rand.Uint64())
-	a := &sending{o: o, w: w, id: run.Attempt, to: to, boot: conn.PeerBoot(), in: o.inboxes.open(run.Attempt)}
+	a := &sending{o: o, w: w, id: run.Attempt, to: to, boot: conn.PeerBoot(), in: o.inboxes.open(run.Attempt), answer: framing.Complete}
 	defer o.inboxes.close(run.Attempt)
 	a.start(conn, wire.MethodRun, run)
 	return a.wait(ctx)
@@ -90,6 +90,8 @@
 	// keeps its own channel, so that its late end is not taken for this one's.
 	ended chan end
 	tries int
+	// answer is what is known of the end of an answer that has ended well.
+	answer framing.End
 }
 
 // end is how the call to a daemon ended.
@@ -162,6 +164,9 @@
 func (a *sending) deliver() attempt.Outcome {
 	frames, gap, full := a.in.take()
 	if len(frames) > 0 && frames[0].Head != nil {
+		if frames[0].Head.EndsUntilClose() {
+			a.answer = framing.Closed
+		}
 		a.o.beliefs.SampleLoads(frames[0].Head.Loads)
 	}
 	if err := a.w.Frames(frames); err != nil {
@@ -200,7 +205,7 @@
 // finish turns the word of a daemon into what the attempt came to.
 func (a *sending) finish(res wire.Result) attempt.Outcome {
 	if res.Verdict == verdict.Ran {
-		return attempt.Answered{End: framing.Complete}
+		return attempt.Answered{End: a.answer}
 	}
 	v := verdict.MayHaveRun
 	// An answer that has begun ran, whatever the daemon says.
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -85,8 +85,8 @@
 	// sent is done when the whole request is written, nil if it was written
 	// before the answer was read.
 	sent chan error
-	// whole is true once the body was read to its end.
-	whole bool
+	// ended is true once the body was read to its end.
+	ended bool
 	keep  bool
 	once  sync.Once
 }
@@ -99,11 +99,11 @@
 // Framing returns how the answer tells where it ends.
 func (a *Answer) Framing() framing.Framing { return framing.Of(a.Response) }
 
-// Read reads the body. io.EOF means that the body is whole.
+// Read reads the body. io.EOF means that it has ended, by its framing or with its connection.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		a.whole = true
+		a.ended = true
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = fmt.Errorf("read answer of %s: %w", a.conn.addr, err)
@@ -125,7 +125,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		attached := a.stop()
-		ok := attached && a.whole && a.keep && a.Framing() != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
+		ok := attached && a.ended && a.keep && a.Framing() != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
 		a.pool.end(a.conn)
 		a.pool.release(a.conn, ok, a.Header)
 	})
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/quarantine/gossip"
@@ -62,7 +63,7 @@
 	if res.Ended != 0 {
 		e.guard.Struck(c.suspect(), res.Ended, c.offered)
 	}
-	if _, ok := o.(attempt.Answered); ok {
+	if a, ok := o.(attempt.Answered); ok && a.End == framing.Complete {
 		e.guard.RanWell(c.suspect())
 	}
 	e.guard.Over(c.suspect())
--- a/gate/account.go
+++ b/gate/account.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 )
@@ -74,7 +75,7 @@
 	if len(c.tried) > 0 {
 		engine = c.tried[len(c.tried)-1]
 	}
-	if c.err == nil && c.route != nil && c.reply.Status() == http.StatusOK {
+	if c.err == nil && c.route != nil && c.reply.Status() == http.StatusOK && c.reply.Answer().Ended == framing.Complete {
 		g.durations.Whole(c.route.Name, now-c.start)
 	}
 	attrs := []any{
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/duration"
@@ -36,7 +37,7 @@
 func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Answer) attempt.Outcome {
 	x := exchange{g, c, e.Incarnation()}
 	o := c.reply.Relay(ctx, x, a.Response, a)
-	if _, ok := o.(attempt.Answered); ok {
+	if a, ok := o.(attempt.Answered); ok && a.End == framing.Complete {
 		g.learnRest(c)
 	}
 	return o
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/quarantine"
@@ -64,7 +65,7 @@
 	life := e.Incarnation().Mark()
 	switch o := o.(type) {
 	case attempt.Answered:
-		if c.reply.Status() < http.StatusMultipleChoices {
+		if o.End == framing.Complete && c.reply.Status() < http.StatusMultipleChoices {
 			g.guard.RanWell(c.suspect())
 		}
 	case attempt.Broken:
