proxy: End connections that lost bytes with the fault that took them

A link that dropped bytes and was then only late passed on what followed: a stream of which the middle was missing, in whole chunks, told as complete. Connections that lost bytes were reset only once the link was sound; they are whenever its fault changes.

TestAFaultEndsTheConnectionsThatLostBytes has the next fault as a second column: on the code before, the 3 rows with delayed fail. What was tested before is tested as before, and an end that never comes no longer counts as one.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -122,14 +122,15 @@
 // Addr returns host:port of the near end.
 func (l *Link) Addr() string { return l.ln.Addr().String() }
 
-// Set changes what the link does. Connections that lost bytes are reset when it is
-// sound again.
+// Set changes what the link does. Connections that lost bytes are reset when the fault that
+// took them is over: what came after the bytes that are missing would follow on those before.
 func (l *Link) Set(f Fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	over := f != l.fault
 	l.fault = f
 	for p := range l.open {
-		if f == Resets || (f == Sound && p.lost) {
+		if f == Resets || (over && p.lost) {
 			p.reset()
 		}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -121,19 +122,21 @@
 // carried the rest would make another stream of it.
 func TestAFaultEndsTheConnectionsThatLostBytes(t *testing.T) {
 	for _, f := range []proxy.Fault{proxy.Cut, proxy.DeafTo, proxy.DeafFrom} {
-		t.Run(string(f), func(t *testing.T) {
-			t.Parallel()
-			l, c := newLink(t)
-			l.Set(f)
-			if back, ended := echoed(c); back || ended {
-				t.Errorf("got back %v, ended %v, want neither", back, ended)
-			}
-			l.Set(proxy.Sound)
-			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
-			if _, err := c.Read(make([]byte, 1)); err == nil {
-				t.Error("got a byte after bytes were lost, want the end")
-			}
-		})
+		for _, next := range []proxy.Fault{proxy.Sound, proxy.Delayed, proxy.Resets} {
+			t.Run(string(f+" "+next), func(t *testing.T) {
+				t.Parallel()
+				l, c := newLink(t)
+				l.Set(f)
+				if back, ended := echoed(c); back || ended {
+					t.Errorf("got back %v, ended %v, want neither", back, ended)
+				}
+				l.Set(next)
+				_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+				if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("got %v after bytes were lost, want the end", err)
+				}
+			})
+		}
 	}
 }
 
