--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -11,6 +11,8 @@
 	"strconv"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/daemon/target"
 	"github.com/weldfall/weldfall/engines/events"
 	"github.com/weldfall/weldfall/link/wire"
@@ -24,7 +26,7 @@
 	resumeWait clock.Millis = 50
 	// maxPlain bounds a plain chat answer in bytes.
 	maxPlain = 32 << 20
-	// pieceBytes is the size of the pieces of a plain service's answer.
+	// pieceBytes is the size of the pieces of an answer that is no stream.
 	pieceBytes = 32 << 10
 )
 
@@ -98,45 +100,62 @@
 // relayService passes the answer of a plain service on as it comes.
 func (e *engine) relayService(a *attempt, res *http.Response) wire.Result {
 	head := e.headOf(res)
+	framed := framing.Of(res)
+	if framed == framing.UntilClose {
+		head.EndUntilClose()
+	}
 	for {
 		piece := make([]byte, pieceBytes)
-		n, err := io.ReadFull(res.Body, piece)
+		n, err := fill(res.Body, piece)
 		if n > 0 || head != nil {
 			a.add(head, piece[:n])
 			head = nil
 		}
 		switch {
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && cleanEnd(res):
-			return wire.Result{Verdict: verdict.Ran}
-		case err != nil:
+		case err == nil:
+		case framed.End(err) == framing.Incomplete:
 			return e.lost(a, err)
+		default:
+			return wire.Result{Verdict: verdict.Ran}
 		}
 	}
 }
 
-// cleanEnd tells the short last piece, for which io.ReadFull returns
-// ErrUnexpectedEOF too, from a body that was cut: reading on after a clean end
-// returns EOF again.
-func cleanEnd(res *http.Response) bool {
-	var b [1]byte
-	_, err := res.Body.Read(b[:])
-	return errors.Is(err, io.EOF)
+// fill reads until p is full or r ends. Unlike io.ReadFull it returns the error of r as it
+// is: a short last piece does not look like a body that was cut.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
 }
 
 // relayRefusal passes the error of an engine on when the request is at fault;
 // otherwise it is the engine's failure.
 func (e *engine) relayRefusal(a *attempt, res *http.Response) wire.Result {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
+	body, err := whole.Read(res.Body, res.ContentLength, maxPlain)
 	if err != nil {
 		return e.lost(a, err)
 	}
+	head := e.headOf(res)
+	if framing.Of(res) == framing.UntilClose && !completeJSON(body) {
+		head.EndUntilClose()
+	}
 	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
 		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
 	}
-	a.add(e.headOf(res), body)
+	a.addHeld(head, body)
 	return wire.Result{Verdict: verdict.Ran}
 }
 
+// completeJSON reports whether a body is a JSON object. No part of one is one, so that it is
+// complete by its own syntax.
+func completeJSON(body []byte) bool {
+	return bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) && json.Valid(body)
+}
+
 type usageBody struct {
 	Usage *struct {
 		Prompt     int `json:"prompt_tokens"`
@@ -155,21 +174,31 @@
 	return wire.Usage{Prompt: u.Usage.Prompt, Completion: u.Usage.Completion, Cached: u.Usage.Details.Cached}
 }
 
+// plainOf reads a plain chat answer. One that ends with its connection has broken off unless
+// it is complete by its own syntax.
+func plainOf(res *http.Response) ([]byte, error) {
+	body, err := whole.Read(res.Body, res.ContentLength, maxPlain)
+	if err == nil && framing.Of(res) == framing.UntilClose && !completeJSON(body) {
+		err = fmt.Errorf("the connection ended after %d bytes: %w", len(body), io.ErrUnexpectedEOF)
+	}
+	return body, err
+}
+
 // relayPlain passes a plain chat answer on when the whole is here.
 func (e *engine) relayPlain(a *attempt, res *http.Response) wire.Result {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlain))
-	for try := 0; err != nil && try < resumeTries; try++ {
+	body, err := plainOf(res)
+	for try := 0; err != nil && !errors.Is(err, whole.ErrTooLarge) && try < resumeTries; try++ {
 		var again *http.Response
 		if again, err = e.resume(a, 0, true, try); err != nil {
 			break
 		}
-		body, err = io.ReadAll(io.LimitReader(again.Body, maxPlain))
+		body, err = plainOf(again)
 		_ = again.Body.Close()
 	}
 	if err != nil {
 		return e.lost(a, err)
 	}
-	a.add(e.headOf(res), body)
+	a.addHeld(e.headOf(res), body)
 	return wire.Result{Verdict: verdict.Ran, Usage: usageOf(body)}
 }
 
--- a/gate/send.go
+++ b/gate/send.go
@@ -10,7 +10,6 @@
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/upstream"
-	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -38,9 +37,9 @@
 			return err
 		}
 		e, err := g.place(ctx, c)
-		if err != nil && own != nil && !c.began {
+		if err != nil && own != nil && !c.reply.Began() {
 			c.note = err.Error()
-			g.pass(c, own)
+			c.reply.Hold(own)
 			return nil
 		}
 		if err != nil {
@@ -60,13 +59,13 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errOverdue) {
 				return verdict.New(c.verdict(), verdict.Deadline, "%w", cause)
 			}
-			c.cut = true
+			c.reply.BreakOff()
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case attempt.Failed:
 			own = o.Answer
 			if err := g.again(c, o, e.Info); err != nil {
 				c.note = err.Error()
-				g.pass(c, own)
+				c.reply.Hold(own)
 				return nil
 			}
 		case attempt.Unsent, attempt.Refused, attempt.Broken:
@@ -184,8 +183,7 @@
 		free = c.refused < mostRefused
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s refused", c.refused, c.service)
 	case attempt.Broken:
-		// Of what has begun only a stream can go on elsewhere.
-		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && (!c.began || c.route.Kind == table.Stream)
+		free = c.route.Repeatable() && c.ran < c.route.Attempts && c.suspect().Ended() < mostEnded && c.reply.MayGoOn()
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.Err)
 	case attempt.Failed:
 		free = c.route.Repeatable() && c.ran < c.route.Attempts
