gate, quarantine: Hold back requests under which engines go dark

Callers saw a request take engine after engine out of service while the list went on telling them as ready.

Cause: silence struck nothing while the entry stayed, since it says nothing by itself: a slow request, a full engine, a cut link and a dark engine look the same on one connection.

Now an attempt that has waited for its goal without a sign has its engine asked whether it is healthy, on a new connection. It is dark if its machine takes the connection, a slot is free as far as is known, and nothing comes on any connection.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -218,6 +218,10 @@
 // After calls f in a goroutine of its own when d has gone by.
 func After(d Millis, f func()) { time.AfterFunc(d.Duration(), f) }
 
+// AfterUnless calls f in a goroutine of its own when d has gone by, unless stop is called
+// before, which then returns true.
+func AfterUnless(d Millis, f func()) (stop func() bool) { return time.AfterFunc(d.Duration(), f).Stop }
+
 // Sleep waits for d or until ctx is done, and reports whether d went by.
 func Sleep(ctx context.Context, d Millis) bool {
 	t := time.NewTimer(d.Duration())
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -188,6 +188,15 @@
 // Lost records that the engine ended, and returns what that changes in the trust in it.
 func (e *Engine) Lost(now clock.Millis) Trust { return e.health.note(Unreachable, now) }
 
+// QuietSince reports whether the engine gave no sign since a time, to this entry or as
+// others told, though as far as is known it has a slot free.
+func (e *Engine) QuietSince(at, now clock.Millis) bool {
+	if e.heardAt >= at || (e.told && e.othersAt >= at) {
+		return false
+	}
+	return e.load(0, e.weight(now)) <= float64(e.info.Slots)
+}
+
 // Unreached reports whether the engine could not be reached, and was not since.
 func (e *Engine) Unreached() bool { return e.health.unreached }
 
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -215,6 +215,23 @@
 	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial)
 }
 
+// Dark records that an engine went dark, by the mark of its life and its id, under the
+// attempt, which was sent at a time and still waits.
+func (g *Guard) Dark(r *Request, life uint32, engine string, sent clock.Millis) {
+	a := Attempt{ID: r.id, Digest: r.Digest(), Shape: r.shape(), Life: life, Trial: r.onTrial}
+	r.onTrial = false
+	g.with(func(l *List) { r.strikes = l.Dark(a, sent, g.clk.Now()) })
+	g.struck.Inc()
+	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "dark")
+}
+
+// DarkLives returns the marks of the lives of engines that went dark under the request.
+func (g *Guard) DarkLives(r *Request) []uint32 {
+	var lives []uint32
+	g.with(func(l *List) { lives = l.DarkLives(r.Digest()) })
+	return lives
+}
+
 // LifeEnded records what showed that an engine ended, by the mark of its life and its id:
 // the attempts that broke off with it are struck.
 func (g *Guard) LifeEnded(life uint32, engine, ground string) {
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -152,7 +152,7 @@
 // isSuspect reports whether a request is only sent alone.
 func (l *List) isSuspect(r *record, now clock.Millis) bool {
 	s := r.strikes()
-	return s >= SuspectFrom || (s > 0 && now < l.amnesiaUntil && l.others(r.ends[0]) <= fewOthers)
+	return s >= SuspectFrom || (s > 0 && now < l.amnesiaUntil && !r.ends[0].dark && l.others(r.ends[0]) <= fewOthers)
 }
 
 // Admit says what may be done with a request, and claims the trial if there is to be
@@ -213,7 +213,9 @@
 	case proved(l.failures(r, func(e end) bool { return e.confirmed })):
 		// It is remembered for as long as it comes.
 		return 2 * KeepFor
-	case proved(alone, all), now < l.amnesiaUntil && alone > 0:
+	case proved(alone, all):
+		return toldPause
+	case now < l.amnesiaUntil && l.failedOnceAlone(r):
 		return toldPause
 	case slices.ContainsFunc(r.ends, func(e end) bool { return e.trial }):
 		return retrialPause
@@ -221,6 +223,13 @@
 	return 0
 }
 
+// failedOnceAlone reports whether a trial failed in which only its engine ended, other than
+// by going dark.
+func (l *List) failedOnceAlone(r *record) bool {
+	alone, _ := l.failures(r, func(e end) bool { return !e.dark })
+	return alone > 0
+}
+
 // proved reports whether failed trials have shown that a request ends its engine.
 func proved(alone, all int) bool { return alone >= failedAlone || all >= failedMost }
 
@@ -305,13 +314,25 @@
 // ended is Ended of an end that was at a time that has passed.
 func (l *List) ended(a Attempt, at, now clock.Millis) int {
 	l.Confirm(a.Life)
+	return l.strike(a, end{at: at, confirmed: true}, now)
+}
+
+// Dark records that an engine went dark under a request that was sent to it at a time, and
+// returns the strikes that the request has now. The strike holds until the engine is heard,
+// and what is held back by such alone is for some minutes.
+func (l *List) Dark(a Attempt, sent, now clock.Millis) int {
+	return l.strike(a, end{at: sent, dark: true}, now)
+}
+
+func (l *List) strike(a Attempt, e end, now clock.Millis) int {
 	r := l.get(a.Digest)
 	if r == nil {
 		r = &record{digest: a.Digest, shape: a.Shape}
 	}
 	l.Over(a.Digest, now)
-	l.noteEnd(a.Life, at)
-	news := r.add(end{id: l.newID(), life: a.Life, at: at, trial: a.Trial, confirmed: true})
+	l.noteEnd(a.Life, e.at)
+	e.id, e.life, e.trial = l.newID(), a.Life, a.Trial
+	news := r.add(e)
 	r.usedAt = now
 	l.put(r)
 	if news {
@@ -384,6 +405,21 @@
 	}
 }
 
+// DarkLives returns the lives of engines that went dark under a request.
+func (l *List) DarkLives(d Digest) []uint32 {
+	r := l.get(d)
+	if r == nil {
+		return nil
+	}
+	var out []uint32
+	for _, e := range r.ends {
+		if e.dark {
+			out = append(out, e.life)
+		}
+	}
+	return out
+}
+
 // Strikes returns how many strikes a request has.
 func (l *List) Strikes(d Digest) int {
 	if r := l.get(d); r != nil {
--- a/engines/quarantine/news.go
+++ b/engines/quarantine/news.go
@@ -45,6 +45,8 @@
 	Age clock.Millis
 	// Trial is true if it ran the request alone, to find out.
 	Trial bool
+	// Dark is true if all that shows it is that the engine went dark.
+	Dark bool
 }
 
 // RanWell is a run that ended well.
@@ -67,6 +69,7 @@
 const (
 	hasWell  = 0x40
 	hasTrial = 0x80
+	hasDark  = 0x20
 	endsMask = 0x0f
 )
 
@@ -90,12 +93,19 @@
 	if it.Trial != nil {
 		flags |= hasTrial
 	}
+	dark := it.darkBits()
+	if dark != 0 {
+		flags |= hasDark
+	}
 	b = append(b, flags)
 	for _, e := range it.Ends {
 		b = binary.BigEndian.AppendUint32(b, e.ID)
 		b = binary.BigEndian.AppendUint32(b, e.Life)
 		b = binary.AppendUvarint(b, uint64(max(0, e.Age))<<1|uint64(trialBit(e.Trial)))
 	}
+	if dark != 0 {
+		b = append(b, dark)
+	}
 	if it.Well != nil {
 		b = binary.BigEndian.AppendUint32(b, it.Well.ID)
 		b = binary.AppendUvarint(b, uint64(max(0, it.Well.Age)))
@@ -108,6 +118,18 @@
 	return b
 }
 
+// darkBits has a bit for each end that is known by a dark engine alone, the lowest for the
+// first.
+func (it Item) darkBits() byte {
+	var bits byte
+	for i, e := range it.Ends {
+		if e.Dark {
+			bits |= 1 << i
+		}
+	}
+	return bits
+}
+
 func trialBit(trial bool) byte {
 	if trial {
 		return 1
@@ -201,7 +223,7 @@
 	it := Item{Digest: Digest(p.bytes(len(Digest{}))), Shape: p.uint32()}
 	flags := p.bytes(1)[0]
 	ends := int(flags & endsMask)
-	if ends > endsMost || flags&^(hasWell|hasTrial|endsMask) != 0 {
+	if ends > endsMost || flags&^(hasWell|hasTrial|hasDark|endsMask) != 0 {
 		p.fail(errTooMany)
 		return it
 	}
@@ -211,6 +233,12 @@
 		e.Age, e.Trial = age>>1, age&1 == 1
 		it.Ends = append(it.Ends, e)
 	}
+	if flags&hasDark != 0 {
+		dark := p.bytes(1)[0]
+		for i := range it.Ends {
+			it.Ends[i].Dark = dark&(1<<i) != 0
+		}
+	}
 	if flags&hasWell != 0 {
 		it.Well = &RanWell{ID: p.id(), Age: p.millis(2 * KeepFor)}
 	}
@@ -224,7 +252,7 @@
 func (r *record) itemOf(now clock.Millis) Item {
 	it := Item{Digest: r.digest, Shape: r.shape}
 	for _, e := range r.ends {
-		it.Ends = append(it.Ends, EndedUnder{ID: e.id, Life: e.life, Age: now - e.at, Trial: e.trial})
+		it.Ends = append(it.Ends, EndedUnder{ID: e.id, Life: e.life, Age: now - e.at, Trial: e.trial, Dark: e.dark})
 	}
 	if r.well.id != 0 {
 		it.Well = &RanWell{ID: r.well.id, Age: now - r.well.at}
@@ -256,7 +284,7 @@
 			continue
 		}
 		l.noteEnd(e.Life, at)
-		news = r.add(end{id: e.ID, life: e.Life, at: at, trial: e.Trial, confirmed: lost(e.Life)}) || news
+		news = r.add(end{id: e.ID, life: e.Life, at: at, trial: e.Trial, dark: e.Dark, confirmed: !e.Dark && lost(e.Life)}) || news
 	}
 	if it.Trial != nil {
 		news = r.tried(trial{id: it.Trial.ID, life: it.Trial.Life, until: now + it.Trial.Left}, now) || news
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -21,6 +21,9 @@
 	// endsMost bounds the ends that are remembered of a request: those of two strikes and
 	// of all trials.
 	endsMost = 8
+	// sentTogether is the time within which copies of a request are taken to be sent at
+	// once.
+	sentTogether clock.Millis = 100
 	// drift is by how much the time of what another entry tells may be off: the way
 	// between data halls and the rounding of ages.
 	drift clock.Millis = 10
@@ -40,6 +43,9 @@
 	trial bool
 	// confirmed is true if this entry found out by itself that the engine ended.
 	confirmed bool
+	// dark is true if all that shows it is that the engine went dark. It is then of the
+	// time at which the request was sent there.
+	dark bool
 }
 
 // well is a run that ended well. An id of its own tells it from others, since the
@@ -105,7 +111,7 @@
 	var out [][]end
 	from := 0
 	for i := range ends {
-		if ends[i].at-ends[from].at > together {
+		if ends[i].at-ends[from].at > ends[i].window() {
 			out = append(out, ends[from:i])
 			from = i
 		}
@@ -116,6 +122,15 @@
 	return out
 }
 
+// window is the time within which an end is taken to be in one go with an earlier one. Of
+// engines that went dark the times say only when copies were sent.
+func (e end) window() clock.Millis {
+	if e.dark {
+		return sentTogether
+	}
+	return together
+}
+
 // lastEnd is when the latest of the ends was; there is one.
 func (r *record) lastEnd() clock.Millis { return r.ends[len(r.ends)-1].at }
 
@@ -129,7 +144,14 @@
 		r.ends[at].confirmed = r.ends[at].confirmed || e.confirmed
 		return false
 	}
-	ends := append(slices.Clone(r.ends), e)
+	if e.dark && slices.ContainsFunc(r.ends, e.again) {
+		return false
+	}
+	ends := slices.Clone(r.ends)
+	if !e.dark {
+		ends = slices.DeleteFunc(ends, func(o end) bool { return o.dark && e.again(o) })
+	}
+	ends = append(ends, e)
 	slices.SortStableFunc(ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 	for _, group := range groups(ends) {
 		if len(group) > manyAtOnce && slices.ContainsFunc(group, e.same) {
@@ -156,6 +178,13 @@
 	return e.id == o.id || (e.life == o.life && max(apart, -apart) <= oneLife)
 }
 
+// again reports whether two ends of which one is known by a dark engine alone are of the
+// same darkness: what is sent to an engine that is dark shows nothing more.
+func (e end) again(o end) bool {
+	apart := e.at - o.at
+	return e.life == o.life && max(apart, -apart) <= brokenFor
+}
+
 // ranWell records a run that ended well, and reports whether that is news.
 func (r *record) ranWell(w well) bool {
 	if w.id == r.well.id {
@@ -190,17 +219,19 @@
 }
 
 // alive takes back that an engine ended that was heard now on a connection which is older
-// than that, and reports whether it changed anything.
+// than that, or that it is dark, and reports whether it changed anything.
 func (r *record) alive(life uint32, since, now clock.Millis) bool {
 	n := len(r.ends)
-	r.ends = slices.DeleteFunc(r.ends, func(e end) bool { return e.life == life && since+drift < e.at && now > e.at+aliveAfter })
+	r.ends = slices.DeleteFunc(r.ends, func(e end) bool {
+		return e.life == life && (e.dark || since+drift < e.at) && now > e.at+aliveAfter
+	})
 	return len(r.ends) != n
 }
 
 // confirm records that this entry found out by itself that an engine ended.
 func (r *record) confirm(life uint32) {
 	for i := range r.ends {
-		if r.ends[i].life == life {
+		if r.ends[i].life == life && !r.ends[i].dark {
 			r.ends[i].confirmed = true
 		}
 	}
--- /dev/null
+++ b/engines/quiet_test.go
@@ -0,0 +1,41 @@
+package engines_test
+
+import (
+	"testing"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+)
+
+// An engine that is full may leave what comes without a sign, whatever it is.
+func TestAnEngineIsQuietThatGivesNoSignWithASlotFree(t *testing.T) {
+	const sent, now clock.Millis = 1000, 1300
+	for name, tc := range map[string]struct {
+		before func(e *engines.Engine)
+		want   bool
+	}{
+		"never heard":                   {func(*engines.Engine) {}, true},
+		"heard before":                  {func(e *engines.Engine) { e.Heard(sent - 1) }, true},
+		"heard since":                   {func(e *engines.Engine) { e.Heard(sent + 1) }, false},
+		"a slot free, as told before":   {func(e *engines.Engine) { e.Told(engines.Load{Running: 4}, sent-1) }, true},
+		"full, as told before":          {func(e *engines.Engine) { e.Told(engines.Load{Running: 8, Waiting: 4}, sent-1) }, false},
+		"told others its load since":    {func(e *engines.Engine) { e.Told(engines.Load{}, sent+1) }, false},
+		"full of this entry's requests": {func(e *engines.Engine) { start(e, 9, sent-10) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBook(1)
+			e := b.Get(info(0).ID)
+			e.Start(sent)
+			tc.before(e)
+			if got := e.QuietSince(sent, now); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func start(e *engines.Engine, n int, now clock.Millis) {
+	for range n {
+		e.Start(now)
+	}
+}
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -165,6 +165,8 @@
 	got int64
 	// heard is when the connection came up or bytes last came.
 	heard atomic.Int64
+	// spoke is true once bytes came.
+	spoke atomic.Bool
 	// sent is when the present exchange began, and patience how long it may go
 	// without a sign before the connection is in doubt, 0 for ever; both are
 	// guarded by the pool's mu.
@@ -184,6 +186,7 @@
 		c.got += int64(n)
 		c.link.Came(n)
 		c.heard.Store(int64(c.clk.Now()))
+		c.spoke.Store(true)
 	}
 	return n, err
 }
@@ -277,6 +280,43 @@
 	return false
 }
 
+// Dark reports whether the machine at addr takes a connection on which its process gives no
+// sign within limit when it is asked r, and nothing came on any other connection since a
+// time. Of a machine that does not answer it is not known.
+func (p *Pool) Dark(ctx context.Context, addr string, r *Request, since, limit clock.Millis) bool {
+	if p.heardSince(addr, since) {
+		return false
+	}
+	dialing, cancel := context.WithTimeout(ctx, inquiryLimit.Duration())
+	defer cancel()
+	c, err := p.dial(dialing, addr)
+	if err != nil {
+		return false
+	}
+	defer p.drop(c)
+	stop := context.AfterFunc(ctx, c.abort)
+	defer stop()
+	c.limit(limit)
+	if _, err := c.nc.Write(requestHead(r)); err != nil {
+		return false
+	}
+	_, err = c.br.Peek(1)
+	return isTimeout(err) && ctx.Err() == nil && !p.heardSince(addr, since)
+}
+
+// heardSince reports whether bytes came on a connection to addr since a time.
+func (p *Pool) heardSince(addr string, since clock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := func(c *conn) bool { return c.spoke.Load() && clock.Millis(c.heard.Load()) >= since }
+	for c := range p.busy[addr] {
+		if heard(c) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(p.idle[addr], heard)
+}
+
 // BrokenOff reports whether an error is the end of a connection from its other side,
 // rather than silence or nonsense on it.
 func BrokenOff(err error) bool {
--- /dev/null
+++ b/gate/dark.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/engines/quarantine"
+	"github.com/weldfall/weldfall/engines/upstream"
+)
+
+// darkLimit is how long an engine with a free slot may take to say that it is healthy.
+const darkLimit clock.Millis = 150
+
+// awaitSign finds out whether an engine is dark that leaves an attempt without a sign for
+// longer than its goal. The function that it returns ends that, and must be called when the
+// head of the answer has come, or none will.
+func (g *Gate) awaitSign(ctx context.Context, c *call, e engines.Info, sent clock.Millis) (answered func()) {
+	service, _ := c.table.Service(c.service)
+	if !strings.HasPrefix(service.HealthPath, "/") {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	over := make(chan struct{})
+	stop := clock.AfterUnless(c.route.GoalOrUsual(), func() {
+		defer close(over)
+		if g.isDark(ctx, e, service.HealthPath, sent) {
+			g.guard.Dark(c.suspect(), e.Incarnation().Mark(), e.ID, sent)
+		}
+	})
+	return func() {
+		cancel()
+		if !stop() {
+			<-over
+		}
+	}
+}
+
+// isDark reports whether an engine gives no sign of life since a time: nothing that it was
+// sent is answered, and its machine takes connections. An entry that hears no others cannot
+// tell.
+func (g *Gate) isDark(ctx context.Context, e engines.Info, healthPath string, since clock.Millis) bool {
+	if g.contact() == quarantine.Isolated {
+		return false
+	}
+	g.mu.Lock()
+	known := g.book.Find(e.Incarnation())
+	quiet := known != nil && known.QuietSince(since, g.clk.Now())
+	g.mu.Unlock()
+	if !quiet {
+		return false
+	}
+	req := &upstream.Request{Method: http.MethodGet, URI: healthPath, Host: e.Addr, Header: http.Header{g.wire.ExpectEngine: {e.ID}}}
+	return g.pool.Dark(ctx, e.Addr, req, since, darkLimit)
+}
+
+// passOverDark keeps a trial from engines that went dark under the request: they would show
+// nothing more.
+func (g *Gate) passOverDark(c *call) {
+	lives := g.guard.DarkLives(c.suspect())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, life := range lives {
+		if e := g.book.Marked(life); e != nil {
+			c.tried = append(c.tried, e.Info().ID)
+		}
+	}
+}
--- a/gate/send.go
+++ b/gate/send.go
@@ -81,7 +81,9 @@
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
 	req := g.request(c, e, now)
+	answered := g.awaitSign(ctx, c, e.Info, now)
 	a, err := g.pool.Do(ctx, e.Addr, req, g.headLimit(c, now))
+	answered()
 	if err != nil {
 		return g.sendFailed(ctx, c, e.Info, err)
 	}
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return pick{}, err
 	}
+	if alone {
+		g.passOverDark(c)
+	}
 	e, err := g.choose(c, alone)
 	switch {
 	case !alone:
--- a/table/table.go
+++ b/table/table.go
@@ -78,6 +78,9 @@
 	Name string
 	// MaxConns is how many connections one engine takes from all callers.
 	MaxConns int
+	// HealthPath is where its engines say whether they are healthy, "" if that is not
+	// published.
+	HealthPath string
 	// Moves is true if its engines take what others keep of a prompt.
 	Moves bool
 	// MoveTime is how long an engine takes to have one token of a prompt from another of
