gate: Ask an engine sooner, once a second, and pass over those that went dark

An engine is asked after half of the goal, so that the first darkness is known before the third copy is sent, at most once a second; and a request does not go again to an engine that went dark under it.

--- a/engines/engine.go
+++ b/engines/engine.go
@@ -94,6 +94,8 @@
 	// it never was.
 	backAt clock.Millis
 	warmth warmth
+	// askedAt is when the engine was last asked whether it is healthy, zero if it never was.
+	askedAt clock.Millis
 	// reservedUntil is until when it runs a request alone that may end it.
 	reservedUntil clock.Millis
 	// recent has the engine by its word, between a newer and an older one; nil while it
@@ -197,6 +199,19 @@
 	return e.load(0, e.weight(now)) <= float64(e.info.Slots)
 }
 
+// askPeriod bounds how often an engine is asked whether it is healthy.
+const askPeriod clock.Millis = 1000
+
+// MayAsk reports whether the engine may be asked whether it is healthy, and takes it that
+// it is.
+func (e *Engine) MayAsk(now clock.Millis) bool {
+	if e.askedAt != 0 && now-e.askedAt < askPeriod {
+		return false
+	}
+	e.askedAt = now
+	return true
+}
+
 // Unreached reports whether the engine could not be reached, and was not since.
 func (e *Engine) Unreached() bool { return e.health.unreached }
 
--- a/engines/quarantine/dark_test.go
+++ b/engines/quarantine/dark_test.go
@@ -50,7 +50,6 @@
 
 // Requests that were on dark engines by chance have few strikes, and lose them.
 func TestChanceStrikesFewByDarkness(t *testing.T) {
-	const now = 10_000
 	for name, tc := range map[string]struct {
 		happened func(l *quarantine.List)
 		want     int
@@ -82,6 +81,11 @@
 			l.Well(marked, 2300)
 			dark(l, marked, 2, 2200)
 		}, 0},
+		"the list tells the end of the engine, which is not heard": {func(l *quarantine.List) {
+			dark(l, marked, 1, 1000)
+			l.Broke(attempt(marked, 1), 1600)
+			l.LifeEnded(1, 3000)
+		}, 1},
 		"the list tells the end of the engine": {func(l *quarantine.List) {
 			dark(l, marked, 1, 1000)
 			l.Broke(attempt(marked, 1), 1600)
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -227,6 +227,9 @@
 
 // DarkLives returns the marks of the lives of engines that went dark under the request.
 func (g *Guard) DarkLives(r *Request) []uint32 {
+	if !g.remembered(r) {
+		return nil
+	}
 	var lives []uint32
 	g.with(func(l *List) { lives = l.DarkLives(r.Digest()) })
 	return lives
--- a/engines/quiet_test.go
+++ b/engines/quiet_test.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// An engine is asked for its health once a second at most, whatever waits there.
+func TestAnEngineIsAskedForItsHealthNowAndThen(t *testing.T) {
+	e := newBook(1).Get(info(0).ID)
+	for _, tc := range []struct {
+		now  clock.Millis
+		want bool
+	}{{1000, true}, {1001, false}, {1999, false}, {2000, true}, {2500, false}} {
+		if got := e.MayAsk(tc.now); got != tc.want {
+			t.Errorf("at %d: got %v, want %v", tc.now, got, tc.want)
+		}
+	}
+}
+
 func start(e *engines.Engine, n int, now clock.Millis) {
 	for range n {
 		e.Start(now)
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -59,6 +59,8 @@
 	dials  *metrics.Counter
 	strays *metrics.Counter
 	silent *metrics.Counter
+	// asked counts the questions whether engines are dark.
+	asked *metrics.Counter
 
 	mu sync.Mutex
 	// idle has the kept connections of an address, the latest used last.
@@ -84,6 +86,7 @@
 		dials:  metrics.GetOrCreateCounter("weldfall_engine_dials_total"),
 		strays: metrics.GetOrCreateCounter("weldfall_engine_stray_answers_total"),
 		silent: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="engine"}`),
+		asked:  metrics.GetOrCreateCounter("weldfall_engine_health_questions_total"),
 	}
 }
 
@@ -296,6 +299,7 @@
 	defer p.drop(c)
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
+	p.asked.Inc()
 	c.limit(limit)
 	if _, err := c.nc.Write(requestHead(r)); err != nil {
 		return false
--- a/gate/dark.go
+++ b/gate/dark.go
@@ -11,11 +11,16 @@
 	"github.com/weldfall/weldfall/engines/upstream"
 )
 
-// darkLimit is how long an engine with a free slot may take to say that it is healthy.
-const darkLimit clock.Millis = 150
+const (
+	// darkLimit is how long an engine with a free slot may take to say that it is healthy.
+	darkLimit clock.Millis = 150
+	// askAfter is the part of its goal that an attempt is left without a sign before its
+	// engine is asked.
+	askAfter = 0.5
+)
 
 // awaitSign finds out whether an engine is dark that leaves an attempt without a sign for
-// longer than its goal. The function that it returns ends that, and must be called when the
+// a part of its goal. The function that it returns ends that, and must be called when the
 // head of the answer has come, or none will.
 func (g *Gate) awaitSign(ctx context.Context, c *call, e engines.Info, sent clock.Millis) (answered func()) {
 	service, _ := c.table.Service(c.service)
@@ -24,7 +29,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	over := make(chan struct{})
-	stop := clock.AfterUnless(c.route.GoalOrUsual(), func() {
+	stop := clock.AfterUnless(clock.Millis(askAfter*float64(c.route.GoalOrUsual())), func() {
 		defer close(over)
 		if g.isDark(ctx, e, service.HealthPath, sent) {
 			g.guard.Dark(c.suspect(), e.Incarnation().Mark(), e.ID, sent)
@@ -47,7 +52,8 @@
 	}
 	g.mu.Lock()
 	known := g.book.Find(e.Incarnation())
-	quiet := known != nil && known.QuietSince(since, g.clk.Now())
+	now := g.clk.Now()
+	quiet := known != nil && known.QuietSince(since, now) && known.MayAsk(now)
 	g.mu.Unlock()
 	if !quiet {
 		return false
@@ -56,10 +62,13 @@
 	return g.pool.Dark(ctx, e.Addr, req, since, darkLimit)
 }
 
-// passOverDark keeps a trial from engines that went dark under the request: they would show
-// nothing more.
+// passOverDark keeps the request from engines that went dark under it: what it does there
+// shows nothing more.
 func (g *Gate) passOverDark(c *call) {
 	lives := g.guard.DarkLives(c.suspect())
+	if len(lives) == 0 {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, life := range lives {
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -32,9 +32,7 @@
 	if err != nil {
 		return pick{}, err
 	}
-	if alone {
-		g.passOverDark(c)
-	}
+	g.passOverDark(c)
 	e, err := g.choose(c, alone)
 	switch {
 	case !alone:
