--- a/engines/quarantine/dark_test.go
+++ b/engines/quarantine/dark_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"encoding/base64"
+	"errors"
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -135,6 +137,26 @@
 	}
 }
 
+func TestWordOfDarkEnginesWithoutAnEndIsRefused(t *testing.T) {
+	good, err := base64.RawStdEncoding.DecodeString(quarantine.News{{
+		Digest: marked, Ends: []quarantine.EndedUnder{{ID: 9, Life: 1, Age: 70, Dark: true}},
+	}}.Pack())
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := len(good) - 1
+	for _, dark := range []byte{0, 2, 3, 0x80} {
+		good[last] = dark
+		if n, err := quarantine.Unpack(base64.RawStdEncoding.EncodeToString(good)); !errors.Is(err, quarantine.ErrBadNews) {
+			t.Errorf("got %v, %v for bits %x of one end, want it refused", n, err, dark)
+		}
+	}
+	good[last] = 1
+	if n, err := quarantine.Unpack(base64.RawStdEncoding.EncodeToString(good)); err != nil || len(n) != 1 || !n[0].Ends[0].Dark {
+		t.Errorf("got %v, %v, want one dark engine", n, err)
+	}
+}
+
 // Others learn which strikes are of dark engines, and take them back as well.
 func TestWordOfDarkEnginesIsTakenBack(t *testing.T) {
 	here, there := newList(), newList()
--- a/engines/quarantine/news.go
+++ b/engines/quarantine/news.go
@@ -69,7 +69,7 @@
 const (
 	hasWell  = 0x40
 	hasTrial = 0x80
-	hasDark  = 0x20
+	hasDark  = 0x10
 	endsMask = 0x0f
 )
 
@@ -171,6 +171,7 @@
 	errShort    = errors.New("it breaks off")
 	errTooMany  = errors.New("it has more ends than are told, or what is not known here")
 	errTooOld   = errors.New("a time is out of its bounds")
+	errNoEnd    = errors.New("an engine is dark of which no end is told")
 	errNoNumber = errors.New("a number is zero that never is")
 )
 
@@ -235,6 +236,9 @@
 	}
 	if flags&hasDark != 0 {
 		dark := p.bytes(1)[0]
+		if dark == 0 || int(dark)>>ends != 0 {
+			p.fail(errNoEnd)
+		}
 		for i := range it.Ends {
 			it.Ends[i].Dark = dark&(1<<i) != 0
 		}
--- a/engines/upstream/dark_test.go
+++ b/engines/upstream/dark_test.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// An engine that is known to work is not asked.
+func TestAnEngineThatWasHeardIsNotAsked(t *testing.T) {
+	clk := clock.System()
+	b := newRigOn(t, clk)
+	b.keepDirect(t)
+	before := b.engine.Dials()
+	b.pool.Dark(context.Background(), b.engine.Addr(), question, clk.Now()-late, soon)
+	if got := b.engine.Dials() - before; got != 0 {
+		t.Errorf("got %d connections to ask an engine that was heard, want none", got)
+	}
+}
+
 // Of an engine that takes no connection, or a question that is broken off, it is not known.
 func TestAnEngineThatCannotBeReachedIsNotDark(t *testing.T) {
 	b := newRig(t)
