gate: Have an engine say within 100 ms that it is healthy

A trial was placed in the moment in which the darkness of its engine was about to be known, 0.3 s after a copy, and showed nothing. With 0.25 s it is known before.

--- a/gate/dark.go
+++ b/gate/dark.go
@@ -13,7 +13,7 @@
 
 const (
 	// darkLimit is how long an engine with a free slot may take to say that it is healthy.
-	darkLimit clock.Millis = 150
+	darkLimit clock.Millis = 100
 	// askAfter is the part of its goal that an attempt is left without a sign before its
 	// engine is asked.
 	askAfter = 0.5
