--- a/engines/engine.go
+++ b/engines/engine.go
@@ -94,6 +94,8 @@
 	// it never was.
 	backAt clock.Millis
 	warmth warmth
+	// askedAt is when the engine was last asked whether it is healthy, zero if it never was.
+	askedAt clock.Millis
 	// reservedUntil is until when it runs a request alone that may end it.
 	reservedUntil clock.Millis
 	// recent has the engine by its word, between a newer and an older one; nil while it
@@ -188,6 +190,28 @@
 // Lost records that the engine ended, and returns what that changes in the trust in it.
 func (e *Engine) Lost(now clock.Millis) Trust { return e.health.note(Unreachable, now) }
 
+// QuietSince reports whether the engine gave no sign since a time, to this entry or as
+// others told, though as far as is known it has a slot free.
+func (e *Engine) QuietSince(at, now clock.Millis) bool {
+	if e.heardAt >= at || (e.told && e.othersAt >= at) {
+		return false
+	}
+	return e.load(0, e.weight(now)) <= float64(e.info.Slots)
+}
+
+// askPeriod bounds how often an engine is asked whether it is healthy.
+const askPeriod clock.Millis = 1000
+
+// MayAsk reports whether the engine may be asked whether it is healthy, and takes it that
+// it is.
+func (e *Engine) MayAsk(now clock.Millis) bool {
+	if e.askedAt != 0 && now-e.askedAt < askPeriod {
+		return false
+	}
+	e.askedAt = now
+	return true
+}
+
 // Unreached reports whether the engine could not be reached, and was not since.
 func (e *Engine) Unreached() bool { return e.health.unreached }
 
