--- a/gate/account.go
+++ b/gate/account.go
@@ -75,7 +75,7 @@
 	if len(c.tried) > 0 {
 		engine = c.tried[len(c.tried)-1]
 	}
-	if c.err == nil && c.route != nil && c.reply.Status() == http.StatusOK && c.reply.Answer().Ended == framing.Complete {
+	if c.err == nil && c.route != nil && c.reply.Status() == http.StatusOK && c.reply.Observed().Ended == framing.Complete {
 		g.durations.Whole(c.route.Name, now-c.start)
 	}
 	attrs := []any{
@@ -83,7 +83,7 @@
 		"load", tenths(c.load), "mean", tenths(c.mean), "status", c.reply.Status(),
 		"late", c.late(now), "first_ms", max(0, c.reply.FirstAt()-c.start), "pause_ms", c.reply.Pause(), "total_ms", now - c.start, "bytes", c.reply.Bytes(),
 	}
-	if a := c.reply.Answer(); a.Framed != "" {
+	if a := c.reply.Observed(); a.Framed != "" {
 		attrs = append(attrs, "framed", a.Framed, "ended", a.Ended, "partial", a.Partial)
 		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_answers_total{service=%q,framed=%q,ended=%q}`, c.service, a.Framed, a.Ended)).Inc()
 	}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -73,8 +73,8 @@
 // Long implements relay.Exchange.
 func (x exchange) Long() { x.g.durations.Long(x.c.route.Name) }
 
-// Pass implements relay.Exchange.
-func (x exchange) Pass(events int) {
+// Passing implements relay.Exchange.
+func (x exchange) Passing(events int) {
 	x.c.events = events
 	x.g.learnPace(x.c, x.g.clk.Now())
 }
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -43,9 +43,9 @@
 	LeftForNext() clock.Millis
 	// Came is called when bytes of a stream have come.
 	Came()
-	// Pass is called before events are written, with how many have come in all engines'
+	// Passing is called before events are written, with how many have come in all engines'
 	// answers.
-	Pass(events int)
+	Passing(events int)
 	// Long is called when an answer turns out to be too long to be held.
 	Long()
 }
@@ -64,7 +64,7 @@
 // Relay reads an answer to its end and passes it on. The reply begins as late as it can, so
 // that an answer that breaks off early can be told as a failure or taken elsewhere.
 func (p *Reply) Relay(ctx context.Context, x Exchange, head *http.Response, body Body) attempt.Outcome {
-	p.answer = Answer{Framed: framing.Of(head)}
+	p.observed = Observed{Framed: framing.Of(head)}
 	switch {
 	case x.Stream() && head.StatusCode == http.StatusOK && hasEvents(head.Header):
 		return p.relayStream(ctx, x, head, body)
@@ -91,7 +91,7 @@
 	if p.end(err); !errors.Is(err, io.EOF) {
 		return brokenOr(ctx, err)
 	}
-	h := &attempt.Held{Status: head.StatusCode, Header: head.Header, Body: held.Bytes(), End: p.answer.Ended}
+	h := &attempt.Held{Status: head.StatusCode, Header: head.Header, Body: held.Bytes(), End: p.observed.Ended}
 	switch {
 	case promises(head.StatusCode):
 		return attempt.Broken{Err: fmt.Errorf("status %d without word that the request did not run", head.StatusCode)}
@@ -115,7 +115,7 @@
 // relayLong passes on an answer that is too long to be held.
 func (p *Reply) relayLong(ctx context.Context, x Exchange, head *http.Response, body Body, first []byte) attempt.Outcome {
 	x.Long()
-	p.begin(head.StatusCode, head.Header, p.answer.Framed, head.ContentLength)
+	p.begin(head.StatusCode, head.Header, p.observed.Framed, head.ContentLength)
 	// The head's limit no longer holds: nothing can be taken elsewhere now, and
 	// the caller may be slow.
 	body.Limit(x.Left())
@@ -132,7 +132,7 @@
 			continue
 		}
 		if p.end(err); errors.Is(err, io.EOF) {
-			return attempt.Answered{End: p.answer.Ended}
+			return attempt.Answered{End: p.observed.Ended}
 		}
 		// The caller may have what has come, whatever becomes of the rest.
 		_ = p.flush()
@@ -174,7 +174,7 @@
 		}
 		switch {
 		case ended:
-			return attempt.Answered{End: p.answer.Ended}
+			return attempt.Answered{End: p.observed.Ended}
 		case err != nil:
 			return brokenOr(ctx, err)
 		}
@@ -189,7 +189,7 @@
 		return err
 	case p.split.Inside():
 		return errInsideEvent
-	case p.answer.Ended == framing.Closed && p.framed == framing.Chunked:
+	case p.observed.Ended == framing.Closed && p.framed == framing.Chunked:
 		return ErrUnconfirmed
 	}
 	return io.EOF
@@ -197,9 +197,9 @@
 
 // end records what is known of an answer by the error that ended its reading.
 func (p *Reply) end(err error) {
-	p.answer.Ended = p.answer.Framed.End(err)
+	p.observed.Ended = p.observed.Framed.End(err)
 	if p.split.Inside() {
-		p.answer.Ended, p.answer.Partial = framing.Incomplete, len(p.split.Pending())
+		p.observed.Ended, p.observed.Partial = framing.Incomplete, len(p.split.Pending())
 	}
 }
 
@@ -207,13 +207,13 @@
 func (p *Reply) passEvents(x Exchange, head *http.Response, whole []byte) bool {
 	if !p.Began() {
 		f := framing.Chunked
-		if p.answer.Framed == framing.UntilClose {
+		if p.observed.Framed == framing.UntilClose {
 			f = framing.UntilClose
 		}
 		p.begin(head.StatusCode, head.Header, f, 0)
 		p.streams = true
 	}
-	x.Pass(p.split.Count())
+	x.Passing(p.split.Count())
 	return p.write(whole) == nil
 }
 
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -31,7 +31,7 @@
 func (x *exchange) Left() clock.Millis        { return 1000 }
 func (x *exchange) LeftForNext() clock.Millis { return 1000 }
 func (x *exchange) Came()                     { x.came++ }
-func (x *exchange) Pass(events int)           { x.events = events }
+func (x *exchange) Passing(events int)        { x.events = events }
 func (x *exchange) Long()                     { x.long = true }
 
 // body is the body of an answer.
@@ -140,7 +140,7 @@
 			if got != tc.outcome {
 				t.Errorf("got outcome %s, want %s", got, tc.outcome)
 			}
-			if a := p.Answer(); a.Ended != tc.ended || a.Partial != tc.partial {
+			if a := p.Observed(); a.Ended != tc.ended || a.Partial != tc.partial {
 				t.Errorf("got %s, %d bytes of an event, want %s, %d", a.Ended, a.Partial, tc.ended, tc.partial)
 			}
 			if got := p.Told(); got != tc.told {
@@ -159,7 +159,7 @@
 	if got, want := p.Told(), framing.Complete; got != want {
 		t.Errorf("got told as %s, want %s", got, want)
 	}
-	p.BreakOff()
+	p.MarkBroken()
 	if got, want := p.Told(), framing.Incomplete; got != want {
 		t.Errorf("got told as %s, want %s", got, want)
 	}
--- a/gate/relay/reply.go
+++ b/gate/relay/reply.go
@@ -40,8 +40,8 @@
 	split events.Splitter
 	// unsent is true while the library may hold something that was written.
 	unsent bool
-	// answer is what is known of the latest engine's answer.
-	answer Answer
+	// observed is what is known of the latest engine's answer.
+	observed Observed
 
 	// bytes counts those of the body; firstAt and lastAt are when the first and the latest
 	// of them were written, and pause is the longest time between two writes.
@@ -50,8 +50,8 @@
 	pause           clock.Millis
 }
 
-// Answer is what is known of an engine's answer.
-type Answer struct {
+// Observed is what is known of an engine's answer.
+type Observed struct {
 	// Framed is "" before the answer began.
 	Framed framing.Framing
 	// Ended is "" before the answer has ended.
@@ -74,14 +74,14 @@
 // MayGoOn reports whether another engine's answer may be the reply, or the rest of it.
 func (p *Reply) MayGoOn() bool { return !p.Began() || p.streams && p.split.Numbered() }
 
-// BreakOff has the reply end so that no caller can take it for whole.
-func (p *Reply) BreakOff() { p.brokenOff = true }
+// MarkBroken has the reply be broken off when its handler ends.
+func (p *Reply) MarkBroken() { p.brokenOff = true }
 
 // BrokenOff reports whether the reply must be broken off.
 func (p *Reply) BrokenOff() bool { return p.brokenOff }
 
-// Answer returns what is known of the latest engine's answer.
-func (p *Reply) Answer() Answer { return p.answer }
+// Observed returns what is known of the latest engine's answer.
+func (p *Reply) Observed() Observed { return p.observed }
 
 // Told returns what the caller can know of the end of the reply, "" before it began.
 func (p *Reply) Told() framing.End {
--- a/gate/relay/streams_test.go
+++ b/gate/relay/streams_test.go
@@ -23,7 +23,7 @@
 	if o, ok := p.Relay(t.Context(), x, head, b).(attempt.Broken); !ok {
 		t.Fatalf("got %T, want broken", o)
 	}
-	if a := p.Answer(); a.Ended != framing.Incomplete {
+	if a := p.Observed(); a.Ended != framing.Incomplete {
 		t.Errorf("got an answer that ended %q, want incomplete", a.Ended)
 	}
 	head, b = answer(t, "HTTP/1.1 200 OK\r\n"+stream+chunks+chunk("id: 3\ndata: c\n\n")+lastChunk, false)
--- a/gate/respond.go
+++ b/gate/respond.go
@@ -51,7 +51,7 @@
 // respond writes a failure, or breaks off an answer that has begun.
 func (g *Gate) respond(c *call, err *verdict.Error) {
 	if c.reply.Began() || c.reply.BrokenOff() {
-		c.reply.BreakOff()
+		c.reply.MarkBroken()
 		return
 	}
 	h := c.w.Header()
--- a/gate/send.go
+++ b/gate/send.go
@@ -60,7 +60,7 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errOverdue) {
 				return verdict.New(c.verdict(), verdict.Deadline, "%w", cause)
 			}
-			c.reply.BreakOff()
+			c.reply.MarkBroken()
 			return verdict.New(c.verdict(), verdict.CallerGone, "the caller left")
 		case attempt.Failed:
 			own = o.Answer
