--- a/engines/duration/duration.go
+++ b/engines/duration/duration.go
@@ -142,6 +142,21 @@
 	}
 }
 
+// FirstSign returns the longest time until one of the latest answers of a route showed a
+// sign: the first event of a stream, all of a plain answer. It is 0 if none came.
+func (a *Answers) FirstSign(r *table.Route) clock.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	seen := a.routes[r.Name]
+	switch {
+	case seen == nil:
+		return 0
+	case r.Kind == table.Stream:
+		return seen.firsts.longest()
+	}
+	return seen.wholes.longest()
+}
+
 // Whole records the time of a whole answer.
 func (a *Answers) Whole(name string, took clock.Millis) {
 	a.mu.Lock()
--- a/engines/duration/duration_test.go
+++ b/engines/duration/duration_test.go
@@ -218,3 +218,23 @@
 		a.Estimate(req)
 	}
 }
+
+func TestTheLongestFirstSignIsKnown(t *testing.T) {
+	a := duration.New()
+	for _, r := range []*table.Route{streamed, plain} {
+		if got := a.FirstSign(r); got != 0 {
+			t.Errorf("%s: got %d before any answer, want 0", r.Name, got)
+		}
+	}
+	for _, took := range []clock.Millis{200, 700, 300} {
+		a.First(streamed.Name, took)
+		a.Whole(streamed.Name, 10*took)
+		a.Whole(plain.Name, 2*took)
+	}
+	if got, want := a.FirstSign(streamed), clock.Millis(700); got != want {
+		t.Errorf("stream: got %d, want %d", got, want)
+	}
+	if got, want := a.FirstSign(plain), clock.Millis(1400); got != want {
+		t.Errorf("plain: got %d, want %d", got, want)
+	}
+}
--- a/gate/dark.go
+++ b/gate/dark.go
@@ -14,13 +14,13 @@
 const (
 	// darkLimit is how long an engine with a free slot may take to say that it is healthy.
 	darkLimit clock.Millis = 100
-	// askAfter is the part of its goal that an attempt is left without a sign before its
-	// engine is asked.
+	// askAfter is the part of its goal that an attempt is left without a sign at least
+	// before its engine is asked.
 	askAfter = 0.5
 )
 
 // awaitSign finds out whether an engine is dark that leaves an attempt without a sign for
-// a part of its goal. The function that it returns ends that, and must be called when the
+// a part of its goal, and for longer than the latest answers of its route took. The function that it returns ends that, and must be called when the
 // head of the answer has come, or none will.
 func (g *Gate) awaitSign(ctx context.Context, c *call, e engines.Info, sent clock.Millis) (answered func()) {
 	service, _ := c.table.Service(c.service)
@@ -29,7 +29,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	over := make(chan struct{})
-	stop := clock.AfterUnless(clock.Millis(askAfter*float64(c.route.GoalOrUsual())), func() {
+	wait := max(clock.Millis(askAfter*float64(c.route.GoalOrUsual())), g.durations.FirstSign(c.route))
+	stop := clock.AfterUnless(wait, func() {
 		defer close(over)
 		if g.isDark(ctx, e, service.HealthPath, sent) {
 			g.guard.Dark(c.suspect(), e.Incarnation().Mark(), e.ID, sent)
