integration: Announce the end of the raw engine's connections

The test's engine closed each connection after its reply, also behind complete ones that announced nothing: the daemon kept such a connection, sent the next chat into its end, and could not know whether it ran. What the rows ask is unchanged.

--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -58,6 +58,10 @@
 	f.WaitReady()
 }
 
+// closing announces the end of the connection, which follows each reply. Without it the next
+// request may be sent into that end, behind a reply that is complete.
+const closing = "Connection: close\r\n"
+
 func (s *raw) serve(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(nc))
@@ -90,7 +94,7 @@
 		}
 	}
 	// Nothing is known of attempts, load or memory.
-	return rawReply{status: http.StatusNotFound, head: "Content-Length: 0\r\n"}
+	return rawReply{status: http.StatusNotFound, head: "Content-Length: 0\r\n" + closing}
 }
 
 // seen is what a caller on a plain socket sees of an answer.
@@ -211,7 +215,7 @@
 		"refusal":             {reply: rawReply{status: 422, body: refusal}, want: seen{422, framing.Chunked, refusal, nil}},
 		"refusal-cut":         {reply: rawReply{status: 422, body: refusal[:9]}, want: seen{422, framing.UntilClose, refusal[:9], nil}},
 		"refusal-text":        {reply: rawReply{status: 422, body: "too long"}, want: seen{422, framing.UntilClose, "too long", nil}},
-		"refusal-text-length": {reply: rawReply{status: 422, head: "Content-Length: 8\r\n", body: "too long"}, want: seen{422, framing.Chunked, "too long", nil}},
+		"refusal-text-length": {reply: rawReply{status: 422, head: "Content-Length: 8\r\n" + closing, body: "too long"}, want: seen{422, framing.Chunked, "too long", nil}},
 		"plain":               {reply: rawReply{body: plain}, want: seen{200, framing.Chunked, plain, nil}},
 		"plain-cut":           {reply: rawReply{body: plain[:len(plain)-1]}, want: seen{status: 502}},
 		"plain-cut-in-number": {reply: rawReply{body: "12"}, want: seen{status: 502}},
@@ -223,7 +227,7 @@
 		"stream-cut-at-once":  {stream: true, reply: rawReply{head: sse}, want: seen{status: 502}},
 		"stream-last-chunk": {
 			stream: true, want: seen{status: 200},
-			reply: rawReply{head: sse + "Transfer-Encoding: chunked\r\n", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(stream), stream)},
+			reply: rawReply{head: sse + "Transfer-Encoding: chunked\r\n" + closing, body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(stream), stream)},
 		},
 	}
 	replies := map[string]rawReply{}
