daemon, upstream, tests: Say once what the change said twice

Found on reading the whole change again; behaviour and assertions are as they were. Cause: parts written side by side.

* daemon: whether a held body is known to be whole was decided in two places by the same two conditions, and a head was made for refusals that become failures.
One function, and the head after that check.
* engines/upstream: Answer.Framing had one caller, framing.Of serves it.
* internal/largetest: the server of too large answers (three copies).

--- a/commands/settings_test.go
+++ b/commands/settings_test.go
@@ -2,25 +2,17 @@
 
 import (
 	"bytes"
-	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/weldfall/weldfall/commands"
+	"github.com/weldfall/weldfall/internal/largetest"
 )
 
 func TestAPageThatIsTooLargeIsCalledThat(t *testing.T) {
-	const length = commands.MaxPage + 1
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(length))
-		piece := []byte(strings.Repeat(" ", 1<<20))
-		var err error
-		for n := 0; n < length && err == nil; n += len(piece) {
-			_, err = w.Write(piece[:min(len(piece), length-n)])
-		}
-	}))
+	srv := httptest.NewServer(largetest.Over(commands.MaxPage))
 	defer srv.Close()
 	var out, errOut bytes.Buffer
 	code := commands.Main([]string{"explain", "--from", srv.URL, "--path", "fleet"}, &out, &errOut)
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -139,21 +139,21 @@
 	if err != nil {
 		return e.lost(a, err)
 	}
-	head := e.headOf(res)
-	if framing.Of(res) == framing.UntilClose && !completeJSON(body) {
-		head.EndUntilClose()
-	}
 	if res.StatusCode >= 500 || res.StatusCode == http.StatusTooManyRequests {
 		return e.lost(a, fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(body)))
 	}
+	head := e.headOf(res)
+	if !knownWhole(res, body) {
+		head.EndUntilClose()
+	}
 	a.addHeld(head, body)
 	return wire.Result{Verdict: verdict.Ran}
 }
 
-// completeJSON reports whether a body is a JSON object. No part of one is one, so that it is
-// complete by its own syntax.
-func completeJSON(body []byte) bool {
-	return bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) && json.Valid(body)
+// knownWhole reports whether a body that was read to its end is known to be whole: by its
+// framing, or as a JSON object, of which no part is one.
+func knownWhole(res *http.Response, body []byte) bool {
+	return framing.Of(res) != framing.UntilClose || bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) && json.Valid(body)
 }
 
 type usageBody struct {
@@ -178,7 +178,7 @@
 // it is complete by its own syntax.
 func plainOf(res *http.Response) ([]byte, error) {
 	body, err := whole.Read(res.Body, res.ContentLength, maxPlain)
-	if err == nil && framing.Of(res) == framing.UntilClose && !completeJSON(body) {
+	if err == nil && !knownWhole(res, body) {
 		err = fmt.Errorf("the connection ended after %d bytes: %w", len(body), io.ErrUnexpectedEOF)
 	}
 	return body, err
--- a/daemon/target/target_test.go
+++ b/daemon/target/target_test.go
@@ -14,6 +14,7 @@
 	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/daemon/target"
+	"github.com/weldfall/weldfall/internal/largetest"
 )
 
 // A request that ends its engine is told by the engine's end. The daemon beside it heard of
@@ -55,15 +56,7 @@
 }
 
 func TestAReportThatIsTooLargeIsCalledThat(t *testing.T) {
-	const length = target.MaxControlAnswer + 1
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(length))
-		piece := []byte(strings.Repeat(" ", 1<<20))
-		var err error
-		for n := 0; n < length && err == nil; n += len(piece) {
-			_, err = w.Write(piece[:min(len(piece), length-n)])
-		}
-	}))
+	srv := httptest.NewServer(largetest.Over(target.MaxControlAnswer))
 	defer srv.Close()
 	_, err := target.New(srv.Listener.Addr().String()).Load(t.Context())
 	if want := strconv.Itoa(target.MaxControlAnswer); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -96,9 +96,6 @@
 	return a.StatusCode == http.StatusMisdirectedRequest || a.Header.Get(a.pool.names.NotRun) != ""
 }
 
-// Framing returns how the answer tells where it ends.
-func (a *Answer) Framing() framing.Framing { return framing.Of(a.Response) }
-
 // Read reads the body. io.EOF means that it has ended, by its framing or with its connection.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
@@ -125,7 +122,7 @@
 func (a *Answer) Close() {
 	a.once.Do(func() {
 		attached := a.stop()
-		ok := attached && a.ended && a.keep && a.Framing() != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
+		ok := attached && a.ended && a.keep && framing.Of(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
 		a.pool.end(a.conn)
 		a.pool.release(a.conn, ok, a.Header)
 	})
--- a/fleet/source/client_test.go
+++ b/fleet/source/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/internal/clocktest"
+	"github.com/weldfall/weldfall/internal/largetest"
 	"github.com/weldfall/weldfall/internal/linktest"
 )
 
@@ -62,20 +63,8 @@
 	}
 }
 
-// over answers with JSON that goes on beyond a limit in bytes.
-func over(limit int) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(limit+1))
-		piece := []byte(strings.Repeat(" ", 1<<20))
-		var err error
-		for n := 0; n <= limit && err == nil; n += len(piece) {
-			_, err = w.Write(piece[:min(len(piece), limit+1-n)])
-		}
-	})
-}
-
 func TestABatchThatIsTooLargeIsCalledThat(t *testing.T) {
-	srv := httptest.NewServer(over(source.MaxAnswer))
+	srv := httptest.NewServer(largetest.Over(source.MaxAnswer))
 	defer srv.Close()
 	_, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
 	if want := strconv.Itoa(source.MaxAnswer); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
