gate: Log the software versions of streams and what callers resume

Nothing in the logs named the version of an engine, whether a request resumes a stream, or which attempt it names, so that the hypotheses of the incident (placement of the caller's next attempt, of the entry's own continuation, a wrong list) could not be told apart. The version is decoded into the list's entry and logged; no decision uses it. weldfall_streams_continued_total counts by who continued and at which version.

--- a/engines/engine.go
+++ b/engines/engine.go
@@ -19,6 +19,8 @@
 	Service string
 	// Addr is host:port.
 	Addr string
+	// Version is the version of the engine's software, "" if it is unknown.
+	Version string
 	Hall string
 	// Slots is how many requests the engine runs at once, at least 1.
 	Slots int
--- a/gate/account.go
+++ b/gate/account.go
@@ -88,6 +88,12 @@
 	if c.reply.Started() {
 		attrs = append(attrs, "told", c.reply.EndForCaller())
 	}
+	if c.version != "" {
+		attrs = append(attrs, "events", c.events, "engine_version", c.version)
+	}
+	if r := g.resumption(c); r.resumes() {
+		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after))
+	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
 	}
@@ -121,6 +127,6 @@
 	case attempt.Failed:
 		cause = "status " + strconv.Itoa(o.Response.Status)
 	}
-	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "outcome", outcomeName(o), "cause", cause,
+	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "version", e.Version, "events", c.events, "outcome", outcomeName(o), "cause", cause,
 		"again", granted.allowed(), "repeat", granted, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
 }
--- a/gate/engines.go
+++ b/gate/engines.go
@@ -23,7 +23,7 @@
 		g.pool.Forget(prev.Info().Addr)
 		g.recordEnd(prev.Info())
 	}
-	g.log.Info("engine", "change", string(change), "engine", in.ID, "born", in.StartedAt, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
+	g.log.Info("engine", "change", string(change), "engine", in.ID, "born", in.StartedAt, "version", in.Version, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
 	for _, o := range conflicts {
 		g.log.Warn("engine_address_shared", "addr", in.Addr, "engine", in.ID, "born", in.StartedAt, "other", o.ID, "other_born", o.StartedAt)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,6 +55,9 @@
 	Load string
 	// LastEventID makes an engine continue a stream after the named event.
 	LastEventID string
+	// Resumes carries the ID of the caller's attempt that received the first event of the
+	// stream that the request resumes.
+	Resumes string
 	// Reserved lists the headers that only the system sets. They are removed from callers'
 	// requests.
 	Reserved []string
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -35,7 +35,7 @@
 
 // relay passes the response of an engine on to the caller.
 func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Response) attempt.Outcome {
-	x := exchange{g, c, e.Incarnation()}
+	x := exchange{g, c, e}
 	o := c.reply.Relay(ctx, x, a.Response, a)
 	if a, ok := o.(attempt.Answered); ok && a.End == framing.Complete {
 		g.learnRest(c)
@@ -47,7 +47,7 @@
 type exchange struct {
 	g    *Gate
 	c    *call
-	with engines.Incarnation
+	with engines.Info
 }
 
 var _ relay.Exchange = exchange{}
@@ -68,13 +68,16 @@
 }
 
 // OnRead implements relay.Exchange.
-func (x exchange) OnRead() { x.g.recordActivity(x.with, "") }
+func (x exchange) OnRead() { x.g.recordActivity(x.with.Incarnation(), "") }
 
 // OnUnbuffered implements relay.Exchange.
 func (x exchange) OnUnbuffered() { x.g.durations.RecordPassThrough(x.c.route.Name) }
 
 // OnEvents implements relay.Exchange.
 func (x exchange) OnEvents(events int) {
+	if x.c.events == 0 {
+		x.c.version = x.with.Version
+	}
 	x.c.events = events
 	x.g.learnPace(x.c, x.g.clk.Now())
 }
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -35,7 +35,7 @@
 // one value of a single-valued header. It sets the ID and the timeout of the call.
 func (g *Gate) validateHeaders(_ context.Context, c *call) *verdict.Error {
 	h := c.r.Header
-	for _, name := range []string{g.wire.RequestID, g.wire.Deadline, g.wire.Prompt, "Authorization"} {
+	for _, name := range []string{g.wire.RequestID, g.wire.Deadline, g.wire.Prompt, g.wire.Resumes, "Authorization"} {
 		if len(h.Values(name)) > 1 {
 			return verdict.New(verdict.NotRun, verdict.BadRequest, "header %s is given twice: send it once", name)
 		}
--- a/gate/send.go
+++ b/gate/send.go
@@ -96,6 +96,7 @@
 		return g.engineRefused(e.Info, a)
 	}
 	c.ran++
+	g.recordContinuation(c, e.Version)
 	g.guard.RecordAlive(e.Incarnation().Hash(), a.ConnectedAt())
 	o := g.relay(ctx, c, e.Info, a)
 	g.finish(e.Incarnation(), engineOutcome(ctx, o))
