engines: Make the software version part of what an engine is

An entry's version was checked and dropped, so nothing could tell engines of two versions apart. A choice can ask for a version in every way in which an engine is chosen: the filter stands where candidates are collected (prefix, load, isolation, suspects, the last one left). A full engine is not chosen for a request that needs a version, so that the last engines of one do not get the streams of all that ended. No caller asks for a version yet.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -36,6 +36,8 @@
 	MaxSilence clock.Millis
 	// Warmup is the settings for engines that are warming up.
 	Warmup Warmup
+	// Version is the software version that the engine must have, "" for any.
+	Version string
 	// Isolated is true for a request that may crash its engine. It goes to the least
 	// loaded engine, and to the last one that can be chosen only if the service has no
 	// other at all.
@@ -101,7 +103,8 @@
 	Mean float64
 }
 
-// Choose returns the engine for a request, or false if no engine can be chosen.
+// Choose returns the engine for a request, or false if no engine can be chosen. One that
+// has no free slot by estimate is not chosen for a request that needs a version.
 func (r *Registry) Choose(q Query, now clock.Millis) (Choice, bool) {
 	p := r.byService[q.Service]
 	if p == nil {
@@ -128,6 +131,10 @@
 	if c.Engine == nil {
 		c.chooseByLoad(q, usable, loads)
 	}
+	if q.Version != "" && c.Load >= float64(c.Engine.info.Slots) {
+		// The last engines of a version would get the streams of all that ended.
+		return Choice{}, false
+	}
 	if order != nil {
 		c.PrefixSent = r.prefixes.holds(q.Keys[len(q.Keys)-1], c.Engine.info.Incarnation())
 		c.Source = r.fetchSource(q, order.extend(p.engines), c.Engine, now)
@@ -140,8 +147,8 @@
 }
 
 // usable returns the engines that can be chosen. It leaves out engines that accept no
-// requests, are in an evacuated data hall, have reached this entry's limit for the
-// warm-up or were tried before. It leaves out suspect ones too, unless most of the pool is
+// requests, are of another version than the request needs, are in an evacuated data hall,
+// have reached this entry's limit for the warm-up or were tried before. It leaves out suspect ones too, unless most of the pool is
 // suspect or all others were tried. The result is valid until the next choice.
 func (r *Registry) usable(p *pool, q Query, now clock.Millis) []*Engine {
 	live := r.scratch.live[:0]
@@ -149,7 +156,7 @@
 		if q.Isolated && now < e.reservedUntil {
 			continue
 		}
-		if e.AcceptsRequests() && !r.isEvacuated(e) && !e.atWarmupLimit(q.Warmup, now) {
+		if e.AcceptsRequests() && e.hasVersion(q.Version) && !r.isEvacuated(e) && !e.atWarmupLimit(q.Warmup, now) {
 			live = append(live, e)
 		}
 	}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -21,7 +21,7 @@
 	Addr string
 	// Version is the version of the engine's software, "" if it is unknown.
 	Version string
-	Hall string
+	Hall    string
 	// Slots is how many requests the engine runs at once, at least 1.
 	Slots int
 	// Draining engines finish their requests and get no new ones.
@@ -35,18 +35,24 @@
 }
 
 // Incarnation identifies one run of an engine process. An engine may restart under the
-// same ID and has then lost all its requests and cached prefixes.
+// same ID and has then lost all its requests and cached prefixes. A process does not
+// change its software version, so another version is another incarnation, even where the
+// listing has no start times.
 type Incarnation struct {
 	ID        string
 	StartedAt int64
+	Version   string
 }
 
 // Incarnation returns the incarnation of the listed engine.
-func (in Info) Incarnation() Incarnation { return Incarnation{ID: in.ID, StartedAt: in.StartedAt} }
+func (in Info) Incarnation() Incarnation {
+	return Incarnation{ID: in.ID, StartedAt: in.StartedAt, Version: in.Version}
+}
 
 // Hash returns the four bytes that identify an incarnation in messages. Among 10,000
 // engines, two share a hash in 1 of 86 fleets. The start time is hashed along with the ID
-// and is not the seed, which XXH3 only combines with a short ID by XOR.
+// and is not the seed, which XXH3 only combines with a short ID by XOR. The version is not
+// hashed, because entries of an earlier release do not hash it.
 func (n Incarnation) Hash() uint32 {
 	var buf [64]byte
 	return uint32(xxh3.Hash(binary.LittleEndian.AppendUint64(append(buf[:0], n.ID...), uint64(n.StartedAt))))
--- a/engines/registry.go
+++ b/engines/registry.go
@@ -38,6 +38,8 @@
 type pool struct {
 	// engines holds all listed engines, draining ones included, sorted by ID.
 	engines []*Engine
+	// versions counts the engines by software version.
+	versions map[string]int
 }
 
 // maxIncarnations bounds each record of past incarnations, at about 150 bytes an entry.
@@ -94,10 +96,13 @@
 		// An entry without a start time is for the known incarnation.
 		in.StartedAt = e.info.StartedAt
 	}
+	if ok && in.Version == "" {
+		in.Version = e.info.Version
+	}
 	if r.ended.Contains(in.Incarnation()) {
 		return Stale
 	}
-	if ok && in.StartedAt != e.info.StartedAt {
+	if ok && in.Incarnation() != e.info.Incarnation() {
 		r.unregister(e)
 		if e.info.StartedAt != 0 {
 			r.ended.Add(e.info.Incarnation(), struct{}{})
@@ -162,11 +167,12 @@
 	r.indexAddr(e)
 	p := r.byService[e.info.Service]
 	if p == nil {
-		p = &pool{}
+		p = &pool{versions: map[string]int{}}
 		r.byService[e.info.Service] = p
 	}
 	i, _ := slices.BinarySearchFunc(p.engines, e, compareID)
 	p.engines = slices.Insert(p.engines, i, e)
+	p.versions[e.info.Version]++
 }
 
 func compareID(a, b *Engine) int { return cmp.Compare(a.info.ID, b.info.ID) }
@@ -179,6 +185,9 @@
 	e.reports = nil
 	p := r.byService[e.info.Service]
 	p.engines = slices.DeleteFunc(p.engines, func(x *Engine) bool { return x == e })
+	if p.versions[e.info.Version]--; p.versions[e.info.Version] == 0 {
+		delete(p.versions, e.info.Version)
+	}
 	r.unindexAddr(e)
 }
 
@@ -264,7 +273,7 @@
 // Find returns the engine if the given incarnation is the listed one, or nil.
 func (r *Registry) Find(n Incarnation) *Engine {
 	e := r.byID[n.ID]
-	if e == nil || e.info.StartedAt != n.StartedAt {
+	if e == nil || e.info.Incarnation() != n {
 		return nil
 	}
 	return e
