gate: Continue a response only at the version that began it

Callers got responses whose events came from engines of two software versions. Cause: when an engine broke off, the next one was chosen from all engines of the service that had not been tried. The first event that is passed on now binds the call to the version of its engine; an attempt that ended before it binds nothing. From then on only engines of that version are candidates. An engine that the list shows with another version while it continues a stream is left, and none of its later events are passed on.

Why it holds: the version is checked where candidates are collected, so every way of choosing one obeys it, and again before events of a continuation are passed on.

--- a/gate/call.go
+++ b/gate/call.go
@@ -82,8 +82,10 @@
 
 	// reply is the response to the caller.
 	reply *relay.Reply
-	// version is the software version of the engine that sent the first event, "" before it.
-	version string
+	// version is the software version at which the stream must continue and versionBasis
+	// how it is known. Both are "" while an engine of any version may begin it.
+	version      string
+	versionBasis basis
 	// events is the number of events of the stream so far. runStart is the number at the
 	// start of the current run of events, at runStartAt; both are zero before the first
 	// event.
--- a/gate/place.go
+++ b/gate/place.go
@@ -25,7 +25,7 @@
 	cost := engines.Cost{Prefill: g.prefillMillis(c.service), Transfer: service.TransferTimePerToken}
 	ch, ok := g.registry.Choose(engines.Query{
 		Service: c.service, Keys: c.prefixKeys, Tokens: c.prefixTokens, Cost: cost, Bound: bound, Slack: slack,
-		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Tried: c.tried, Isolated: isolated, Random: random(),
+		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.version, Tried: c.tried, Isolated: isolated, Random: random(),
 	}, now)
 	if !ok && isolated {
 		return pick{}, verdict.New(c.verdict(), verdict.HeldBack, "engines crashed while they ran this request, and no engine of %s is free to run it in isolation", c.service).WithRetryAfter(retrySoon)
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -73,11 +73,20 @@
 // OnUnbuffered implements relay.Exchange.
 func (x exchange) OnUnbuffered() { x.g.durations.RecordPassThrough(x.c.route.Name) }
 
+// BeforeEvents implements relay.Exchange. The first event binds the stream to the version
+// of its engine.
+func (x exchange) BeforeEvents(context.Context) error {
+	if err := x.checkVersion(); err != nil {
+		return err
+	}
+	if x.c.versionBasis == "" && x.with.Version != "" {
+		x.c.version, x.c.versionBasis = x.with.Version, byReply
+	}
+	return nil
+}
+
 // OnEvents implements relay.Exchange.
 func (x exchange) OnEvents(events int) {
-	if x.c.events == 0 {
-		x.c.version = x.with.Version
-	}
 	x.c.events = events
 	x.g.learnPace(x.c, x.g.clk.Now())
 }
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -44,6 +44,9 @@
 	ReadTimeout() clock.Millis
 	// OnRead is called when bytes of a stream have arrived.
 	OnRead()
+	// BeforeEvents is called before events are written, or the end of a stream. The events
+	// are discarded if it returns an error.
+	BeforeEvents(ctx context.Context) error
 	// OnEvents is called before events are written, with the total number of events so far in
 	// the responses of all engines.
 	OnEvents(events int)
@@ -168,8 +171,13 @@
 		if err != nil {
 			p.splitter.DropPending()
 		}
-		if (len(complete) > 0 || ended) && !p.passEvents(x, resp, complete) {
-			return attempt.CallerGone{}
+		if len(complete) > 0 || ended {
+			if err := x.BeforeEvents(ctx); err != nil {
+				return attempt.Broken{Err: err}
+			}
+			if !p.passEvents(x, resp, complete) {
+				return attempt.CallerGone{}
+			}
 		}
 		if (err != nil || body.Buffered() == 0) && !p.flush() {
 			return attempt.CallerGone{}
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -25,6 +25,8 @@
 	// and unbuffered is true once OnUnbuffered was called.
 	reads, events int
 	unbuffered    bool
+	// refusal is what BeforeEvents returns.
+	refusal error
 }
 
 func (x *exchange) WantsStream() bool         { return x.stream }
@@ -32,7 +34,10 @@
 func (x *exchange) ReadTimeout() clock.Millis { return 1000 }
 func (x *exchange) OnRead()                   { x.reads++ }
 func (x *exchange) OnEvents(events int)       { x.events = events }
-func (x *exchange) OnUnbuffered()             { x.unbuffered = true }
+
+func (x *exchange) BeforeEvents(context.Context) error { return x.refusal }
+
+func (x *exchange) OnUnbuffered() { x.unbuffered = true }
 
 // body is the body of a response.
 type body struct{ io.Reader }
@@ -154,6 +159,28 @@
 	}
 }
 
+// Events that the exchange refuses must not reach the caller, nor the end of the stream.
+func TestRefusedEventsAreNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for name, text := range map[string]string{
+		"events":   head + "\r\nid: 1\ndata: a\n\n",
+		"no event": head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, w := newReply("HTTP/1.1")
+			res, b := response(t, text, false)
+			want := errors.New("refused")
+			o, ok := p.Relay(t.Context(), &exchange{stream: true, refusal: want}, res, b).(attempt.Broken)
+			if !ok || !errors.Is(o.Err, want) {
+				t.Errorf("got outcome %v, want broken by %v", o, want)
+			}
+			if p.Started() || w.Body.Len() > 0 {
+				t.Errorf("got %q, started %t, want no response", w.Body, p.Started())
+			}
+		})
+	}
+}
+
 func TestAbortedReplyIsIncompleteForTheCaller(t *testing.T) {
 	p, _ := newReply("HTTP/1.1")
 	p.WriteFailure(http.StatusBadGateway, []byte("{}"))
--- a/gate/send.go
+++ b/gate/send.go
@@ -96,7 +96,9 @@
 		return g.engineRefused(e.Info, a)
 	}
 	c.ran++
-	g.recordContinuation(c, e.Version)
+	if c.versionBasis != "" {
+		countContinued(c.versionBasis)
+	}
 	g.guard.RecordAlive(e.Incarnation().Hash(), a.ConnectedAt())
 	o := g.relay(ctx, c, e.Info, a)
 	g.finish(e.Incarnation(), engineOutcome(ctx, o))
@@ -196,7 +198,7 @@
 		retryable = c.refused < maxRefused
 		final = verdict.New(c.verdict(), verdict.Overloaded, "%d engines of %s rejected the request", c.refused, c.service)
 	case attempt.Broken:
-		retryable = c.route.Retryable() && c.ran < c.route.Attempts && c.suspect().Crashes() < maxCrashes && c.reply.CanContinue()
+		retryable = c.route.Retryable() && c.ran < c.route.Attempts && c.suspect().Crashes() < maxCrashes && c.reply.CanContinue() && g.canContinue(c)
 		final = verdict.New(c.verdict(), verdict.EngineFailed, "engine %s: %w", e.ID, o.Err)
 	case attempt.Failed:
 		retryable = c.route.Retryable() && c.ran < c.route.Attempts
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -48,6 +48,7 @@
 	NotReady       Reason = "not_ready"
 	NoRoute        Reason = "no_route"
 	HeldBack       Reason = "held_back"
+	VersionGone    Reason = "version_gone"
 )
 
 // Error is a failure with its verdict. It wraps its cause.
