gate, origin, peers: Resume a stream only at the version that began it

Callers who resumed a stream with another request got events of another software version. Cause: their request was placed like a new one. The entry that it reached knew neither the engine that began the stream nor its version, and the entry that did may have ended.

An entry now sends the record of a resumable stream (a hash of workspace, service and request ID, and the version) to three other entries, which the hash selects, when it sends the request to an engine. The first event waits until one of them has it, at most 100 ms. A request that resumes a stream is bound to the version in the record, here or at the entries that the hash selects. If there is none, it continues only if the service has had one version for longer than a stream can be resumed, by this entry's or another one's knowledge; else it is refused at once, having run nowhere: unknown_origin, or version_gone if no engine of the version takes requests. With one version nothing is sent; when a second one is listed, the records of the streams in progress are. A process that stops hands its records over. Records are limited in number, by workspace, and end with the time in which the stream can be resumed. A resumed stream also goes to the service that began it where a route divides requests.

Why it holds: the record is at another entry before the caller has an event that could be mixed, whoever ends afterwards, and without a record or proof of a single version nothing runs.

--- a/engines/duration/duration.go
+++ b/engines/duration/duration.go
@@ -45,7 +45,7 @@
 	plainFactor              = 1.25
 	plainMargin clock.Millis = 300
 	// DefaultTimeout applies to routes that publish no timeout.
-	DefaultTimeout clock.Millis = 600_000
+	DefaultTimeout = table.DefaultTimeout
 	// maxRoutes and maxServices limit memory use, at 4 KB per route or service.
 	maxRoutes   = 256
 	maxServices = 64
--- a/gate/account.go
+++ b/gate/account.go
@@ -91,8 +91,8 @@
 	if c.version != "" {
 		attrs = append(attrs, "events", c.events, "engine_version", c.version)
 	}
-	if r := g.resumption(c); r.resumes() {
-		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after))
+	if r := c.resumed; r.resumes() {
+		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after), "origin", c.versionBasis)
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
--- a/gate/call.go
+++ b/gate/call.go
@@ -82,10 +82,21 @@
 
 	// reply is the response to the caller.
 	reply *relay.Reply
+	// resumed is what the request says about the stream that it resumes.
+	resumed resumption
 	// version is the software version at which the stream must continue and versionBasis
 	// how it is known. Both are "" while an engine of any version may begin it.
 	version      string
 	versionBasis basis
+	// recordedVersion is the version in the latest record of the stream's origin, ""
+	// before there is one. recordedAttempts counts the records and originCall is their
+	// Call.
+	recordedVersion  string
+	recordedAttempts uint8
+	originCall       uint32
+	// originHeld is closed once another entry holds the latest record or none can. It is
+	// nil if no entry has to.
+	originHeld <-chan struct{}
 	// events is the number of events of the stream so far. runStart is the number at the
 	// start of the current run of events, at runStartAt; both are zero before the first
 	// event.
--- a/gate/engines.go
+++ b/gate/engines.go
@@ -8,7 +8,17 @@
 func (g *Gate) PutEngine(in engines.Info) {
 	g.mu.Lock()
 	prev := g.registry.Get(in.ID)
+	var listedBefore engines.Info
+	if prev != nil {
+		listedBefore = prev.Info()
+	}
 	change := g.registry.Put(in, g.clk.Now())
+	if change != engines.Same {
+		g.recordVersions(in.Service, "")
+		if listedBefore.Service != "" {
+			g.recordVersions(listedBefore.Service, listedBefore.Version)
+		}
+	}
 	g.limitConns(g.table.Load(), in)
 	conflicts := g.registry.AddrConflicts(in.ID)
 	g.mu.Unlock()
@@ -33,6 +43,9 @@
 func (g *Gate) RemoveEngine(id, cause string) {
 	g.mu.Lock()
 	in, ok := g.registry.Remove(id)
+	if ok {
+		g.recordVersions(in.Service, in.Version)
+	}
 	delete(g.warmupParts, id)
 	g.mu.Unlock()
 	if !ok {
@@ -57,7 +70,11 @@
 // was wrong.
 func (g *Gate) ForgetEngine(id string) {
 	g.mu.Lock()
-	g.registry.Forget(id)
+	if e := g.registry.Get(id); e != nil {
+		in := e.Info()
+		g.registry.Forget(id)
+		g.recordVersions(in.Service, in.Version)
+	}
 	delete(g.warmupParts, id)
 	g.mu.Unlock()
 	g.log.Info("engine", "change", string(engines.Forgotten), "engine", id, "cause", "the store does not confirm what peers reported of the engine")
--- a/gate/filters.go
+++ b/gate/filters.go
@@ -13,6 +13,7 @@
 		{Name: "resolve", Run: g.resolve},       // find the route by host and path
 		{Name: "stay", Run: g.admit},            // a stopping process accepts only what it can finish
 		{Name: "authorise", Run: g.authorise},   // find the workspace of the key
+		{Name: "origin", Run: g.resolveOrigin},  // find the version that began a resumed stream
 		{Name: "read", Run: g.readBody},         // read the body within its limits
 		{Name: "send", Run: g.send},             // choose an engine, send, relay the response
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/engines/prefill"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/upstream"
@@ -132,6 +134,10 @@
 	endChecks singleflight.Group
 	// startedAt is when the process started.
 	startedAt clock.Millis
+	// origins holds the versions that began streams, originSearches limits the searches
+	// for others.
+	origins        *origin.Book
+	originSearches *searches
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -176,6 +182,15 @@
 	maxEntries  int
 	// minEntries is the number of entries that shares assumes at least.
 	minEntries int
+	// originPeers are the other entries that hold origins of streams, nil if there are
+	// none.
+	originPeers origin.Peers
+	// pastVersions holds the software versions that are no longer listed. The versions of
+	// each service are known since versionsKnownSince. severalVersions has the services
+	// that list more than one.
+	pastVersions       engines.VersionHistory
+	versionsKnownSince clock.Millis
+	severalVersions    map[string]bool
 	// newestVersion is the newest version that a peer reported, at newestVersionAt. It is
 	// zero if no peer reported one, or if the store has since shown that the version in force
 	// is the newest.
@@ -202,9 +217,11 @@
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, counts: newCounts(),
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
+		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
+	metrics.GetOrCreateGauge("weldfall_origins", func() float64 { return float64(g.origins.Len()) })
 	g.SetOthers(cfg.ID, nil)
 	g.limits.Store(&cfg.Bounds)
 	cfg.Clock.OnSuspend(g.onSuspend)
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -1,19 +1,34 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/xxh3"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
-// retryVersion is sent in Retry-After if no engine of the version is available. One that
-// crashed may be back.
-const retryVersion clock.Millis = 1000
+var _ origin.Host = (*Gate)(nil)
+
+const (
+	// resumeMargin is added to the time in which a stream can be resumed, for requests on
+	// their way and clocks of different speeds.
+	resumeMargin clock.Millis = 1000
+	// originHeldTimeout is how long the first event waits until another entry holds the
+	// origin of the stream. The record is sent with the request, so that an entry usually
+	// holds it long before the event.
+	originHeldTimeout clock.Millis = 100
+	// retryOrigin is sent in Retry-After if the origin of a stream is unknown. An entry
+	// that did not respond may know it.
+	retryOrigin clock.Millis = 500
+)
 
 // resumption is what a request says about the stream that it resumes. The zero value is
 // that of a request that begins a stream.
@@ -40,11 +55,18 @@
 
 func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
 
-// basis is how the version of a stream is known.
+// basis is how the version of a resumed stream is known.
 type basis string
 
-// byReply means that this entry passed on the first event in the same response.
-const byReply basis = "reply"
+const (
+	// byRecord means that an entry holds the origin of the stream.
+	byRecord basis = "record"
+	// bySoleVersion means that the service has had one version for longer than a stream
+	// lives.
+	bySoleVersion basis = "sole_version"
+	// byReply means that this entry passed on the first event in the same response.
+	byReply basis = "reply"
+)
 
 // countContinued counts an engine's response that continues a stream.
 func countContinued(b basis) {
@@ -56,50 +78,197 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_streams_not_continued_total{reason=%q}`, r)).Inc()
 }
 
-// errOtherVersion means that an engine restarted with another software version while it
-// continued a stream.
-var errOtherVersion = errors.New("the engine restarted with another software version")
-
-// checkVersion returns an error if, by the list, the engine of an exchange has another
-// version than the stream that it continues.
-func (x exchange) checkVersion() error {
-	if x.c.versionBasis == "" {
+// resolveOrigin finds the version that began the stream that a request resumes. The
+// request is rejected if no entry knows it and the service has several versions.
+func (g *Gate) resolveOrigin(ctx context.Context, c *call) *verdict.Error {
+	if !c.resumed.resumes() {
 		return nil
 	}
-	x.g.mu.Lock()
-	defer x.g.mu.Unlock()
-	if e := x.g.registry.Get(x.with.ID); e != nil && e.Info().Version != x.c.version {
-		return fmt.Errorf("%w: %q, the stream began at %q", errOtherVersion, e.Info().Version, x.c.version)
+	version, by, err := g.originVersion(ctx, c)
+	if err != nil {
+		countNotContinued(verdict.UnknownOrigin)
+		return verdict.New(verdict.NotRun, verdict.UnknownOrigin, "the stream cannot be resumed: %w", err).WithRetryAfter(retryOrigin)
 	}
+	c.version, c.versionBasis = version, by
 	return nil
 }
 
-// canContinue reports whether another engine may continue the call.
-func (g *Gate) canContinue(c *call) bool {
-	if c.versionBasis == "" {
-		return true
+// Reasons why the version that began a stream is not known.
+var (
+	errAmbiguousOrigin = errors.New("several streams began with the request ID that it names, at different software versions")
+	errSeveralVersions = errors.New("no entry knows which software version began it, and the service has, or had lately, several")
+	errVersionsUnknown = errors.New("no entry knows which software version began it, nor whether the service has had only one")
+)
+
+// originVersion returns the version that began the stream that a call resumes.
+func (g *Gate) originVersion(ctx context.Context, c *call) (version string, by basis, err error) {
+	q := origin.Query{Key: c.originKey(c.resumed.origin), Workspace: c.workspaceHash(), Service: c.service}
+	if c.resumed.origin != "" {
+		r, ambiguous := g.origins.Find(q.Workspace, q.Key, g.clk.Now())
+		switch {
+		case ambiguous:
+			return "", "", errAmbiguousOrigin
+		case r != nil:
+			return r.Version, byRecord, nil
+		}
+	}
+	findings, known := g.askOrigin(ctx, q)
+	r, err := agreedRecord(findings)
+	if err != nil {
+		return "", "", err
 	}
+	if r != nil {
+		g.origins.Hold(*r, g.clk.Now())
+		return r.Version, byRecord, nil
+	}
+	version, err = g.soleVersion(c.service, findings, known)
+	return version, bySoleVersion, err
+}
+
+// askOrigin asks other entries for the origin of a stream.
+func (g *Gate) askOrigin(ctx context.Context, q origin.Query) (findings []origin.Finding, known bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	ok := g.registry.HasUntried(c.service, c.version, c.tried)
-	if !ok {
-		g.recordNotContinued(c)
+	peers := g.originPeers
+	g.mu.Unlock()
+	if peers == nil {
+		return nil, false
+	}
+	if !g.originSearches.allow(q.Workspace) {
+		return nil, true
+	}
+	return peers.Find(ctx, q)
+}
+
+// agreedRecord returns the latest record among findings, nil if there is none.
+func agreedRecord(findings []origin.Finding) (*origin.Record, error) {
+	var best *origin.Record
+	for _, f := range findings {
+		r := f.Record
+		switch {
+		case f.Ambiguous:
+			return nil, errAmbiguousOrigin
+		case r == nil:
+		case best == nil, r.Call == best.Call && r.Attempt > best.Attempt:
+			best = r
+		case r.Call != best.Call && r.Version != best.Version:
+			return nil, errAmbiguousOrigin
+		}
 	}
-	return ok
+	return best, nil
 }
 
-// noEngineOfVersion returns the error for a stream that no engine of its version can
-// continue. The caller holds mu.
-func (g *Gate) noEngineOfVersion(c *call) *verdict.Error {
-	g.recordNotContinued(c)
-	return verdict.New(c.verdict(), verdict.VersionGone, "no engine of %s with the software version %q that began the stream is available, listed are %q",
-		c.service, c.version, g.registry.Versions(c.service)).WithRetryAfter(retryVersion)
+// originKey returns the key of the stream that began with the attempt id.
+func (c *call) originKey(id string) origin.Key {
+	return origin.NewKey(c.workspaceName(), c.service, id)
 }
 
-// recordNotContinued logs and counts a stream that no engine of its version can continue.
-// The caller holds mu.
-func (g *Gate) recordNotContinued(c *call) {
-	countNotContinued(verdict.VersionGone)
-	g.log.Info("stream_not_continued", "request", c.id, "service", c.service, "version", c.version, "basis", c.versionBasis,
-		"listed", g.registry.Versions(c.service), "tried", len(c.tried))
+// workspaceName returns the name of the workspace, "" on a route that needs no key.
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
+func (c *call) workspaceHash() uint32 { return uint32(xxh3.HashString(c.workspaceName())) }
+
+// recordOrigin records the version of the engine that an attempt is sent to as that of
+// the stream, at this entry and, unless the service has had a single version, at others.
+func (g *Gate) recordOrigin(c *call, version string) {
+	id := c.id
+	if c.resumed.resumes() {
+		id = c.resumed.origin
+	}
+	if !c.route.Resumable || c.route.Kind != table.Stream || id == "" || version == "" || version == c.recordedVersion {
+		return
+	}
+	if c.recordedVersion == "" {
+		c.originCall = rand.Uint32()
+	}
+	c.recordedVersion = version
+	c.recordedAttempts++
+	now := g.clk.Now()
+	r := origin.Record{
+		Key: c.originKey(id), Workspace: c.workspaceHash(), Call: c.originCall, Attempt: c.recordedAttempts,
+		Version: version, TTL: c.resumableFor(now),
+	}
+	g.origins.Begin(r, c.service, now)
+	g.mu.Lock()
+	peers, several := g.originPeers, g.versions(c.service, now).sole == ""
+	g.mu.Unlock()
+	if several && peers != nil {
+		c.originHeld = peers.Store(r)
+	}
+}
+
+// resumableFor returns how long the caller may still resume the stream.
+func (c *call) resumableFor(now clock.Millis) clock.Millis {
+	left := c.timeLeft(now)
+	if c.callerTimeout > 0 {
+		left = max(left, c.start+c.callerTimeout-now)
+	}
+	return max(0, left) + resumeMargin
+}
+
+// awaitOrigin waits until another entry holds the origin of the stream, so that it can be
+// resumed if this entry ends. An entry that others cannot be reached from passes the
+// stream on all the same.
+func (g *Gate) awaitOrigin(ctx context.Context, c *call) {
+	held := c.originHeld
+	if c.originHeld = nil; held == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, originHeldTimeout.Duration())
+	defer cancel()
+	select {
+	case <-held:
+	case <-ctx.Done():
+		g.log.Info("origin_not_held", "request", c.id, "service", c.service, "waited_ms", originHeldTimeout)
+	}
+}
+
+// handOverOrigins sends all origins to other entries when the process stops, unless every
+// service has a single version.
+func (g *Gate) handOverOrigins() {
+	g.mu.Lock()
+	peers, several := g.originPeers, false
+	for _, s := range g.severalVersions {
+		several = several || s
+	}
+	g.mu.Unlock()
+	if several && peers != nil {
+		go g.sendOrigins(peers, g.origins.All(g.clk.Now()))
+	}
+}
+
+// sendOrigins sends the origins of streams to other entries.
+func (g *Gate) sendOrigins(to origin.Peers, records []origin.Record) {
+	for _, r := range records {
+		to.Store(r)
+	}
+}
+
+// SetOriginPeers implements origin.Host.
+func (g *Gate) SetOriginPeers(p origin.Peers) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.originPeers = p
+}
+
+// HoldOrigins implements origin.Host.
+func (g *Gate) HoldOrigins(records []origin.Record) {
+	now := g.clk.Now()
+	for _, r := range records {
+		g.origins.Hold(r, now)
+	}
+}
+
+// FindOrigin implements origin.Host.
+func (g *Gate) FindOrigin(q origin.Query) origin.Finding {
+	now := g.clk.Now()
+	r, ambiguous := g.origins.Find(q.Workspace, q.Key, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.versions(q.Service, now)
+	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: v.sole, Several: v.several}
 }
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -75,10 +75,13 @@
 
 // BeforeEvents implements relay.Exchange. The first event binds the stream to the version
 // of its engine.
-func (x exchange) BeforeEvents(context.Context) error {
+func (x exchange) BeforeEvents(ctx context.Context) error {
 	if err := x.checkVersion(); err != nil {
 		return err
 	}
+	if !x.c.reply.Started() {
+		x.g.awaitOrigin(ctx, x.c)
+	}
 	if x.c.versionBasis == "" && x.with.Version != "" {
 		x.c.version, x.c.versionBasis = x.with.Version, byReply
 	}
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -88,6 +88,11 @@
 		c.prefixKeys, c.prefixTokens, c.suffixTokens = prompt.PrefixKeys(parts), prompt.PrefixTokens(parts), prompt.SuffixTokens(parts)
 	}
 	pickKey := c.id
+	c.resumed = g.resumption(c)
+	if c.resumed.origin != "" {
+		// A resumed stream goes to the service that began it.
+		pickKey = c.resumed.origin
+	}
 	if n := len(c.prefixKeys); n > 0 {
 		pickKey = strconv.FormatUint(c.prefixKeys[n-1], 16)
 	}
--- a/gate/send.go
+++ b/gate/send.go
@@ -80,6 +80,7 @@
 // attempt sends the request to an engine and relays the response.
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
+	g.recordOrigin(c, e.Version)
 	req := g.request(c, e, now)
 	answered := g.watchForSilence(ctx, c, e.Info, now)
 	a, err := g.pool.Do(ctx, e.Addr, req, g.responseTimeout(c, now))
--- a/gate/server.go
+++ b/gate/server.go
@@ -83,6 +83,7 @@
 func (g *Gate) sweep() {
 	g.pool.CloseExpired()
 	g.guard.Sweep()
+	g.origins.Sweep(g.clk.Now())
 	g.logRetries()
 }
 
--- a/gate/shutdown.go
+++ b/gate/shutdown.go
@@ -137,6 +137,7 @@
 	g.shutdown.startedAt.Store(int64(max(1, start)))
 	g.shutdown.endsBy.Store(int64(end))
 	g.log.Info("leaving", "cause", "stop", "active", g.active.Load(), "grace_ms", b.Grace)
+	g.handOverOrigins()
 	clock.Sleep(context.Background(), min(b.BalancerLag, end-start))
 	g.log.Info("idle_closed", "connections", srv.CloseIdle())
 	g.shutdown.idleClosed.Store(true)
--- /dev/null
+++ b/gate/versions.go
@@ -0,0 +1,92 @@
+package gate
+
+import (
+	"slices"
+
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/origin"
+)
+
+// maxSoleListAge is the maximum age of the list at which this entry alone decides that a
+// service has one version.
+const maxSoleListAge clock.Millis = 5000
+
+// soleVersion returns the only version that a service can have begun a stream at that may
+// still be resumed. known is whether other entries are known.
+func (g *Gate) soleVersion(service string, findings []origin.Finding, known bool) (string, error) {
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := g.versions(service, now)
+	sole := own.sole
+	for _, f := range findings {
+		if f.Several || (sole != "" && f.Sole != "" && f.Sole != sole) {
+			return "", errSeveralVersions
+		}
+		if sole == "" {
+			sole = f.Sole
+		}
+	}
+	switch {
+	case own.several || (len(own.listed) > 0 && sole != "" && !slices.Equal(own.listed, []string{sole})):
+		return "", errSeveralVersions
+	case sole == "", known && len(findings) == 0 && !g.listFreshness.Within(maxSoleListAge, now):
+		return "", errVersionsUnknown
+	}
+	return sole, nil
+}
+
+// serviceVersions is what this entry knows of the versions of a service.
+type serviceVersions struct {
+	// listed are the versions of its engines, sorted.
+	listed []string
+	// several is true if streams that may still be resumed can have begun at several
+	// versions.
+	several bool
+	// sole is the only version at which such streams can have begun, "" if there are
+	// several or if the entry has not known the list for long enough.
+	sole string
+}
+
+// versions returns what this entry knows of the versions of a service. The caller holds
+// mu.
+func (g *Gate) versions(service string, now clock.Millis) serviceVersions {
+	v := serviceVersions{listed: g.registry.Versions(service)}
+	since := now - g.resumeWindow(service)
+	v.several = len(v.listed) > 1 || (len(v.listed) == 1 && g.pastVersions.ListedOther(service, v.listed[0], since))
+	if len(v.listed) == 1 && !v.several && g.versionsKnownSince <= since {
+		v.sole = v.listed[0]
+	}
+	return v
+}
+
+// resumeWindow returns how long after its first event a stream of a service may be
+// resumed at most. A caller may begin to resume it when the route's timeout has ended
+// the response.
+func (g *Gate) resumeWindow(service string) clock.Millis {
+	t := g.table.Load()
+	if t == nil {
+		return maxRequestTime
+	}
+	return 2*t.StreamTimeout(service) + resumeMargin
+}
+
+// recordVersions handles a change of the versions that a service lists. gone is the former
+// version of an engine, "" if it had none. When a service gets a second version, the
+// origins of its streams are sent to other entries. The caller holds mu.
+func (g *Gate) recordVersions(service, gone string) {
+	now := g.clk.Now()
+	listed := g.registry.Versions(service)
+	if gone != "" && !slices.Contains(listed, gone) {
+		g.pastVersions.Record(service, gone, now)
+	}
+	several := len(listed) > 1
+	if several == g.severalVersions[service] {
+		return
+	}
+	g.severalVersions[service] = several
+	g.log.Info("engine_versions", "service", service, "versions", listed)
+	if several && g.originPeers != nil {
+		go g.sendOrigins(g.originPeers, g.origins.Begun(service, now))
+	}
+}
--- a/peers/cost_test.go
+++ b/peers/cost_test.go
@@ -21,6 +21,7 @@
 
 // loadedHost has as many loads as a message holds.
 type loadedHost struct {
+	noOrigins
 	loads []peers.Load
 
 	mu sync.Mutex
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -14,6 +14,8 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/silence"
+	"github.com/weldfall/weldfall/engines/origin"
+	"github.com/weldfall/weldfall/engines/origin/exchange"
 	"github.com/weldfall/weldfall/engines/quarantine/gossip"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
@@ -114,6 +116,7 @@
 	// BroadcastSuspects sends all suspects to other entries at once.
 	BroadcastSuspects()
 	gossip.Source
+	origin.Host
 }
 
 // Config configures Peers.
@@ -136,6 +139,7 @@
 	log         *slog.Logger
 	links       *link.Pool
 	gossip      *gossip.Gossip
+	origins     *exchange.Exchange
 	requests    *metrics.Counter
 	failures    *metrics.Counter
 	silentConns *metrics.Counter
@@ -165,6 +169,8 @@
 	// Connections may have died while the instance was suspended.
 	cfg.Clock.OnSuspend(func(clock.Millis) { p.links.CloseSilent(p.clk.Now()) })
 	p.gossip = gossip.New(gossip.Config{ID: cfg.ID, Source: cfg.Host, Links: p.links, RandomPeers: p.randomPeers, Log: cfg.Log})
+	p.origins = exchange.New(exchange.Config{Host: cfg.Host, Links: p.links, Holders: p.holders, Clock: cfg.Clock, Log: cfg.Log})
+	cfg.Host.SetOriginPeers(p.origins)
 	return p
 }
 
@@ -384,6 +390,10 @@
 			return d, nil
 		}
 		return nil, fmt.Errorf("no changes since revision %d of epoch %d: position is outside the change log", pos.Revision, pos.Epoch)
+	case exchange.MethodStore:
+		return nil, p.origins.HandleStore(params)
+	case exchange.MethodFind:
+		return p.origins.HandleFind(params)
 	}
 	return nil, fmt.Errorf("unknown method %q", method)
 }
--- a/peers/silent_test.go
+++ b/peers/silent_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/internal/linktest"
 	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/peers/changes"
@@ -17,6 +18,7 @@
 
 // fakeHost counts the statuses that it receives.
 type fakeHost struct {
+	noOrigins
 	mu       sync.Mutex
 	statuses int
 }
@@ -49,6 +51,13 @@
 
 func (f *fakeHost) BroadcastSuspects() {}
 
+// noOrigins is a host that knows no origins of streams.
+type noOrigins struct{}
+
+func (noOrigins) SetOriginPeers(origin.Peers)            {}
+func (noOrigins) HoldOrigins([]origin.Record)            {}
+func (noOrigins) FindOrigin(origin.Query) origin.Finding { return origin.Finding{} }
+
 func (f *fakeHost) SuspectsPending() <-chan struct{} { return nil }
 
 func (f *fakeHost) TakeSuspects() string { return "" }
--- a/table/table.go
+++ b/table/table.go
@@ -104,6 +104,9 @@
 	Priority *int
 }
 
+// DefaultTimeout applies to routes that publish no timeout.
+const DefaultTimeout clock.Millis = 600_000
+
 // Limits bound what a caller may send. Zero means no limit.
 type Limits struct {
 	HeaderBytes int
@@ -155,9 +158,11 @@
 	// maxPrefix is the length of the longest prefix in slashRoutes.
 	maxPrefix int
 	services  map[string]Service
-	keyed     bool
-	byKey     map[string]*Workspace
-	limits    Limits
+	// streamTimeouts has the longest timeout of the resumable streams of each service.
+	streamTimeouts map[string]clock.Millis
+	keyed          bool
+	byKey          map[string]*Workspace
+	limits         Limits
 }
 
 // New returns the table of cfg. The longest matching prefix of a host wins; of two
@@ -165,10 +170,16 @@
 func New(cfg Config) *Table {
 	t := &Table{
 		version: cfg.Version, limits: cfg.Limits, keyed: cfg.RequireKey,
-		slashRoutes: make(map[routeKey]*Route, len(cfg.Routes)), otherRoutes: map[string][]*Route{}, services: map[string]Service{}, byKey: map[string]*Workspace{},
+		slashRoutes: make(map[routeKey]*Route, len(cfg.Routes)), otherRoutes: map[string][]*Route{}, services: map[string]Service{}, streamTimeouts: map[string]clock.Millis{}, byKey: map[string]*Workspace{},
 	}
 	for _, r := range cfg.Routes {
 		t.addRoute(normalized(r))
+		if r.Kind != Stream || !r.Resumable {
+			continue
+		}
+		for _, s := range r.Shares {
+			t.streamTimeouts[s.Service] = max(t.streamTimeouts[s.Service], cmp.Or(r.Timeout, DefaultTimeout))
+		}
 	}
 	for _, routes := range t.otherRoutes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -263,6 +274,10 @@
 	return s, ok
 }
 
+// StreamTimeout returns the longest timeout of the resumable streams of a service, zero if
+// it has none.
+func (t *Table) StreamTimeout(service string) clock.Millis { return t.streamTimeouts[service] }
+
 // PickService chooses one of the route's services by weight. All processes choose the
 // same service for the same key.
 func (r *Route) PickService(key string) string {
