--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -19,6 +19,8 @@
 	book *origin.Book
 	// others are the other entries, set by peers.New.
 	others origin.Peers
+	// lies is true if it returns the record of another stream.
+	lies bool
 }
 
 func (h *originHost) SetOriginPeers(p origin.Peers) { h.others = p }
@@ -31,6 +33,10 @@
 
 func (h *originHost) FindOrigin(q origin.Query) origin.Finding {
 	r, ambiguous := h.book.Find(q.Workspace, q.Key, 0)
+	if h.lies {
+		other := originRecord(0)
+		r = &other
+	}
 	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: "v1", Several: q.Service == "several"}
 }
 
@@ -155,3 +161,38 @@
 		t.Error("got no end of 20 stores in 30 s")
 	}
 }
+
+// A record that an entry does not take goes to another one.
+func TestRecordIsSentToOtherHoldersIfOnesFail(t *testing.T) {
+	t.Parallel()
+	const entries, streams = 6, 30
+	f := newOriginFleet(t, entries)
+	for _, stop := range f.stop[1:4] {
+		stop()
+	}
+	for i := range streams {
+		<-f.hosts[0].others.Store(originRecord(i))
+	}
+	for i := range streams {
+		wait(t, "record at both entries that run", func() bool {
+			for _, h := range f.hosts[4:] {
+				if r, _ := h.book.Find(1, originRecord(i).Key, 0); r == nil {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// The record of another stream is no finding.
+func TestRecordOfAnotherStreamIsIgnored(t *testing.T) {
+	t.Parallel()
+	f := newOriginFleet(t, 2)
+	f.hosts[1].lies = true
+	q := origin.Query{Key: originRecord(1).Key, Workspace: 1, Service: "llm"}
+	findings, _ := f.hosts[0].others.Find(t.Context(), q)
+	if len(findings) != 1 || findings[0].Record != nil {
+		t.Errorf("got the findings %+v, want one without a record", findings)
+	}
+}
