origin: Do not take an entry twice when two fail together

Cause: store.sent decided under its lock that an entry was left to be tried, and took that entry under another hold of the lock. Two entries that failed at the same time both found the last one.

Why the fix holds: the entry is taken under the hold that finds it.

--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -100,7 +100,7 @@
 		// A caller does not wait for entries that have not responded lately.
 		s.finish(false)
 	}
-	s.start(min(copies, len(addrs)))
+	s.start(copies)
 	return s.done
 }
 
--- a/engines/origin/exchange/store.go
+++ b/engines/origin/exchange/store.go
@@ -22,32 +22,47 @@
 	finished bool
 }
 
-// start sends the record to the next n entries.
+// start sends the record to the next n entries, or to all if there are fewer.
 func (s *store) start(n int) {
 	s.mu.Lock()
+	next := s.take(n)
+	s.mu.Unlock()
+	s.send(next)
+}
+
+// take returns the next n entries, to which the record is then sent, or all if there are
+// fewer. The caller holds mu.
+func (s *store) take(n int) []string {
+	n = min(n, len(s.rest))
 	next := s.rest[:n]
 	s.rest, s.sending = s.rest[n:], s.sending+n
-	s.mu.Unlock()
-	for _, addr := range next {
+	return next
+}
+
+func (s *store) send(addrs []string) {
+	for _, addr := range addrs {
 		s.x.outputs.add(addr, output{record: s.record, sent: s.sent})
 	}
 }
 
-// sent handles the response of an entry.
+// sent handles the response of an entry. A record that the entry did not take goes to the
+// next one.
 func (s *store) sent(err error) {
+	var next []string
 	s.mu.Lock()
 	s.sending--
-	retry := err != nil && len(s.rest) > 0
-	failed := err != nil && !retry && s.sending == 0
+	if err != nil {
+		next = s.take(1)
+	}
+	failed := err != nil && s.sending == 0
 	s.mu.Unlock()
 	switch {
 	case err == nil:
 		s.finish(true)
-	case retry:
-		s.start(1)
 	case failed:
 		s.finish(false)
 	}
+	s.send(next)
 }
 
 // finish closes done and counts the record, at the first call.
