peers: Do not call the own address as a seed

What callers saw: after an entry started, its callers' streams could not be resumed at other entries ("no entry knows which software version began it") for a quarter of a second and more, though it lived on.

Cause: the list of seeds is the same at all entries and names each of them. An entry that drew its own address made no call in that round and knew no other entry until a later one. With four seeds that was a quarter of the starts, a round is a fifth of a second, and each draw was anew.

Why the fix holds: the own address is no seed.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -134,7 +135,9 @@
 
 // Peers calls other entries and answers their calls.
 type Peers struct {
-	cfg         Config
+	cfg Config
+	// seeds are the seeds without the address of this process.
+	seeds       []string
 	clk         *clock.Clock
 	log         *slog.Logger
 	links       *link.Pool
@@ -159,8 +162,9 @@
 
 // New returns Peers that are not running yet.
 func New(cfg Config) *Peers {
+	seeds := slices.DeleteFunc(slices.Clone(cfg.Seeds), func(addr string) bool { return addr == cfg.Addr })
 	p := &Peers{
-		cfg: cfg, clk: cfg.Clock, log: cfg.Log, members: NewMembers(Member{ID: cfg.ID, Addr: cfg.Addr}), loggedAlone: true,
+		cfg: cfg, seeds: seeds, clk: cfg.Clock, log: cfg.Log, members: NewMembers(Member{ID: cfg.ID, Addr: cfg.Addr}), loggedAlone: true,
 		requests:    metrics.GetOrCreateCounter("weldfall_peer_asks_total"),
 		failures:    metrics.GetOrCreateCounter("weldfall_peer_asks_failed_total"),
 		silentConns: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="peer"}`),
@@ -225,10 +229,8 @@
 	defer p.mu.Unlock()
 	p.members.Expire(p.clk.Now())
 	addr := p.members.NextPeer()
-	if (addr == "" || n%max(minSeedRounds, p.members.Count()) == 0) && len(p.cfg.Seeds) > 0 {
-		if seed := p.cfg.Seeds[rand.IntN(len(p.cfg.Seeds))]; seed != p.cfg.Addr {
-			addr = seed
-		}
+	if (addr == "" || n%max(minSeedRounds, p.members.Count()) == 0) && len(p.seeds) > 0 {
+		addr = p.seeds[rand.IntN(len(p.seeds))]
 	}
 	return addr
 }
