gate: Send the origins of streams that began before other entries were known

What callers saw: a stream that began at an entry without peers could not be resumed at another one, also after the two had met.

Cause: the record of a stream was sent to other entries when the stream began, and to none if none was known. Nothing sent it later.

--- a/engines/origin/book.go
+++ b/engines/origin/book.go
@@ -121,9 +121,9 @@
 	return &r, false
 }
 
-// Begun returns the records of the streams that this entry began at a service.
-func (b *Book) Begun(service string, now clock.Millis) []Record {
-	return b.list(now, func(h *held) bool { return h.service == service })
+// Begun returns the records of the streams that this entry began at the wanted services.
+func (b *Book) Begun(want func(service string) bool, now clock.Millis) []Record {
+	return b.list(now, func(h *held) bool { return h.service != "" && want(h.service) })
 }
 
 // All returns all records.
--- a/engines/origin/book_test.go
+++ b/engines/origin/book_test.go
@@ -115,7 +115,7 @@
 	b.Begin(record("a", "v1"), "llm", 0)
 	b.Begin(record("b", "v1"), "other", 0)
 	b.Hold(record("c", "v1"), 0)
-	got := b.Begun("llm", 400)
+	got := b.Begun(func(service string) bool { return service == "llm" }, 400)
 	if len(got) != 1 || got[0].Key != record("a", "").Key || got[0].TTL != 600 {
 		t.Errorf("got %v, want the record of a with 600 ms left", got)
 	}
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -241,6 +241,16 @@
 	}
 }
 
+// sendBegunOrigins sends the origins of streams that began while this entry knew no other
+// one, unless their services have had a single version. The caller holds mu.
+func (g *Gate) sendBegunOrigins() {
+	now := g.clk.Now()
+	records := g.origins.Begun(func(service string) bool { return g.versions(service, now).sole == "" }, now)
+	if g.originPeers != nil && len(records) > 0 {
+		go g.sendOrigins(g.originPeers, records)
+	}
+}
+
 // sendOrigins sends the origins of streams to other entries.
 func (g *Gate) sendOrigins(to origin.Peers, records []origin.Record) {
 	for _, r := range records {
--- a/gate/status.go
+++ b/gate/status.go
@@ -88,7 +88,11 @@
 func (g *Gate) SetFleet(f peers.Fleet) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	alone := g.fleet.Entries <= 1
 	g.fleet = f
+	if alone && f.Entries > 1 {
+		g.sendBegunOrigins()
+	}
 }
 
 // LocalStatus implements peers.Host.
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -87,6 +87,6 @@
 	g.severalVersions[service] = several
 	g.log.Info("engine_versions", "service", service, "versions", listed)
 	if several && g.originPeers != nil {
-		go g.sendOrigins(g.originPeers, g.origins.Begun(service, now))
+		go g.sendOrigins(g.originPeers, g.origins.Begun(func(s string) bool { return s == service }, now))
 	}
 }
