--- a/engines/choose.go
+++ b/engines/choose.go
@@ -148,8 +148,9 @@
 
 // usable returns the engines that can be chosen. It leaves out engines that accept no
 // requests, are of another version than the request needs, are in an evacuated data hall,
-// have reached this entry's limit for the warm-up or were tried before. It leaves out suspect ones too, unless most of the pool is
-// suspect or all others were tried. The result is valid until the next choice.
+// have reached this entry's limit for the warm-up or were tried before. It leaves out
+// suspect ones too, unless most of the pool is suspect or all others were tried. The result
+// is valid until the next choice.
 func (r *Registry) usable(p *pool, q Query, now clock.Millis) []*Engine {
 	live := r.scratch.live[:0]
 	for _, e := range p.engines {
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -53,6 +53,9 @@
 		// A response that ended with its engine's connection, also inside an event, was
 		// passed on as complete.
 		"responses that end with their connections": {2, soak.Breaking},
+		// A stream continued at any software version, in a response and over a caller's
+		// attempts.
+		"releases under streams that callers resume": {1, soak.Releasing},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
