--- a/engines/origin/book_test.go
+++ b/engines/origin/book_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/origin"
+	"github.com/weldfall/weldfall/internal/heaptest"
 )
 
 // version returns the version that a book has for a request, "" if it has none and
@@ -120,3 +122,22 @@
 		t.Errorf("got %v, want the record of a with 600 ms left", got)
 	}
 }
+
+// The limit of a book rests on the memory of a record.
+func TestMemoryOfARecord(t *testing.T) {
+	const workspaces, records = 4, 4096
+	got := heaptest.BytesPerItem(workspaces*records, func() *origin.Book {
+		b := origin.NewBook()
+		for i := range workspaces * records {
+			b.Begin(origin.Record{
+				Key: origin.NewKey("ws", "llm", fmt.Sprint(i)), Workspace: uint32(i % workspaces), Call: uint32(i), Attempt: 1,
+				Version: strings.Clone("v1.2"), TTL: 60_000,
+			}, "llm", 0)
+		}
+		return b
+	})
+	t.Logf("%.0f bytes a record", got)
+	if got > 300 {
+		t.Errorf("got %.0f bytes a record, want at most 300", got)
+	}
+}
