engines: Do not take the version of an engine's former start for that of a later one

What callers could see: a stream that continues at another software version. An entry of the list, or of another gate's report, that names a later start of an engine and no version was given the version of the start before.

Cause: Put filled a missing version in from the known engine whatever its start time.

Evidence: by reading the diff; TestEntryWithAnotherVersionIsOfANewIncarnation, with a later start added, got v2 for a start of which none was known. On the users' platform each entry has a version and each start an ID of its own, so it did not show there.

Why the fix holds: the version is filled in for the same start only, which is the same process; that of a later one is unknown, and no stream is continued at an unknown version.

--- a/engines/registry.go
+++ b/engines/registry.go
@@ -96,7 +96,8 @@
 		// An entry without a start time is for the known incarnation.
 		in.StartedAt = e.info.StartedAt
 	}
-	if ok && in.Version == "" {
+	if ok && in.Version == "" && in.StartedAt == e.info.StartedAt {
+		// The same process has the same version. That of a later one is unknown.
 		in.Version = e.info.Version
 	}
 	if r.ended.Contains(in.Incarnation()) {
--- a/engines/version_test.go
+++ b/engines/version_test.go
@@ -133,6 +133,13 @@
 			if got := r.Get(in.ID).Info().Version; got != "v2" {
 				t.Errorf("got version %q, want v2", got)
 			}
+			in.StartedAt = 2000
+			if got := r.Put(in, now+3); got != engines.Restarted {
+				t.Errorf("got change %q for a later start, want %q", got, engines.Restarted)
+			}
+			if got := r.Get(in.ID).Info().Version; got != "" {
+				t.Errorf("got version %q for a later start of which none is known, want none", got)
+			}
 		})
 	}
 }
