--- a/engines/origin/book_test.go
+++ b/engines/origin/book_test.go
@@ -30,7 +30,7 @@
 }
 
 // The latest attempt of a call is right, in whatever order its records arrive. Calls with
-// the same ID that began at different versions cannot be told apart.
+// the same ID that began at different versions cannot be distinguished.
 func TestBookMergesRecords(t *testing.T) {
 	first := record("a", "v1")
 	for _, tc := range []struct {
--- a/report/account/streams_test.go
+++ b/report/account/streams_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// A stream is told with all attempts of its caller, from the logs of all entries, with the
+// A stream is reported with all attempts of its caller, from the logs of all entries, with the
 // versions that sent its events.
 func TestResumedStreamsAreTold(t *testing.T) {
 	long := strings.Repeat("x", 70)
