--- a/commands/tracerequest.go
+++ b/commands/tracerequest.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"slices"
 	"strings"
+
+	"github.com/weldfall/weldfall/report/account"
 )
 
 type traceRequestCmd struct {
@@ -73,7 +75,7 @@
 
 // attempts returns the IDs of all attempts of the request's stream.
 func (c *traceRequestCmd) attempts(all []string) map[string]bool {
-	first := logged(c.ID)
+	first := account.LoggedID(c.ID)
 	for _, line := range all {
 		if m := field(resumesRE, line); m != "" && field(idRE, line) == c.ID {
 			first = m
@@ -82,20 +84,13 @@
 	ids := map[string]bool{c.ID: true}
 	for _, line := range all {
 		id := field(idRE, line)
-		if id != "" && (logged(id) == first || field(resumesRE, line) == first) {
+		if id != "" && (account.LoggedID(id) == first || field(resumesRE, line) == first) {
 			ids[id] = true
 		}
 	}
 	return ids
 }
 
-// maxLoggedID is the length in bytes to which gates shorten the ID that a line names as the
-// attempt that began the stream.
-const maxLoggedID = 64
-
-// logged returns an ID as the lines of other attempts name it.
-func logged(id string) string { return id[:min(len(id), maxLoggedID)] }
-
 // field returns the value that a pattern of a field matches in a line, "" if none.
 func field(re *regexp.Regexp, line string) string {
 	if m := re.FindStringSubmatch(line); m != nil {
--- a/report/account/streams.go
+++ b/report/account/streams.go
@@ -12,6 +12,9 @@
 // logs.
 const maxLoggedID = 64
 
+// LoggedID returns an ID as the lines of other attempts of its stream name it.
+func LoggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // streamKey identifies a stream by its route and the ID of the attempt that began it.
 type streamKey struct{ route, first string }
 
@@ -36,7 +39,7 @@
 		}
 		first = id
 	}
-	k := streamKey{f["route"], first[:min(len(first), maxLoggedID)]}
+	k := streamKey{f["route"], LoggedID(first)}
 	s := a.streams[k]
 	if s == nil {
 		s = &stream{versions: map[string]bool{}, refused: map[string]int{}}
