gate, quarantine: Log the parts of prompts beside crashes

Cause: lines of crashes name a digest of the whole request and nothing of its prompt, so they cannot tell whether requests that crash engines share a part (hypothesis 1), are one request in other words (2), or were there by chance (3).

Lines struck and broke_off have the shared parts of the prompt now, answered and failed have them while the list of suspects is not empty: a part that is in answered lines succeeds. SharedIDs lists the parts for blame: it skips none that Parse does not understand, goes past the 64 that are ranked, and ignores case, spaces and leading zeros. Nothing is decided by it yet.

--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -19,6 +20,10 @@
 	id   string
 	key  RequestKey
 	body []byte
+	// listParts returns the parts of the prompt that other requests may share. It is nil once
+	// parts holds them, since few requests need them.
+	listParts func() []PromptPart
+	parts     []PromptPart
 	// digest is computed on first use, since few requests need it.
 	digest *Digest
 	// crashes counts the engines that crashed while they ran this submission. strikes is the
@@ -28,9 +33,17 @@
 	onTrial bool
 }
 
-// NewRequest returns a request with the given ID, which is used in logs.
-func NewRequest(id string, key RequestKey, body []byte) *Request {
-	return &Request{id: id, key: key, body: body}
+// NewRequest returns a request with the given ID, which is used in logs. listParts returns the
+// parts of its prompt that other requests may share; nil means that it has none.
+func NewRequest(id string, key RequestKey, body []byte, listParts func() []PromptPart) *Request {
+	return &Request{id: id, key: key, body: body, listParts: listParts}
+}
+
+func (r *Request) promptParts() []PromptPart {
+	if r.listParts != nil {
+		r.parts, r.listParts = r.listParts(), nil
+	}
+	return r.parts
 }
 
 // Digest returns the digest of the request.
@@ -47,6 +60,25 @@
 // Crashes returns how many engines crashed while they ran this submission.
 func (r *Request) Crashes() int { return r.crashes }
 
+// Limits on the parts of a prompt in a log line, in parts and in bytes of each ID.
+const (
+	maxLoggedParts  = 8
+	maxLoggedPartID = 16
+)
+
+// LoggedParts returns the first parts of the prompt for logs, separated by commas.
+func (r *Request) LoggedParts() string {
+	var b strings.Builder
+	parts := r.promptParts()
+	for i, p := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(p.ID[:min(len(p.ID), maxLoggedPartID)])
+	}
+	return b.String()
+}
+
 // Connectivity tells whether this entry can communicate with other entries.
 type Connectivity string
 
@@ -88,6 +120,9 @@
 	return g
 }
 
+// Tracking reports whether the list is not empty.
+func (g *Guard) Tracking() bool { return g.active.Load() }
+
 // withList calls f with the list locked, then signals pending reports.
 func (g *Guard) withList(f func(l *List)) {
 	g.mu.Lock()
@@ -209,7 +244,7 @@
 	r.onTrial = false
 	g.withList(func(l *List) { r.strikes = l.RecordCrash(a, g.clk.Now()) })
 	g.strikesTotal.Inc()
-	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "refused")
+	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "refused", "parts", r.LoggedParts())
 }
 
 // RecordBrokenAttempt records that the attempt broke at an engine without evidence of a
@@ -218,7 +253,7 @@
 	a := Attempt{ID: r.id, Digest: r.Digest(), Fingerprint: r.fingerprint(), Incarnation: incarnation, Trial: r.onTrial, Silent: silent}
 	r.onTrial = false
 	g.withList(func(l *List) { l.RecordBrokenAttempt(a, g.clk.Now()) })
-	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial)
+	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial, "parts", r.LoggedParts())
 }
 
 // RecordUnresponsive records that an engine became unresponsive during the attempt, which
@@ -228,7 +263,7 @@
 	r.onTrial = false
 	g.withList(func(l *List) { r.strikes = l.RecordUnresponsive(a, sentAt, g.clk.Now()) })
 	g.strikesTotal.Inc()
-	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "dark")
+	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "dark", "parts", r.LoggedParts())
 }
 
 // UnresponsiveIncarnations returns the incarnation hashes of the engines that became
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -26,7 +26,7 @@
 // quarantineRequest returns the request as the guard identifies it.
 func (c *call) quarantineRequest() *quarantine.Request {
 	if c.quarantineReq == nil {
-		c.quarantineReq = quarantine.NewRequest(c.id, quarantine.RequestKey{Workspace: c.workspacePath(), Method: c.r.Method, URI: c.r.URL.RequestURI()}, c.body)
+		c.quarantineReq = quarantine.NewRequest(c.id, quarantine.RequestKey{Workspace: c.workspacePath(), Method: c.r.Method, URI: c.r.URL.RequestURI()}, c.body, nil)
 	}
 	return c.quarantineReq
 }
--- a/gate/account.go
+++ b/gate/account.go
@@ -97,6 +97,9 @@
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
 	}
+	if c.guardRequest != nil && g.guard.Tracking() {
+		attrs = append(attrs, "parts", c.guardRequest.LoggedParts())
+	}
 	if c.err == nil && !c.reply.Aborted() {
 		if c.note != "" {
 			attrs = append(attrs, "note", c.note)
--- a/gate/call.go
+++ b/gate/call.go
@@ -49,6 +49,8 @@
 	bodyRequested bool
 	readingBody   atomic.Bool
 
+	// prompt lists the parts of the prompt, "" if the request names none.
+	prompt string
 	// prefixKeys are the keys of the prefixes of the prompt that engines may have in their
 	// caches.
 	prefixKeys []uint64
--- a/gate/prompt/prompt.go
+++ b/gate/prompt/prompt.go
@@ -3,6 +3,7 @@
 package prompt
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -77,6 +78,37 @@
 	return parts[len(parts)-1].Tokens
 }
 
+// SharedIDs returns the IDs of all parts but the last, each once, in a form that is the same
+// for all spellings of a hexadecimal ID. Unlike Parse, it skips no part: an engine may accept
+// one that Parse does not understand.
+func SharedIDs(text string) []string {
+	var ids []string
+	for item := range strings.SplitSeq(text, ",") {
+		id, _, _ := strings.Cut(item, ":")
+		if id = normalizeID(id); id != "" {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	seen := map[string]bool{}
+	return slices.DeleteFunc(ids[:len(ids)-1], func(id string) bool {
+		known := seen[id]
+		seen[id] = true
+		return known
+	})
+}
+
+// normalizeID returns the ID without spaces, upper case and leading zeros.
+func normalizeID(id string) string {
+	id = strings.ToLower(strings.TrimSpace(id))
+	if trimmed := strings.TrimLeft(id, "0"); trimmed != "" {
+		return trimmed
+	}
+	return id
+}
+
 // PrefixTokens returns the length of the prefix that other requests may share.
 func PrefixTokens(parts []Part) int {
 	if len(parts) == 0 {
--- a/gate/prompt/prompt_test.go
+++ b/gate/prompt/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/weldfall/weldfall/gate/prompt"
@@ -22,6 +23,33 @@
 	}
 }
 
+// Guards against a part that is unseen because of how its caller spells the list.
+func TestSharedIDsDoNotDependOnSpelling(t *testing.T) {
+	many := strings.Repeat("f:1,", 100) + "5c:800,e4:250"
+	for _, tc := range []struct {
+		name, text string
+		want       []string
+	}{
+		{"usual", "5c:800,91:410,e4:250", []string{"5c", "91"}},
+		{"upper case", "5C:800,91:410,E4:250", []string{"5c", "91"}},
+		{"spaces", " 5c : 800 ,\t91:410 , e4:250", []string{"5c", "91"}},
+		{"leading zeros", "005c:800,91:410,e4:250", []string{"5c", "91"}},
+		{"only zeros", "00:800,e4:250", []string{"00"}},
+		{"invalid count in front", "aa:x,5c:800,e4:250", []string{"aa", "5c"}},
+		{"no count", "aa,5c:800,e4:250", []string{"aa", "5c"}},
+		{"empty parts", ",,5c:800,,e4:250,", []string{"5c"}},
+		{"behind more parts than are ranked", many, []string{"f", "5c"}},
+		{"twice", "5c:800,5c:800,91:1,e4:250", []string{"5c", "91"}},
+		{"also last", "5c:800,91:1,5c:800", []string{"5c", "91"}},
+		{"one", "5c:800", nil},
+		{"none", "", nil},
+	} {
+		if got := prompt.SharedIDs(tc.text); !slices.Equal(got, tc.want) {
+			t.Errorf("%s: got %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"", "a:1", "a:1,b:x", ":,", "a:-1", "a:1,,b:2", "a:99999999999999999999"} {
 		f.Add(s)
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -83,8 +83,9 @@
 		limit = min(limit, c.callerTimeout)
 	}
 	c.giveUpAt = c.start + limit
+	c.prompt = c.r.Header.Get(g.wire.Prompt)
 	if route.PromptAffinity {
-		parts := prompt.Parse(c.r.Header.Get(g.wire.Prompt))
+		parts := prompt.Parse(c.prompt)
 		c.prefixKeys, c.prefixTokens, c.suffixTokens = prompt.PrefixKeys(parts), prompt.PrefixTokens(parts), prompt.SuffixTokens(parts)
 	}
 	pickKey := c.id
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -12,6 +12,7 @@
 	"github.com/weldfall/weldfall/engines/attempt"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/upstream"
+	"github.com/weldfall/weldfall/gate/prompt"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -22,11 +23,20 @@
 		if c.workspace != nil {
 			a.Workspace = c.workspace.Name
 		}
-		c.guardRequest = quarantine.NewRequest(c.id, a, c.body)
+		c.guardRequest = quarantine.NewRequest(c.id, a, c.body, c.sharedParts)
 	}
 	return c.guardRequest
 }
 
+// sharedParts returns the parts of the prompt that other requests may share.
+func (c *call) sharedParts() []quarantine.PromptPart {
+	var parts []quarantine.PromptPart
+	for _, id := range prompt.SharedIDs(c.prompt) {
+		parts = append(parts, quarantine.PromptPart{Service: c.service, ID: id})
+	}
+	return parts
+}
+
 // place decides whether a request may be sent, and to which engine.
 func (g *Gate) place(ctx context.Context, c *call) (pick, *verdict.Error) {
 	isolated, err := g.guard.Admit(ctx, c.suspect(), c.verdict(), g.contact())
