--- a/callers/chats/failures.go
+++ b/callers/chats/failures.go
@@ -45,6 +45,7 @@
 			verdict.Leaving:        http.StatusServiceUnavailable,
 			verdict.Unreachable:    http.StatusServiceUnavailable,
 			verdict.HeldBack:       http.StatusServiceUnavailable,
+			verdict.PartHeldBack:   http.StatusServiceUnavailable,
 		},
 		NotRun: http.StatusBadGateway, Default: http.StatusBadGateway,
 	},
--- a/engines/quarantine/broken.go
+++ b/engines/quarantine/broken.go
@@ -29,6 +29,20 @@
 	at clock.Millis
 }
 
+// tried returns the digests of which the attempt was a trial.
+func (a Attempt) tried() []Digest {
+	var out []Digest
+	if a.Trial {
+		out = append(out, a.Digest)
+	}
+	for _, p := range a.Parts {
+		if p.Trial {
+			out = append(out, p.Digest)
+		}
+	}
+	return out
+}
+
 func newBrokenAttempts() brokenAttempts { return brokenAttempts{fingerprints: map[uint32]int{}} }
 
 // add records a broken attempt, evicting the oldest ones if there are too many.
--- a/engines/quarantine/broken_test.go
+++ b/engines/quarantine/broken_test.go
@@ -67,8 +67,8 @@
 			if got := l.Strikes(poison); got != tc.want {
 				t.Errorf("got %d strikes, want %d", got, tc.want)
 			}
-			if _, ok := l.Admit(poison, false, 200_000).(quarantine.Allowed); !ok {
-				t.Errorf("got %T after at most one strike, want it allowed", l.Admit(poison, false, 200_000))
+			if _, ok := l.Admit(quarantine.Subjects{poison}, false, 200_000).(quarantine.Allowed); !ok {
+				t.Errorf("got %T after at most one strike, want it allowed", l.Admit(quarantine.Subjects{poison}, false, 200_000))
 			}
 		})
 	}
@@ -96,7 +96,7 @@
 		l := newList()
 		recordCrash(l, poison, 1, 1000)
 		recordCrash(l, poison, 2, 2000)
-		if _, ok := l.Admit(poison, false, 3000).(quarantine.Trial); !ok {
+		if _, ok := l.Admit(quarantine.Subjects{poison}, false, 3000).(quarantine.Trial); !ok {
 			t.Fatal("got no trial of a suspect, want one")
 		}
 		l.StartTrial(poison, 3, 3100)
@@ -105,7 +105,9 @@
 		l.RecordBrokenAttempt(trial, 3200)
 		return l
 	}
-	admit := func(l *quarantine.List, now clock.Millis) quarantine.Admission { return l.Admit(poison, false, now) }
+	admit := func(l *quarantine.List, now clock.Millis) quarantine.Admission {
+		return l.Admit(quarantine.Subjects{poison}, false, now)
+	}
 
 	l := brokenTrial()
 	if held, ok := admit(l, 3300).(quarantine.Held); !ok || !held.TrialRunning {
--- a/engines/quarantine/digest.go
+++ b/engines/quarantine/digest.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strings"
 )
 
 // Digest identifies a request across repeated submissions, whatever their IDs. Clients choose
@@ -18,6 +19,18 @@
 // String returns the digest in hexadecimal, for logs.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// joinDigests returns digests separated by commas, for logs.
+func joinDigests(ds []Digest) string {
+	var b strings.Builder
+	for i, d := range ds {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(d.String())
+	}
+	return b.String()
+}
+
 // RequestKey identifies a request, together with its body.
 type RequestKey struct {
 	// Workspace is the workspace that the request belongs to, "" if no key is needed.
--- a/engines/quarantine/fleet_test.go
+++ b/engines/quarantine/fleet_test.go
@@ -224,7 +224,7 @@
 		return
 	}
 	r := &run{digest: d, entry: e, retries: retries, duration: duration}
-	switch e.list.Admit(d, e.isolated, f.now).(type) {
+	switch e.list.Admit(quarantine.Subjects{d}, e.isolated, f.now).(type) {
 	case quarantine.Held:
 		f.refused[d]++
 	case quarantine.Trial:
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -4,7 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -14,71 +14,6 @@
 	"github.com/weldfall/weldfall/verdict"
 )
 
-// Request is one submission of a request by a client, who may submit the same request again.
-// It spans all attempts that the entry makes for it.
-type Request struct {
-	id   string
-	key  RequestKey
-	body []byte
-	// listParts returns the parts of the prompt that other requests may share. It is nil once
-	// parts holds them, since few requests need them.
-	listParts func() []PromptPart
-	parts     []PromptPart
-	// digest is computed on first use, since few requests need it.
-	digest *Digest
-	// crashes counts the engines that crashed while they ran this submission. strikes is the
-	// last known count of the strikes that all entries recorded.
-	crashes, strikes int
-	// onTrial is set while the current attempt is the trial.
-	onTrial bool
-}
-
-// NewRequest returns a request with the given ID, which is used in logs. listParts returns the
-// parts of its prompt that other requests may share; nil means that it has none.
-func NewRequest(id string, key RequestKey, body []byte, listParts func() []PromptPart) *Request {
-	return &Request{id: id, key: key, body: body, listParts: listParts}
-}
-
-func (r *Request) promptParts() []PromptPart {
-	if r.listParts != nil {
-		r.parts, r.listParts = r.listParts(), nil
-	}
-	return r.parts
-}
-
-// Digest returns the digest of the request.
-func (r *Request) Digest() Digest {
-	if r.digest == nil {
-		d := DigestOf(r.key, r.body)
-		r.digest = &d
-	}
-	return *r.digest
-}
-
-func (r *Request) fingerprint() uint32 { return Fingerprint(r.key, len(r.body)) }
-
-// Crashes returns how many engines crashed while they ran this submission.
-func (r *Request) Crashes() int { return r.crashes }
-
-// Limits on the parts of a prompt in a log line, in parts and in bytes of each ID.
-const (
-	maxLoggedParts  = 8
-	maxLoggedPartID = 16
-)
-
-// LoggedParts returns the first parts of the prompt for logs, separated by commas.
-func (r *Request) LoggedParts() string {
-	var b strings.Builder
-	parts := r.promptParts()
-	for i, p := range parts[:min(len(parts), maxLoggedParts)] {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(p.ID[:min(len(p.ID), maxLoggedPartID)])
-	}
-	return b.String()
-}
-
 // Connectivity tells whether this entry can communicate with other entries.
 type Connectivity string
 
@@ -99,8 +34,10 @@
 	// active is set while the list is not empty; otherwise requests skip all checks.
 	active atomic.Bool
 	// pending receives a value while there are reports to send to peers.
-	pending   chan struct{}
-	heldTotal *metrics.Counter
+	pending chan struct{}
+	// heldTotal counts the attempts that were held back, partHeldTotal those among them that a
+	// part of their prompts held back.
+	heldTotal, partHeldTotal *metrics.Counter
 	// strikesTotal counts the attempts during which engines crashed.
 	strikesTotal *metrics.Counter
 	// rejectLoggedAt is when invalid reports of a peer were last logged, 0 if never.
@@ -114,7 +51,8 @@
 func NewGuard(clk *clock.Clock, log *slog.Logger) *Guard {
 	g := &Guard{
 		clk: clk, log: log, list: NewList(rand.Uint32), pending: make(chan struct{}, 1),
-		heldTotal: metrics.GetOrCreateCounter("weldfall_held_back_total"), strikesTotal: metrics.GetOrCreateCounter("weldfall_struck_total"),
+		heldTotal:     metrics.GetOrCreateCounter("weldfall_held_back_total"),
+		partHeldTotal: metrics.GetOrCreateCounter("weldfall_held_back_parts_total"), strikesTotal: metrics.GetOrCreateCounter("weldfall_struck_total"),
 	}
 	metrics.GetOrCreateGauge("weldfall_suspects", g.suspectCount)
 	return g
@@ -146,36 +84,37 @@
 	return float64(n)
 }
 
-// mayBeTracked reports whether the list may contain the request. It compares fingerprints,
-// so it can return true for other requests.
-func (g *Guard) mayBeTracked(r *Request) bool {
+// tracked returns what can be blamed in the request and may be on the list. It compares
+// fingerprints, so it can return what is not on the list.
+func (g *Guard) tracked(r *Request) Subjects {
 	if !g.active.Load() {
-		return false
+		return nil
 	}
-	found := false
-	g.withList(func(l *List) { found = l.MayContain(r.fingerprint()) })
-	return found
+	var out Subjects
+	g.withList(func(l *List) { out = r.subjects(l) })
+	return out
 }
 
 // Admit decides whether a request may be sent. It returns an error with the verdict v if the
 // request is held back. If alone is true, the request must be sent as a trial, and the caller
 // must then call StartTrial or EndTrial.
 func (g *Guard) Admit(ctx context.Context, r *Request, v verdict.Verdict, c Connectivity) (alone bool, err *verdict.Error) {
-	if !g.mayBeTracked(r) {
+	s := g.tracked(r)
+	if len(s) == 0 {
 		return false, nil
 	}
 	// An isolated entry still retries a request whose attempt broke here: most such requests
 	// were on a crashing engine by coincidence.
 	isolated := c == Isolated && r.crashes == 0
 	var a Admission
-	g.withList(func(l *List) { a = l.Admit(r.Digest(), isolated, g.clk.Now()) })
+	g.withList(func(l *List) { a = l.Admit(s, isolated, g.clk.Now()) })
 	switch a := a.(type) {
 	case Trial:
-		r.strikes = a.Strikes
-		if held := g.awaitClaim(ctx, r, c); held != nil {
+		r.strikes, r.tried = a.Strikes, a.Suspects
+		if held := g.awaitClaim(ctx, r, s, c); held != nil {
+			r.tried = nil
 			return false, g.holdBack(r, v, c, *held)
 		}
-		r.onTrial = true
 		return true, nil
 	case Held:
 		return false, g.holdBack(r, v, c, a)
@@ -185,20 +124,26 @@
 }
 
 // awaitClaim waits until all entries have received this entry's claim of a trial. It returns
-// nil if the trial may start. Otherwise another entry claimed the trial too, or reported in
-// the meantime why the request must be held back.
-func (g *Guard) awaitClaim(ctx context.Context, r *Request, c Connectivity) *Held {
+// nil if the trial may start. Otherwise another entry claimed the trial of a suspect too, or
+// reported in the meantime why the request must be held back.
+func (g *Guard) awaitClaim(ctx context.Context, r *Request, s Subjects, c Connectivity) *Held {
 	settled := c == Standalone || clock.Sleep(ctx, ClaimSettleTime)
 	var held *Held
 	g.withList(func(l *List) {
 		now := g.clk.Now()
-		pause := l.RemainingPause(r.Digest(), now)
+		pause := l.RemainingPause(s, now)
+		lost := slices.IndexFunc(r.tried, func(d Digest) bool { return !l.OwnsTrial(d, now) })
 		switch {
 		case !settled || pause > 0:
-			l.EndTrial(r.Digest(), now)
-			held = &Held{Strikes: l.Strikes(r.Digest()), RetryAfter: max(pause, TrialRetryAfter)}
-		case !l.OwnsTrial(r.Digest(), now):
-			held = &Held{Strikes: r.strikes, RetryAfter: TrialRetryAfter, TrialRunning: true}
+			held = &Held{Suspect: r.tried[0], RetryAfter: max(pause, TrialRetryAfter)}
+		case lost >= 0:
+			held = &Held{Suspect: r.tried[lost], RetryAfter: TrialRetryAfter, TrialRunning: true}
+		default:
+			return
+		}
+		held.Strikes, held.Part = l.Strikes(held.Suspect), held.Suspect != r.Digest()
+		for _, d := range r.tried {
+			l.EndTrial(d, now)
 		}
 	})
 	return held
@@ -208,9 +153,16 @@
 func (g *Guard) holdBack(r *Request, v verdict.Verdict, c Connectivity, h Held) *verdict.Error {
 	r.strikes = h.Strikes
 	g.heldTotal.Inc()
-	g.log.Info("held_back", "request", r.id, "asked", r.Digest(), "strikes", h.Strikes, "last_ms", h.SinceCrash,
-		"trial", h.TrialRunning, "contact", c, "back_ms", h.RetryAfter)
-	return verdict.New(v, verdict.HeldBack, "engines crashed %d times while they ran this request", h.Strikes).WithRetryAfter(h.RetryAfter)
+	attrs := []any{"request", r.id, "asked", h.Suspect, "strikes", h.Strikes, "last_ms", h.SinceCrash,
+		"trial", h.TrialRunning, "contact", c, "back_ms", h.RetryAfter}
+	if !h.Part {
+		g.log.Info("held_back", attrs...)
+		return verdict.New(v, verdict.HeldBack, "engines crashed %d times while they ran this request", h.Strikes).WithRetryAfter(h.RetryAfter)
+	}
+	id := r.partID(h.Suspect)
+	g.partHeldTotal.Inc()
+	g.log.Info("held_back", append(attrs, "part", loggedPartID(id))...)
+	return verdict.New(v, verdict.PartHeldBack, "engines crashed %d times while they ran requests with the part %q of this prompt", h.Strikes, id).WithRetryAfter(h.RetryAfter)
 }
 
 // SetHistoryUnknownUntil sets the time until which requests may have crashed engines without
@@ -222,58 +174,80 @@
 // StartTrial records the engine of a trial, which is reported to peers. incarnation is the
 // hash of the engine's incarnation, or 0 if it is not chosen yet; engine is its ID, for logs.
 func (g *Guard) StartTrial(r *Request, incarnation uint32, engine string) {
-	g.withList(func(l *List) { l.StartTrial(r.Digest(), incarnation, g.clk.Now()) })
-	g.log.Info("trial", "request", r.id, "asked", r.Digest(), "strikes", r.strikes, "engine", engine)
+	g.withList(func(l *List) {
+		for _, d := range r.tried {
+			l.StartTrial(d, incarnation, g.clk.Now())
+		}
+	})
+	g.log.Info("trial", "request", r.id, "asked", joinDigests(r.tried), "strikes", r.strikes, "engine", engine, "parts", r.LoggedParts())
 }
 
 // EndTrial records that an attempt ended without a result that matters to the quarantine. It
 // does nothing if the attempt was no trial.
 func (g *Guard) EndTrial(r *Request) {
-	if !r.onTrial {
+	if len(r.tried) == 0 {
 		return
 	}
-	r.onTrial = false
-	g.withList(func(l *List) { l.EndTrial(r.Digest(), g.clk.Now()) })
+	g.withList(func(l *List) {
+		for _, d := range r.tried {
+			l.EndTrial(d, g.clk.Now())
+		}
+	})
+	r.tried = nil
 }
 
 // RecordCrash records that an engine crashed during the attempt. incarnation is the hash of
 // the engine's incarnation, engine its ID.
 func (g *Guard) RecordCrash(r *Request, incarnation uint32, engine string) {
 	r.crashes++
-	a := Attempt{ID: r.id, Digest: r.Digest(), Fingerprint: r.fingerprint(), Incarnation: incarnation, Trial: r.onTrial}
-	r.onTrial = false
+	a := r.attempt(incarnation)
 	g.withList(func(l *List) { r.strikes = l.RecordCrash(a, g.clk.Now()) })
+	g.logStrike(r, a, engine, "refused")
+}
+
+// logStrike counts and logs the strike of an attempt, and logs the parts of its prompt that are
+// suspects now. ground names the evidence.
+func (g *Guard) logStrike(r *Request, a Attempt, engine, ground string) {
 	g.strikesTotal.Inc()
-	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "refused", "parts", r.LoggedParts())
+	g.log.Info("struck", "request", r.id, "asked", a.Digest, "engine", engine, "strikes", r.strikes, "trial", len(a.tried()) > 0, "ground", ground, "parts", r.LoggedParts())
+	for _, p := range a.Parts[:min(len(a.Parts), maxLoggedParts)] {
+		strikes := 0
+		g.withList(func(l *List) { strikes = l.Strikes(p.Digest) })
+		if strikes >= SuspectStrikes {
+			g.log.Info("part_suspected", "request", r.id, "asked", p.Digest, "part", loggedPartID(r.partID(p.Digest)), "engine", engine, "strikes", strikes, "trial", p.Trial)
+		}
+	}
 }
 
 // RecordBrokenAttempt records that the attempt broke at an engine without evidence of a
 // crash. silent is true if the engine sent no response, rather than close the connection.
 func (g *Guard) RecordBrokenAttempt(r *Request, incarnation uint32, engine string, silent bool) {
-	a := Attempt{ID: r.id, Digest: r.Digest(), Fingerprint: r.fingerprint(), Incarnation: incarnation, Trial: r.onTrial, Silent: silent}
-	r.onTrial = false
+	a := r.attempt(incarnation)
+	a.Silent = silent
 	g.withList(func(l *List) { l.RecordBrokenAttempt(a, g.clk.Now()) })
-	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", a.Trial, "parts", r.LoggedParts())
+	g.log.Info("broke_off", "request", r.id, "asked", r.Digest(), "engine", engine, "silent", silent, "trial", len(a.tried()) > 0, "parts", r.LoggedParts())
 }
 
 // RecordUnresponsive records that an engine became unresponsive during the attempt, which
 // was sent at sentAt and is still waiting.
 func (g *Guard) RecordUnresponsive(r *Request, incarnation uint32, engine string, sentAt clock.Millis) {
-	a := Attempt{ID: r.id, Digest: r.Digest(), Fingerprint: r.fingerprint(), Incarnation: incarnation, Trial: r.onTrial}
-	r.onTrial = false
+	a := r.attempt(incarnation)
 	g.withList(func(l *List) { r.strikes = l.RecordUnresponsive(a, sentAt, g.clk.Now()) })
-	g.strikesTotal.Inc()
-	g.log.Info("struck", "request", r.id, "asked", r.Digest(), "engine", engine, "strikes", r.strikes, "trial", a.Trial, "ground", "dark", "parts", r.LoggedParts())
+	g.logStrike(r, a, engine, "dark")
 }
 
 // UnresponsiveIncarnations returns the incarnation hashes of the engines that became
 // unresponsive while they had the request.
 func (g *Guard) UnresponsiveIncarnations(r *Request) []uint32 {
-	if !g.mayBeTracked(r) {
+	if !g.active.Load() {
 		return nil
 	}
 	var incarnations []uint32
-	g.withList(func(l *List) { incarnations = l.UnresponsiveIncarnations(r.Digest()) })
+	g.withList(func(l *List) {
+		if l.MayContain(r.fingerprint()) {
+			incarnations = l.UnresponsiveIncarnations(r.Digest())
+		}
+	})
 	return incarnations
 }
 
@@ -287,23 +261,22 @@
 	g.withList(func(l *List) { strikes = l.RecordIncarnationEnd(incarnation, g.clk.Now()) })
 	for _, s := range strikes {
 		g.strikesTotal.Inc()
-		g.log.Info("struck", "request", s.ID, "asked", s.Digest, "engine", engine, "strikes", s.Strikes, "trial", s.Trial, "ground", ground, "late_ms", s.Delay)
+		g.log.Info("struck", "request", s.ID, "asked", s.Digest, "engine", engine, "strikes", s.Strikes, "trial", len(s.tried()) > 0, "ground", ground, "late_ms", s.Delay)
 	}
 }
 
-// RecordSuccess records that the attempt succeeded, which clears all strikes of the request.
+// RecordSuccess records that the attempt succeeded, which clears all strikes of the request and
+// of the parts of its prompt.
 func (g *Guard) RecordSuccess(r *Request) {
-	if !g.mayBeTracked(r) {
-		return
-	}
-	r.onTrial = false
-	before, cleared := 0, false
-	g.withList(func(l *List) {
-		before = l.Strikes(r.Digest())
-		cleared = l.RecordSuccess(r.Digest(), g.clk.Now())
-	})
-	if cleared && before >= SuspectStrikes {
-		g.log.Info("suspect", "asked", r.Digest(), "strikes", 0, "before", before, "request", r.id)
+	for _, d := range g.tracked(r) {
+		before, cleared := 0, false
+		g.withList(func(l *List) {
+			before = l.Strikes(d)
+			cleared = l.RecordSuccess(d, g.clk.Now())
+		})
+		if cleared && before >= SuspectStrikes {
+			g.log.Info("suspect", "asked", d, "strikes", 0, "before", before, "request", r.id, "part", loggedPartID(r.partID(d)))
+		}
 	}
 }
 
@@ -399,6 +372,6 @@
 		strikes = l.Strikes(r.Digest)
 	})
 	if changed && strikes != before && max(before, strikes) >= SuspectStrikes {
-		g.log.Info("suspect", "asked", r.Digest, "strikes", strikes, "before", before, "told_by", from)
+		g.log.Info("suspect", "asked", r.Digest, "is_part", r.Part, "strikes", strikes, "before", before, "told_by", from)
 	}
 }
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -9,114 +10,36 @@
 	"github.com/weldfall/weldfall/common/clock"
 )
 
-// A request that crashes engines is present at every crash it causes, never succeeds, and is
-// submitted again. A request that was on a crashing engine by coincidence succeeds when it is
-// retried. Therefore each crash is a strike for all requests on that engine, and a success
-// clears all strikes of a request. The time that a request ran before the crash is ignored:
-// it may crash its engine with the first token or with a late one.
-//
-// A request with two strikes is a suspect. It is sent as a trial only: by one entry at a
-// time, to the engine with the fewest other requests. A crash during a trial is proof, unless
-// other engines crashed at the same time. After two proofs the request is held back for as
-// long as clients submit it.
-//
-// When n requests run on each of 12 engines, a crash gives n-1 of them a strike by
-// coincidence. In the worst case all of them are retried at once, and each meets the next
-// crash with a probability of 1 in 12. The number of other requests that become suspects by
-// coincidence, and are tried, per request that crashes engines is (TestCoincidentStrikesAreFew,
-// 200 simulations each): 0.7 of 8 requests that run at once, 6 of 64, 19 of 200. None of them
-// is held back for good, since that takes an engine that crashes for another reason during
-// the request's trial, twice.
+// maxStruck and maxStruckParts limit the whole requests and the parts with at most one strike
+// that are kept, maxUnconfirmed the records with more strikes that only peers reported, and
+// maxConfirmed all others. A record takes about 250 bytes.
 const (
-	// SuspectStrikes is the number of strikes that make a request a suspect.
-	SuspectStrikes = 2
-	// A request is held back after minIsolatedFailures failed trials in which only its engine
-	// crashed, or after minFailures failed trials of any kind.
-	minIsolatedFailures = 2
-	minFailures         = 3
-	// maxOtherCrashes is the number of other engines that may crash at the same time without
-	// invalidating a trial. One may crash under another request; more suggest a rack failure.
-	maxOtherCrashes = 1
-	// maxRecentCrashes limits the engine crashes that are kept to detect simultaneous ones.
-	maxRecentCrashes = 256
-	// retrialPause is the time between a failed trial and the next one. It suffices for all
-	// entries to receive the result, and for an engine that crashed for another reason to
-	// restart.
-	retrialPause clock.Millis = 1000
-	// unconfirmedPause limits how long a request is held back if this entry itself found none
-	// of its crashed engines to be unreachable. It limits the effect of false reports.
-	unconfirmedPause clock.Millis = 300_000
-	// Retention is how long a suspect is kept after its last submission or strike.
-	Retention clock.Millis = 3_600_000
-	// strikeRetention is the retention of requests with at most one strike.
-	strikeRetention clock.Millis = 600_000
-	// TrialTimeout limits a trial; running longer proves nothing more.
-	TrialTimeout clock.Millis = 5000
-	// ClaimSettleTime is how long a claim takes to reach all entries: about five hops of a
-	// few milliseconds among hundreds of entries.
-	ClaimSettleTime clock.Millis = 100
-	// claimTimeout limits a claim that never becomes a trial because its entry terminated.
-	claimTimeout clock.Millis = 2000
-	// TrialRetryAfter is the Retry-After time while a trial of the request is running, by
-	// which most trials are over.
-	TrialRetryAfter clock.Millis = 250
-
-	// isolatedRetryAfter is the Retry-After time at an isolated entry. It is short because
-	// clients retry at another entry.
-	isolatedRetryAfter clock.Millis = 10
-
-	// maxStruck, maxUnconfirmed and maxConfirmed limit the records that are kept: those with
-	// at most one strike, those with more strikes that only peers reported, and all others.
-	// A record takes about 250 bytes.
 	maxStruck      = 4096
+	maxStruckParts = 4096
 	maxUnconfirmed = 256
 	maxConfirmed   = 1024
 )
 
-// Admission tells how a request may be sent.
-type Admission interface{ admission() }
-
-type (
-	// Allowed requests are routed as usual.
-	Allowed struct{}
-	// Trial requests are sent to a lightly loaded engine, and no other entry sends the same
-	// request at that time. The caller first waits for ClaimSettleTime, since another entry
-	// may have claimed the trial as well. OwnsTrial then tells whether the trial may run, and
-	// the caller must call StartTrial or EndTrial.
-	Trial struct{ Strikes int }
-	// Held requests are not sent.
-	Held struct {
-		Strikes int
-		// SinceCrash is the time since the latest crash.
-		SinceCrash clock.Millis
-		// RetryAfter is the time after which the client may retry.
-		RetryAfter clock.Millis
-		// TrialRunning is true if a trial of the request is running.
-		TrialRunning bool
-	}
-)
-
-func (Allowed) admission() {}
-func (Trial) admission()   {}
-func (Held) admission()    {}
-
 // List holds what one entry knows of the requests under which engines crashed. It reads no
 // clock and does no locking: callers pass the time and synchronize access.
 type List struct {
 	randomID func() uint32
-	// struck holds records with at most one strike, unconfirmed and confirmed those with
-	// more. Records without a crash that this entry confirmed itself are in unconfirmed, so
-	// that reports of peers never evict this entry's own findings.
-	struck, unconfirmed, confirmed *simplelru.LRU[Digest, *record]
+	// struck and struckParts hold whole requests and parts with at most one strike, unconfirmed
+	// and confirmed those with more. Records without a crash that this entry confirmed itself
+	// are in unconfirmed, so that reports of peers never evict this entry's own findings.
+	struck, struckParts, unconfirmed, confirmed *simplelru.LRU[Digest, *record]
 	// fingerprints counts the records by fingerprint.
 	fingerprints map[uint32]int
 	// byIncarnation indexes the records by the engine incarnations that crashed under them.
 	byIncarnation map[uint32][]*record
+	// byTrial holds the suspects of the latest trials by the IDs of the trials.
+	byTrial map[uint32][]Digest
 	// recent holds the latest engine crashes under any request.
 	recent []crashTime
 	broken brokenAttempts
-	// outbox holds the requests to report to peers.
-	outbox outbox
+	// outbox and partOutbox hold the whole requests and the parts to report to peers. They are
+	// sent in separate messages, since older versions reject a message with a part.
+	outbox, partOutbox outbox
 	// nextSample is the position of the next sample of suspects.
 	nextSample int
 	// sweptAt is when expired records were last removed.
@@ -129,10 +52,11 @@
 // NewList returns an empty list. randomID returns the random IDs by which the observations of
 // different entries are distinguished.
 func NewList(randomID func() uint32) *List {
-	l := &List{randomID: randomID, fingerprints: map[uint32]int{}, byIncarnation: map[uint32][]*record{}, broken: newBrokenAttempts()}
+	l := &List{randomID: randomID, fingerprints: map[uint32]int{}, byIncarnation: map[uint32][]*record{}, byTrial: map[uint32][]Digest{}, broken: newBrokenAttempts()}
 	onEvict := func(_ Digest, r *record) { l.unindex(r) }
 	// NewLRU fails only for sizes that are not positive.
 	l.struck, _ = simplelru.NewLRU(maxStruck, onEvict)
+	l.struckParts, _ = simplelru.NewLRU(maxStruckParts, onEvict)
 	l.unconfirmed, _ = simplelru.NewLRU(maxUnconfirmed, onEvict)
 	l.confirmed, _ = simplelru.NewLRU(maxConfirmed, onEvict)
 	return l
@@ -160,171 +84,33 @@
 // trial in which only its engine crashed holds it back for unconfirmedPause.
 func (l *List) SetHistoryUnknownUntil(until clock.Millis) { l.historyUnknownUntil = until }
 
-// isSuspect reports whether a request may only be sent as a trial.
-func (l *List) isSuspect(r *record, now clock.Millis) bool {
-	s := r.strikes()
-	return s >= SuspectStrikes || (s > 0 && now < l.historyUnknownUntil && !r.crashes[0].unresponsive && l.otherCrashes(r.crashes[0]) <= maxOtherCrashes)
-}
-
-// Admit decides whether a request may be sent, and claims its trial if there is to be one.
-// isolated is true if this entry receives nothing from others. It then holds back all
-// requests with a strike: they may have crashed more engines elsewhere, and another entry can
-// accept them.
-func (l *List) Admit(d Digest, isolated bool, now clock.Millis) Admission {
-	r := l.get(d)
-	if r == nil || r.strikes() == 0 {
-		return Allowed{}
-	}
-	l.touch(r, now)
-	s := r.strikes()
-	held := Held{Strikes: s, SinceCrash: now - r.lastCrashAt(), RetryAfter: TrialRetryAfter}
-	if isolated {
-		held.RetryAfter = isolatedRetryAfter
-		return held
-	}
-	if !l.isSuspect(r, now) {
-		return Allowed{}
-	}
-	if r.trial.isRunning(now) {
-		held.TrialRunning = true
-		return held
-	}
-	if pause := l.remainingPauseOf(r, now); pause > 0 {
-		held.RetryAfter = pause
-		return held
-	}
-	r.trial = trial{id: l.newID(), deadline: now + claimTimeout, own: true}
-	l.outbox.add(d, true)
-	return Trial{Strikes: s}
-}
-
-// OwnsTrial reports whether this entry holds the claim for the trial of a request.
-func (l *List) OwnsTrial(d Digest, now clock.Millis) bool {
-	r := l.get(d)
-	return r != nil && r.trial.own && r.trial.isRunning(now)
-}
-
-// RemainingPause returns how long a request must not be sent, whether or not its trial is
-// claimed. It takes into account what was received since the claim.
-func (l *List) RemainingPause(d Digest, now clock.Millis) clock.Millis {
-	if r := l.get(d); r != nil && r.strikes() > 0 {
-		return l.remainingPauseOf(r, now)
-	}
-	return 0
-}
-
-// remainingPauseOf returns the rest of the pause after the latest crash, zero or less if it
-// is over.
-func (l *List) remainingPauseOf(r *record, now clock.Millis) clock.Millis {
-	return min(r.lastCrashAt()+l.pause(r, now)-now, Retention)
-}
-
-// pause returns how long after its latest crash a suspect is not sent.
-func (l *List) pause(r *record, now clock.Millis) clock.Millis {
-	isolated, all := l.failures(r, func(crash) bool { return true })
-	switch {
-	case isProven(l.failures(r, func(c crash) bool { return c.confirmed })):
-		// This exceeds Retention: the request is held back for as long as it is submitted.
-		return 2 * Retention
-	case isProven(isolated, all):
-		return unconfirmedPause
-	case now < l.historyUnknownUntil && l.hasIsolatedFailure(r):
-		return unconfirmedPause
-	case slices.ContainsFunc(r.crashes, func(c crash) bool { return c.trial }):
-		return retrialPause
-	}
-	return 0
-}
-
-// hasIsolatedFailure reports whether a trial failed in which only its engine crashed. Trials
-// whose engine became unresponsive do not count.
-func (l *List) hasIsolatedFailure(r *record) bool {
-	isolated, _ := l.failures(r, func(c crash) bool { return !c.unresponsive })
-	return isolated > 0
-}
-
-// isProven reports whether failed trials prove that a request crashes engines.
-func isProven(isolated, all int) bool { return isolated >= minIsolatedFailures || all >= minFailures }
-
-// failures returns the number of failed trials of a request, considering only the crashes for
-// which counts returns true: isolated counts the trials in which only its engine crashed.
-// Trials that failed at the same time count once, since entries that did not receive each
-// other's claims ran both.
-func (l *List) failures(r *record, counts func(crash) bool) (isolated, all int) {
-	for _, group := range groups(r.crashes) {
-		failed := slices.DeleteFunc(slices.Clone(group), func(c crash) bool { return !c.trial || !counts(c) })
-		if len(failed) == 0 {
-			continue
-		}
-		all++
-		if l.otherCrashes(failed[0]) <= maxOtherCrashes {
-			isolated++
-		}
-	}
-	return isolated, all
-}
-
-// crashTime is the time at which an engine incarnation crashed.
-type crashTime struct {
-	incarnation uint32
-	at          clock.Millis
-}
-
-// otherCrashes returns how many other engines crashed at the same time.
-func (l *List) otherCrashes(c crash) int {
-	n := 0
-	for _, o := range l.recent {
-		if diff := o.at - c.at; o.incarnation != c.incarnation && max(diff, -diff) <= crashWindow {
-			n++
-		}
-	}
-	return n
-}
-
-// noteCrash adds an engine crash to recent, unless it is there already.
-func (l *List) noteCrash(incarnation uint32, at clock.Millis) {
-	if slices.ContainsFunc(l.recent, func(o crashTime) bool {
-		return o.incarnation == incarnation && max(o.at-at, at-o.at) <= sameCrashTolerance
-	}) {
-		return
-	}
-	l.recent = append(l.recent, crashTime{incarnation: incarnation, at: at})
-	l.recent = l.recent[max(0, len(l.recent)-maxRecentCrashes):]
-}
-
-// StartTrial records the engine of a trial that this entry claimed. It does nothing if the
-// claim is not held anymore.
-func (l *List) StartTrial(d Digest, incarnation uint32, now clock.Millis) {
-	if l.OwnsTrial(d, now) {
-		t := &l.get(d).trial
-		t.incarnation, t.deadline = incarnation, now+TrialTimeout
-		l.outbox.add(d, true)
-	}
-}
-
-// EndTrial records that this entry's trial of a request ended without a result. It does
-// nothing if there is no such trial.
-func (l *List) EndTrial(d Digest, now clock.Millis) {
-	if l.OwnsTrial(d, now) {
-		l.get(d).trial.deadline = now
-		l.outbox.add(d, true)
-	}
-}
-
 // Attempt is an attempt to run a request at an engine.
 type Attempt struct {
 	// ID is the client's request ID, for logs.
 	ID          string
 	Digest      Digest
 	Fingerprint uint32
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []AttemptPart
 	// Incarnation is the hash of the engine's incarnation.
 	Incarnation uint32
-	// Trial is true if the attempt was a trial.
+	// Trial is true if the attempt was a trial of the whole request.
 	Trial bool
 	// Silent is true if the engine sent nothing, rather than close the connection.
 	Silent bool
 }
 
+// AttemptPart is a part of the prompt of a request that is attempted.
+type AttemptPart struct {
+	Digest      Digest
+	Fingerprint uint32
+	// Trial is true if the attempt was a trial of the part.
+	Trial bool
+}
+
+// maxReportedParts limits the parts of an attempt that are reported to peers after one strike.
+const maxReportedParts = 16
+
 // RecordCrash records that an engine crashed during an attempt, and returns the strikes of
 // the request.
 func (l *List) RecordCrash(a Attempt, now clock.Millis) int { return l.recordCrashAt(a, now, now) }
@@ -343,19 +129,43 @@
 	return l.addStrike(a, crash{at: sentAt, unresponsive: true}, now)
 }
 
+// addStrike adds a crash to the whole request and, unless the engine merely became
+// unresponsive, to the parts of its prompt. It returns the strikes of the whole request.
 func (l *List) addStrike(a Attempt, c crash, now clock.Millis) int {
-	r := l.get(a.Digest)
-	if r == nil {
-		r = &record{digest: a.Digest, fingerprint: a.Fingerprint}
-	}
-	l.EndTrial(a.Digest, now)
 	l.noteCrash(a.Incarnation, c.at)
-	c.id, c.incarnation, c.trial = l.newID(), a.Incarnation, a.Trial
+	c.incarnation = a.Incarnation
+	for i, p := range a.Parts {
+		if c.unresponsive {
+			l.EndTrial(p.Digest, now)
+			continue
+		}
+		c.trial = p.Trial
+		l.addCrash(&record{digest: p.Digest, fingerprint: p.Fingerprint, part: true}, c, i < maxReportedParts, now)
+	}
+	c.trial = a.Trial
+	return l.addCrash(&record{digest: a.Digest, fingerprint: a.Fingerprint}, c, true, now)
+}
+
+// addCrash adds a crash to the record with the digest of r, or to r itself if there is none,
+// and returns its strikes. It queues a report if the record is a suspect now, or if report is
+// true.
+func (l *List) addCrash(r *record, c crash, report bool, now clock.Millis) int {
+	if known := l.get(r.digest); known != nil {
+		r = known
+	}
+	l.EndTrial(r.digest, now)
+	if !c.unresponsive && l.isExplained(r, c, now) {
+		return r.strikes()
+	}
+	c.id = l.newID()
 	changed := r.addCrash(c)
 	r.usedAt = now
 	l.put(r)
 	if changed {
-		l.outbox.add(a.Digest, l.isSuspect(r, now))
+		l.clearExplained(r, now)
+	}
+	if suspect := l.isSuspect(r, now); changed && (suspect || report) {
+		l.queue(r, suspect)
 	}
 	return r.strikes()
 }
@@ -384,7 +194,8 @@
 	return out
 }
 
-// RecordSuccess records that a request succeeded, and reports whether it had strikes.
+// RecordSuccess records that a whole request, or a request with a part, succeeded, and reports
+// whether it had strikes.
 func (l *List) RecordSuccess(d Digest, now clock.Millis) bool {
 	l.EndTrial(d, now)
 	l.broken.remove(func(b brokenAttempt) bool { return b.Digest == d })
@@ -392,12 +203,12 @@
 	if r == nil || r.strikes() == 0 {
 		return false
 	}
-	suspect := r.strikes() >= SuspectStrikes
+	suspect := l.isSuspect(r, now)
 	r.addSuccess(success{id: l.newID(), at: now})
 	l.touch(r, now)
 	l.put(r)
 	if suspect {
-		l.outbox.add(d, true)
+		l.queue(r, true)
 	}
 	return true
 }
@@ -412,8 +223,8 @@
 		}
 	}
 	for _, b := range l.broken.removeAlive(incarnation, openedAt, now) {
-		if b.Trial {
-			l.EndTrial(b.Digest, now)
+		for _, d := range b.tried() {
+			l.EndTrial(d, now)
 		}
 	}
 }
@@ -442,7 +253,7 @@
 	return out
 }
 
-// Strikes returns the number of strikes of a request.
+// Strikes returns the number of strikes of a whole request or a part.
 func (l *List) Strikes(d Digest) int {
 	if r := l.get(d); r != nil {
 		return r.strikes()
@@ -453,7 +264,7 @@
 // Empty reports whether the list has no records and no broken attempts.
 func (l *List) Empty() bool { return len(l.fingerprints) == 0 && len(l.broken.attempts) == 0 }
 
-// Counts returns the number of requests that are suspects or held back, and the number of
+// Counts returns the number of whole requests and parts that are suspects, and the number of
 // others with a strike.
 func (l *List) Counts() (suspects, struck int) {
 	for _, r := range l.all() {
@@ -486,6 +297,12 @@
 			l.cacheOf(r).Remove(r.digest)
 		}
 	}
+	maps.DeleteFunc(l.byTrial, func(id uint32, ds []Digest) bool {
+		return !slices.ContainsFunc(ds, func(d Digest) bool {
+			r := l.get(d)
+			return r != nil && r.trial.id == id && r.trial.isRunning(now)
+		})
+	})
 }
 
 func (l *List) get(d Digest) *record {
@@ -500,8 +317,8 @@
 func (l *List) touch(r *record, now clock.Millis) { r.usedAt = max(r.usedAt, now) }
 
 // caches returns the caches that may hold a record, those with fewer records first.
-func (l *List) caches() [3]*simplelru.LRU[Digest, *record] {
-	return [3]*simplelru.LRU[Digest, *record]{l.confirmed, l.unconfirmed, l.struck}
+func (l *List) caches() [4]*simplelru.LRU[Digest, *record] {
+	return [4]*simplelru.LRU[Digest, *record]{l.confirmed, l.unconfirmed, l.struckParts, l.struck}
 }
 
 func (l *List) all() []*record {
@@ -515,6 +332,8 @@
 // cacheOf returns the cache to which a record belongs.
 func (l *List) cacheOf(r *record) *simplelru.LRU[Digest, *record] {
 	switch {
+	case r.strikes() < SuspectStrikes && r.part:
+		return l.struckParts
 	case r.strikes() < SuspectStrikes:
 		return l.struck
 	case !r.isConfirmed():
--- a/engines/quarantine/list_test.go
+++ b/engines/quarantine/list_test.go
@@ -22,8 +22,8 @@
 // failTrial runs a trial of a suspect whose engine crashes.
 func failTrial(t *testing.T, l *quarantine.List, d quarantine.Digest, incarnation uint32, now clock.Millis) {
 	t.Helper()
-	if a, ok := l.Admit(d, false, now).(quarantine.Trial); !ok {
-		t.Fatalf("got %T at %d, want a trial", l.Admit(d, false, now), now)
+	if a, ok := l.Admit(quarantine.Subjects{d}, false, now).(quarantine.Trial); !ok {
+		t.Fatalf("got %T at %d, want a trial", l.Admit(quarantine.Subjects{d}, false, now), now)
 	} else if a.Strikes < quarantine.SuspectStrikes {
 		t.Errorf("got a trial after %d strikes, want %d", a.Strikes, quarantine.SuspectStrikes)
 	}
@@ -33,30 +33,30 @@
 
 func TestTwoStrikesMakeSuspectAndTwoFailedTrialsHoldItBack(t *testing.T) {
 	l := newList()
-	if _, ok := l.Admit(poison, false, 0).(quarantine.Allowed); !ok {
-		t.Errorf("got %T for an unknown request, want it allowed", l.Admit(poison, false, 0))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 0).(quarantine.Allowed); !ok {
+		t.Errorf("got %T for an unknown request, want it allowed", l.Admit(quarantine.Subjects{poison}, false, 0))
 	}
 	recordCrash(l, poison, 1, 1000)
-	if _, ok := l.Admit(poison, false, 1001).(quarantine.Allowed); !ok {
-		t.Errorf("got %T after one strike, want it allowed", l.Admit(poison, false, 1001))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 1001).(quarantine.Allowed); !ok {
+		t.Errorf("got %T after one strike, want it allowed", l.Admit(quarantine.Subjects{poison}, false, 1001))
 	}
 	recordCrash(l, poison, 2, 2000)
 	failTrial(t, l, poison, 3, 2001)
-	held, ok := l.Admit(poison, false, 2100).(quarantine.Held)
+	held, ok := l.Admit(quarantine.Subjects{poison}, false, 2100).(quarantine.Held)
 	if !ok || held.RetryAfter != 961 {
 		t.Errorf("got %+v after a failed trial, want it held for the rest of a second", held)
 	}
 	failTrial(t, l, poison, 4, 3100)
 	for _, now := range []clock.Millis{3200, 60_000, 3_000_000} {
-		if _, ok := l.Admit(poison, false, now).(quarantine.Held); !ok {
-			t.Errorf("got %T at %d after two failed trials, want it held", l.Admit(poison, false, now), now)
+		if _, ok := l.Admit(quarantine.Subjects{poison}, false, now).(quarantine.Held); !ok {
+			t.Errorf("got %T at %d after two failed trials, want it held", l.Admit(quarantine.Subjects{poison}, false, now), now)
 		}
 	}
 	if !l.RecordSuccess(poison, 3_000_001) {
 		t.Error("got no change by a success, want all strikes cleared")
 	}
-	if _, ok := l.Admit(poison, false, 3_000_002).(quarantine.Allowed); !ok {
-		t.Errorf("got %T after a success, want it allowed", l.Admit(poison, false, 3_000_002))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 3_000_002).(quarantine.Allowed); !ok {
+		t.Errorf("got %T after a success, want it allowed", l.Admit(quarantine.Subjects{poison}, false, 3_000_002))
 	}
 }
 
@@ -72,7 +72,7 @@
 		recordCrash(l, poison, uint32(10+n), 10_000+clock.Millis(1000*n))
 	}
 	for _, now := range []clock.Millis{40_000, 3_000_000} {
-		if a, ok := l.Admit(poison, false, now).(quarantine.Held); !ok || a.RetryAfter < 60_000 {
+		if a, ok := l.Admit(quarantine.Subjects{poison}, false, now).(quarantine.Held); !ok || a.RetryAfter < 60_000 {
 			t.Errorf("got %T %+v at %d after 20 other crashes, want it held", a, a, now)
 		}
 	}
@@ -88,14 +88,14 @@
 	failTrial(t, informed, poison, 4, 3100)
 	recordCrash(restarted, poison, 5, 20_000)
 	recordCrash(restarted, poison, 6, 20_500)
-	if _, ok := restarted.Admit(poison, false, 20_501).(quarantine.Trial); !ok {
-		t.Fatalf("got %T, want a trial", restarted.Admit(poison, false, 20_501))
+	if _, ok := restarted.Admit(quarantine.Subjects{poison}, false, 20_501).(quarantine.Trial); !ok {
+		t.Fatalf("got %T, want a trial", restarted.Admit(quarantine.Subjects{poison}, false, 20_501))
 	}
-	if got := restarted.RemainingPause(poison, 20_550); got > 0 {
+	if got := restarted.RemainingPause(quarantine.Subjects{poison}, 20_550); got > 0 {
 		t.Errorf("got a pause of %d ms before the reports, want none", got)
 	}
 	merge(t, restarted, informed.TakePending(10, 20_560), 20_560)
-	if got, least := restarted.RemainingPause(poison, 20_600), clock.Millis(60_000); got < least {
+	if got, least := restarted.RemainingPause(quarantine.Subjects{poison}, 20_600), clock.Millis(60_000); got < least {
 		t.Errorf("got a pause of %d ms after the reports, want %d or more", got, least)
 	}
 }
@@ -106,15 +106,15 @@
 	l := newList()
 	recordCrash(l, poison, 1, 1000)
 	recordCrash(l, poison, 2, 2000)
-	if _, ok := l.Admit(poison, false, 2001).(quarantine.Trial); !ok {
-		t.Fatalf("got %T, want a trial", l.Admit(poison, false, 2001))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 2001).(quarantine.Trial); !ok {
+		t.Fatalf("got %T, want a trial", l.Admit(quarantine.Subjects{poison}, false, 2001))
 	}
-	if held, ok := l.Admit(poison, false, 2002).(quarantine.Held); !ok || !held.TrialRunning || held.RetryAfter > 500 {
+	if held, ok := l.Admit(quarantine.Subjects{poison}, false, 2002).(quarantine.Held); !ok || !held.TrialRunning || held.RetryAfter > 500 {
 		t.Errorf("got %+v, want it held briefly while a trial is running", held)
 	}
 	l.EndTrial(poison, 2100)
-	if _, ok := l.Admit(poison, false, 2101).(quarantine.Trial); !ok {
-		t.Errorf("got %T after a trial without a result, want another", l.Admit(poison, false, 2101))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 2101).(quarantine.Trial); !ok {
+		t.Errorf("got %T after a trial without a result, want another", l.Admit(quarantine.Subjects{poison}, false, 2101))
 	}
 }
 
@@ -127,7 +127,7 @@
 			recordCrash(l, poison, 1, 1000)
 			recordCrash(l, poison, 2, 2000)
 			l.TakePending(10, 2000)
-			l.Admit(poison, false, 2001)
+			l.Admit(quarantine.Subjects{poison}, false, 2001)
 		}
 		fromA, fromB := a.TakePending(10, 2002), b.TakePending(10, 2002)
 		merge(t, a, fromB, 2005)
@@ -154,11 +154,11 @@
 // it, and they may know of more strikes.
 func TestIsolatedEntryHoldsBackAfterOneStrike(t *testing.T) {
 	l := newList()
-	if _, ok := l.Admit(poison, true, 0).(quarantine.Allowed); !ok {
-		t.Errorf("got %T for a request without a strike, want it allowed", l.Admit(poison, true, 0))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, true, 0).(quarantine.Allowed); !ok {
+		t.Errorf("got %T for a request without a strike, want it allowed", l.Admit(quarantine.Subjects{poison}, true, 0))
 	}
 	recordCrash(l, poison, 1, 1000)
-	if held, ok := l.Admit(poison, true, 1001).(quarantine.Held); !ok || held.RetryAfter > 20 {
+	if held, ok := l.Admit(quarantine.Subjects{poison}, true, 1001).(quarantine.Held); !ok || held.RetryAfter > 20 {
 		t.Errorf("got %+v, want it held with a short Retry-After", held)
 	}
 }
@@ -263,21 +263,21 @@
 	}
 	heldBack := 0
 	for n := range uint64(5000) {
-		if _, ok := l.Admit(digestOf(10_000+n), false, 4001).(quarantine.Held); ok {
+		if _, ok := l.Admit(quarantine.Subjects{digestOf(10_000 + n)}, false, 4001).(quarantine.Held); ok {
 			heldBack++
 		}
 	}
 	if heldBack > 256 {
 		t.Errorf("got %d requests held back by false reports, want at most 256", heldBack)
 	}
-	if got, ok := l.Admit(digestOf(14_999), false, 4001).(quarantine.Held); !ok || got.RetryAfter > 5*minutes {
+	if got, ok := l.Admit(quarantine.Subjects{digestOf(14_999)}, false, 4001).(quarantine.Held); !ok || got.RetryAfter > 5*minutes {
 		t.Errorf("got %+v by a false report, want it held for at most five minutes", got)
 	}
-	if got, ok := l.Admit(digestOf(14_999), false, 4000+5*minutes).(quarantine.Trial); !ok {
+	if got, ok := l.Admit(quarantine.Subjects{digestOf(14_999)}, false, 4000+5*minutes).(quarantine.Trial); !ok {
 		t.Errorf("got %T five minutes after a false report, want a trial", got)
 	}
-	if _, ok := l.Admit(poison, false, 4001).(quarantine.Held); !ok {
-		t.Errorf("got %T for a request that this entry observed itself, want it held", l.Admit(poison, false, 4001))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 4001).(quarantine.Held); !ok {
+		t.Errorf("got %T for a request that this entry observed itself, want it held", l.Admit(quarantine.Subjects{poison}, false, 4001))
 	}
 	// Data from the engines named in the false reports refutes these.
 	for i := range uint32(6) {
@@ -350,6 +350,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	nineCrashes := slices.Repeat([]quarantine.ReportedCrash{{ID: 1, Incarnation: 1}}, 9)
 	bad := func(change func(b []byte) []byte) string {
 		return base64.RawStdEncoding.EncodeToString(change(append([]byte(nil), raw...)))
 	}
@@ -358,7 +359,7 @@
 		"truncated":        bad(func(b []byte) []byte { return b[:len(b)-1] }),
 		"too long":         strings.Repeat("A", 10_000),
 		"too many crashes": bad(func(b []byte) []byte { b[16] = 0x0f; return b }),
-		"unknown flag":     bad(func(b []byte) []byte { b[16] |= 0x20; return b }),
+		"nine crashes":     quarantine.Reports{{Digest: poison, Crashes: nineCrashes}}.Pack(),
 		"an id of zero":    bad(func(b []byte) []byte { copy(b[17:], []byte{0, 0, 0, 0}); return b }),
 		"an age of years":  quarantine.Reports{{Digest: poison, Crashes: []quarantine.ReportedCrash{{ID: 1, Incarnation: 1, Age: 1 << 40}}}}.Pack(),
 		"a trial of days":  quarantine.Reports{{Digest: poison, Trial: &quarantine.ReportedTrial{ID: 1, Remaining: 1 << 30}}}.Pack(),
@@ -389,18 +390,18 @@
 	l := newList()
 	l.SetHistoryUnknownUntil(60_000)
 	recordCrash(l, poison, 1, 1000)
-	if a, ok := l.Admit(poison, false, 1001).(quarantine.Trial); !ok || a.Strikes != 1 {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 1001).(quarantine.Trial); !ok || a.Strikes != 1 {
 		t.Fatalf("got %+v after one strike, want a trial", a)
 	}
 	l.StartTrial(poison, 2, 1001)
 	l.RecordCrash(quarantine.Attempt{Digest: poison, Incarnation: 2, Trial: true}, 1300)
 	for _, now := range []clock.Millis{1400, 3000, 59_000} {
-		if _, ok := l.Admit(poison, false, now).(quarantine.Held); !ok {
-			t.Errorf("got %T at %d after a trial in which only its engine crashed, want it held", l.Admit(poison, false, now), now)
+		if _, ok := l.Admit(quarantine.Subjects{poison}, false, now).(quarantine.Held); !ok {
+			t.Errorf("got %T at %d after a trial in which only its engine crashed, want it held", l.Admit(quarantine.Subjects{poison}, false, now), now)
 		}
 	}
-	if _, ok := l.Admit(poison, false, 60_000).(quarantine.Trial); !ok {
-		t.Errorf("got %T later, want another trial", l.Admit(poison, false, 60_000))
+	if _, ok := l.Admit(quarantine.Subjects{poison}, false, 60_000).(quarantine.Trial); !ok {
+		t.Errorf("got %T later, want another trial", l.Admit(quarantine.Subjects{poison}, false, 60_000))
 	}
 }
 
@@ -413,14 +414,14 @@
 	for i := range uint32(2) {
 		recordCrash(l, digestOf(2), 2+i, 1050)
 	}
-	if a, ok := l.Admit(poison, false, 1100).(quarantine.Allowed); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 1100).(quarantine.Allowed); !ok {
 		t.Errorf("got %T after one of three simultaneous crashes, want it allowed", a)
 	}
 	l = newList()
 	l.SetHistoryUnknownUntil(60_000)
 	recordCrash(l, poison, 1, 1000)
 	l.SetHistoryUnknownUntil(0)
-	if a, ok := l.Admit(poison, false, 1100).(quarantine.Allowed); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 1100).(quarantine.Allowed); !ok {
 		t.Errorf("got %T with known history, want it allowed", a)
 	}
 }
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -69,10 +69,12 @@
 
 func (t trial) isRunning(now clock.Millis) bool { return t.id != 0 && now < t.deadline }
 
-// record is what an entry knows of one request.
+// record is what an entry knows of a whole request or of a part of prompts.
 type record struct {
 	digest      Digest
 	fingerprint uint32
+	// part is true for a part of prompts.
+	part bool
 	// crashes holds the latest crashes in order of time. All are later than success, and at
 	// most largeGroup of them are simultaneous. If there are too many, those of trials are
 	// kept.
@@ -90,12 +92,13 @@
 }
 
 // strikes returns the number of strikes since the latest success. Simultaneous crashes count
-// once, or twice if there are at least largeGroup of them.
+// once. For a whole request they count twice if there are at least largeGroup of them, but a
+// part that many requests share may be at all engines of a rack that fails.
 func (r *record) strikes() int {
 	n := 0
 	for _, group := range groups(r.crashes) {
 		n++
-		if len(group) >= largeGroup {
+		if len(group) >= largeGroup && !r.part {
 			n++
 		}
 	}
@@ -232,6 +235,29 @@
 	return len(r.crashes) != n
 }
 
+// removeCrash removes the same crash as c, and reports whether there was one.
+func (r *record) removeCrash(c crash) bool {
+	n := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, c.isSame)
+	return len(r.crashes) != n
+}
+
+// hasConfirmedTrials reports whether at least n trials ended with a crash that this entry
+// confirmed.
+func (r *record) hasConfirmedTrials(n int) bool {
+	for _, c := range r.crashes {
+		if c.trial && c.confirmed {
+			n--
+		}
+	}
+	return n <= 0
+}
+
+// trialCrash reports whether a trial of the record ended with the crash c.
+func (r *record) trialCrash(c crash) bool {
+	return slices.ContainsFunc(r.crashes, func(o crash) bool { return o.trial && c.isSame(o) })
+}
+
 // confirm marks the crashes of an incarnation as confirmed by this entry.
 func (r *record) confirm(incarnation uint32) {
 	for i := range r.crashes {
--- a/engines/quarantine/reports.go
+++ b/engines/quarantine/reports.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
@@ -25,11 +26,14 @@
 	maxOutbox = 256
 )
 
-// Report is what entries tell each other about one request. All times are relative.
+// Report is what entries tell each other about one request, or one part of prompts. All times
+// are relative.
 type Report struct {
 	Digest      Digest
 	Fingerprint uint32
-	Crashes     []ReportedCrash
+	// Part is true for a part of prompts.
+	Part    bool
+	Crashes []ReportedCrash
 	// Success is the latest success, nil if none is known.
 	Success *ReportedSuccess
 	// Trial is the latest trial, nil if none is running or ended recently.
@@ -71,6 +75,7 @@
 	flagSuccess      = 0x40
 	flagTrial        = 0x80
 	flagUnresponsive = 0x10
+	flagPart         = 0x20
 	crashCountMask   = 0x0f
 )
 
@@ -94,6 +99,9 @@
 	if r.Trial != nil {
 		flags |= flagTrial
 	}
+	if r.Part {
+		flags |= flagPart
+	}
 	unresponsive := r.unresponsiveBits()
 	if unresponsive != 0 {
 		flags |= flagUnresponsive
@@ -225,10 +233,11 @@
 	r := Report{Digest: Digest(p.bytes(len(Digest{}))), Fingerprint: p.uint32()}
 	flags := p.bytes(1)[0]
 	crashes := int(flags & crashCountMask)
-	if crashes > maxCrashes || flags&^(flagSuccess|flagTrial|flagUnresponsive|crashCountMask) != 0 {
+	if crashes > maxCrashes || flags&^(flagSuccess|flagTrial|flagUnresponsive|flagPart|crashCountMask) != 0 {
 		p.fail(errBadFlags)
 		return r
 	}
+	r.Part = flags&flagPart != 0
 	for range crashes {
 		c := ReportedCrash{ID: p.id(), Incarnation: p.uint32()}
 		age := p.millis(4 * Retention)
@@ -255,7 +264,7 @@
 
 // report returns the report on a record.
 func (r *record) report(now clock.Millis) Report {
-	out := Report{Digest: r.digest, Fingerprint: r.fingerprint}
+	out := Report{Digest: r.digest, Fingerprint: r.fingerprint, Part: r.part}
 	for _, c := range r.crashes {
 		out.Crashes = append(out.Crashes, ReportedCrash{ID: c.id, Incarnation: c.incarnation, Age: now - c.at, Trial: c.trial, Unresponsive: c.unresponsive})
 	}
@@ -275,7 +284,7 @@
 	r := l.get(in.Digest)
 	known := r != nil
 	if !known {
-		r = &record{digest: in.Digest, fingerprint: in.Fingerprint, usedAt: now}
+		r = &record{digest: in.Digest, fingerprint: in.Fingerprint, part: in.Part, usedAt: now}
 	}
 	changed := false
 	if in.Success != nil {
@@ -289,10 +298,14 @@
 			continue
 		}
 		l.noteCrash(c.Incarnation, at)
-		changed = r.addCrash(crash{id: c.ID, incarnation: c.Incarnation, at: at, trial: c.Trial, unresponsive: c.Unresponsive, confirmed: !c.Unresponsive && isLost(c.Incarnation)}) || changed
+		received := crash{id: c.ID, incarnation: c.Incarnation, at: at, trial: c.Trial, unresponsive: c.Unresponsive, confirmed: !c.Unresponsive && isLost(c.Incarnation)}
+		if c.Unresponsive || !l.isExplained(r, received, now) {
+			changed = r.addCrash(received) || changed
+		}
 	}
 	if in.Trial != nil {
 		changed = r.mergeTrial(trial{id: in.Trial.ID, incarnation: in.Trial.Incarnation, deadline: now + in.Trial.Remaining}, now) || changed
+		l.setTrial(r, r.trial)
 	}
 	if !known && r.strikes() == 0 {
 		return false
@@ -301,20 +314,37 @@
 		l.touch(r, now)
 	}
 	l.put(r)
+	if changed {
+		l.clearExplained(r, now)
+	}
 	if stale = stale && now-r.correctedAt > correctionInterval; stale {
 		r.correctedAt = now
 	}
 	if changed || stale {
 		// A peer that reports crashes from before a success has not received the success yet.
-		l.outbox.add(r.digest, l.isSuspect(r, now) || r.success.id != 0)
+		l.queue(r, l.isSuspect(r, now) || r.success.id != 0)
 	}
 	return changed
 }
 
-// TakePending removes and returns at most n pending reports, the urgent ones first.
+// queue adds a report on a record to those for peers.
+func (l *List) queue(r *record, urgent bool) {
+	if r.part {
+		l.partOutbox.add(r.digest, urgent)
+		return
+	}
+	l.outbox.add(r.digest, urgent)
+}
+
+// TakePending removes and returns at most n pending reports, either all on whole requests or
+// all on parts, the urgent ones first.
 func (l *List) TakePending(n int, now clock.Millis) Reports {
+	from := &l.outbox
+	if from.len() == 0 || len(from.urgent) == 0 && len(l.partOutbox.urgent) > 0 {
+		from = &l.partOutbox
+	}
 	var out Reports
-	for _, d := range l.outbox.take(n) {
+	for _, d := range from.take(n) {
 		if r := l.get(d); r != nil {
 			out = append(out, r.report(now))
 		}
@@ -325,12 +355,12 @@
 // BroadcastSuspects queues reports of all suspects.
 func (l *List) BroadcastSuspects() {
 	for _, r := range l.suspects() {
-		l.outbox.add(r.digest, true)
+		l.queue(r, true)
 	}
 }
 
 // HasPending reports whether there are reports to send.
-func (l *List) HasPending() bool { return l.outbox.len() > 0 }
+func (l *List) HasPending() bool { return l.outbox.len()+l.partOutbox.len() > 0 }
 
 // Checksum returns a checksum of all suspects and their trials, zero if there are none.
 // Entries with the same information have the same checksum.
@@ -349,18 +379,32 @@
 }
 
 // suspects returns the records with at least SuspectStrikes strikes, which all entries should
-// know.
+// know, those of whole requests first.
 func (l *List) suspects() []*record {
-	return append(l.confirmed.Values(), l.unconfirmed.Values()...)
+	out := append(l.confirmed.Values(), l.unconfirmed.Values()...)
+	slices.SortStableFunc(out, func(a, b *record) int { return cmp.Compare(partBit(a), partBit(b)) })
+	return out
+}
+
+func partBit(r *record) int {
+	if r.part {
+		return 1
+	}
+	return 0
 }
 
-// Sample returns reports of at most n suspects. Successive calls cycle through all of them.
+// Sample returns reports of at most n suspects, either all on whole requests or all on parts.
+// Successive calls cycle through all of them.
 func (l *List) Sample(n int, now clock.Millis) Reports {
 	suspects := l.suspects()
 	var out Reports
 	for range min(n, len(suspects)) {
-		l.nextSample = (l.nextSample + 1) % len(suspects)
-		out = append(out, suspects[l.nextSample].report(now))
+		next := (l.nextSample + 1) % len(suspects)
+		if len(out) > 0 && suspects[next].part != out[0].Part {
+			break
+		}
+		l.nextSample = next
+		out = append(out, suspects[next].report(now))
 	}
 	return out
 }
--- a/engines/quarantine/unresponsive_test.go
+++ b/engines/quarantine/unresponsive_test.go
@@ -17,7 +17,7 @@
 // failTrialUnresponsive runs a trial of a suspect whose engine becomes unresponsive.
 func failTrialUnresponsive(t *testing.T, l *quarantine.List, d quarantine.Digest, incarnation uint32, now clock.Millis) {
 	t.Helper()
-	if a, ok := l.Admit(d, false, now).(quarantine.Trial); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{d}, false, now).(quarantine.Trial); !ok {
 		t.Fatalf("got %T at %d, want a trial", a, now)
 	}
 	l.StartTrial(d, incarnation, now)
@@ -31,21 +31,21 @@
 func TestUnresponsiveEnginesHoldBackRequestForMinutes(t *testing.T) {
 	l := newList()
 	recordUnresponsive(l, poison, 1, 1000)
-	if a := l.Admit(poison, false, 1500); a != (quarantine.Allowed{}) {
+	if a := l.Admit(quarantine.Subjects{poison}, false, 1500); a != (quarantine.Allowed{}) {
 		t.Errorf("got %#v after one unresponsive engine, want it allowed", a)
 	}
 	recordUnresponsive(l, poison, 2, 1200)
 	failTrialUnresponsive(t, l, poison, 3, 1700)
-	if a, ok := l.Admit(poison, false, 2300).(quarantine.Held); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 2300).(quarantine.Held); !ok {
 		t.Errorf("got %#v after a failed trial, want it held", a)
 	}
 	failTrialUnresponsive(t, l, poison, 4, 2800)
 	for _, now := range []clock.Millis{3300, 60_000, 300_000} {
-		if a, ok := l.Admit(poison, false, now).(quarantine.Held); !ok {
+		if a, ok := l.Admit(quarantine.Subjects{poison}, false, now).(quarantine.Held); !ok {
 			t.Errorf("got %#v at %d after two failed trials, want it held", a, now)
 		}
 	}
-	if a, ok := l.Admit(poison, false, 310_000).(quarantine.Trial); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 310_000).(quarantine.Trial); !ok {
 		t.Errorf("got %#v after minutes, want a trial", a)
 	}
 }
@@ -118,7 +118,7 @@
 		recordUnresponsive(l, quarantine.Digest{9}, incarnation+2, sent+100)
 		failTrialUnresponsive(t, l, poison, incarnation, sent)
 	}
-	if a, ok := l.Admit(poison, false, 6000).(quarantine.Trial); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 6000).(quarantine.Trial); !ok {
 		t.Errorf("got %#v after two trials that failed among unresponsive engines, want another", a)
 	}
 }
@@ -129,12 +129,12 @@
 	l := newList()
 	l.SetHistoryUnknownUntil(60_000)
 	recordUnresponsive(l, poison, 1, 1000)
-	if a := l.Admit(poison, false, 1500); a != (quarantine.Allowed{}) {
+	if a := l.Admit(quarantine.Subjects{poison}, false, 1500); a != (quarantine.Allowed{}) {
 		t.Errorf("got %#v after one unresponsive engine, want it allowed", a)
 	}
 	recordUnresponsive(l, poison, 2, 1200)
 	failTrialUnresponsive(t, l, poison, 3, 1700)
-	if a, ok := l.Admit(poison, false, 3000).(quarantine.Trial); !ok {
+	if a, ok := l.Admit(quarantine.Subjects{poison}, false, 3000).(quarantine.Trial); !ok {
 		t.Errorf("got %#v a second after a failed trial, want another", a)
 	}
 }
--- a/internal/failuretest/failuretest.go
+++ b/internal/failuretest/failuretest.go
@@ -22,7 +22,7 @@
 	verdict.BadRequest, verdict.Unauthorized, verdict.UnknownModel, verdict.TooLarge, verdict.HeaderTooLarge, verdict.RateLimited,
 	verdict.Overloaded, verdict.Shed, verdict.OverBound, verdict.NotCached, verdict.Leaving, verdict.NoEngine, verdict.Unreachable,
 	verdict.Deadline, verdict.CallerGone, verdict.LinkLost, verdict.EngineFailed, verdict.Duplicate, verdict.UnknownHistory,
-	verdict.NotReady, verdict.NoRoute, verdict.HeldBack, "a reason that nobody knows",
+	verdict.NotReady, verdict.NoRoute, verdict.HeldBack, verdict.PartHeldBack, "a reason that nobody knows",
 }
 
 // Check compares the responses to all failures with the golden file. respond returns the
--- a/report/account/account.go
+++ b/report/account/account.go
@@ -160,6 +160,8 @@
 			a.crashed[id] = true
 		}
 		a.recordStrike(f)
+	case "part_suspected":
+		a.recordStrike(f)
 	case "held_back":
 		a.recordHeldBack(f)
 	case "answered", "failed":
--- a/report/account/account_test.go
+++ b/report/account/account_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Requests that share a part of their prompts have digests of their own, and the part another.
+func TestPartsThatCrashEnginesAreListed(t *testing.T) {
+	out := report(t,
+		line("01.0", "msg=struck instance=e1 request=a asked=d1 engine=i-1 parts=5c,91")+line("02.0", "msg=struck instance=e1 request=b asked=d2 engine=i-2 parts=5c")+
+			line("02.0", "msg=part_suspected instance=e1 request=b asked=d3 part=5c engine=i-2 strikes=2"),
+		line("03.0", "msg=part_suspected instance=e2 request=c asked=d3 part=5c engine=i-3 strikes=3")+line("04.0", "msg=held_back instance=e2 request=d asked=d3 strikes=3 part=5c")+
+			line("04.0", "msg=failed request=d route=r status=503 verdict=not_run reason=part_held_back"),
+	)
+	if want := "d3     2              2           1          00:00:02.000  00:00:04.000  5c"; !strings.Contains(out, want) {
+		t.Errorf("got no %q in:\n%s", want, out)
+	}
+}
+
 // A crash may be detected after the request that it broke has been logged. It must
 // not become the cause of a later attempt with the same request ID.
 func TestCrashDetectedLateIsNotCauseOfLaterAttempt(t *testing.T) {
--- a/report/account/suspects.go
+++ b/report/account/suspects.go
@@ -9,10 +9,12 @@
 	"time"
 )
 
-// suspect is a request during which engines crashed. All requests with the same
-// digest count as one, whatever their IDs.
+// suspect is a request, or a part of prompts, during which engines crashed. All requests
+// with the same digest count as one, whatever their IDs.
 type suspect struct {
 	digest string
+	// part is the ID of the part, "" for a request.
+	part string
 	// engines and entries are those of the attempts that ended in a crash.
 	engines, entries map[string]bool
 	// heldBack counts the requests that were not sent.
@@ -39,6 +41,7 @@
 		s = &suspect{digest: f["asked"], engines: map[string]bool{}, entries: map[string]bool{}, first: at, last: at}
 		a.suspects[s.digest] = s
 	}
+	s.part = cmp.Or(s.part, f["part"])
 	if at.Before(s.first) {
 		s.first = at
 	}
@@ -73,8 +76,8 @@
 	slices.SortFunc(listed, func(x, y *suspect) int {
 		return cmp.Or(cmp.Compare(len(y.engines), len(x.engines)), cmp.Compare(x.digest, y.digest))
 	})
-	_, _ = fmt.Fprintf(w, "\nasked\tengines ended\tby entries\theld back\tfirst\tlast\n")
+	_, _ = fmt.Fprintf(w, "\nasked\tengines ended\tby entries\theld back\tfirst\tlast\tpart\n")
 	for _, s := range listed {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\n", s.digest, len(s.engines), len(s.entries), s.heldBack, formatTime(s.first), formatTime(s.last))
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%s\n", s.digest, len(s.engines), len(s.entries), s.heldBack, formatTime(s.first), formatTime(s.last), s.part)
 	}
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -48,6 +48,7 @@
 	NotReady       Reason = "not_ready"
 	NoRoute        Reason = "no_route"
 	HeldBack       Reason = "held_back"
+	PartHeldBack   Reason = "part_held_back"
 	UnknownOrigin  Reason = "unknown_origin"
 	VersionGone    Reason = "version_gone"
 )
