quarantine, gate: Spare parts that succeed while the history of crashes is unknown

Callers saw, for a minute after all entries started: one crash made a suspect of each part that the engine had, so that requests with a busy part were refused until one of them had been tried; and a stream whose version is gone was told that no engine is free to try it.

- While the history is unknown, an entry keeps the parts of the requests that succeed (1,024).
One crash makes no suspect of these; two without a success in between still do.
- A request that needs a version of which no engine is left is told so, whether or not it would be a trial.

--- a/engines/quarantine/admission.go
+++ b/engines/quarantine/admission.go
@@ -113,7 +113,8 @@
 // isSuspect reports whether a request with the record may only be sent as a trial.
 func (l *List) isSuspect(r *record, now clock.Millis) bool {
 	s := r.strikes()
-	return s >= SuspectStrikes || (s > 0 && now < l.historyUnknownUntil && !r.crashes[0].unresponsive && l.otherCrashes(r.crashes[0]) <= maxOtherCrashes)
+	return s >= SuspectStrikes || (s > 0 && now < l.historyUnknownUntil && !l.succeeded.Contains(r.digest) &&
+		!r.crashes[0].unresponsive && l.otherCrashes(r.crashes[0]) <= maxOtherCrashes)
 }
 
 // Subjects are the digests of all that can be blamed in one request: the request as a whole
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -40,6 +40,8 @@
 	heldTotal, partHeldTotal *metrics.Counter
 	// strikesTotal counts the attempts during which engines crashed.
 	strikesTotal *metrics.Counter
+	// historyUnknownUntil is the time of the list, for requests that succeed.
+	historyUnknownUntil atomic.Int64
 	// rejectLoggedAt is when invalid reports of a peer were last logged, 0 if never.
 	rejectLoggedAt atomic.Int64
 
@@ -168,6 +170,7 @@
 // SetHistoryUnknownUntil sets the time until which requests may have crashed engines without
 // any entry knowing of it.
 func (g *Guard) SetHistoryUnknownUntil(until clock.Millis) {
+	g.historyUnknownUntil.Store(int64(until))
 	g.withList(func(l *List) { l.SetHistoryUnknownUntil(until) })
 }
 
@@ -268,6 +271,7 @@
 // RecordSuccess records that the attempt succeeded, which clears all strikes of the request and
 // of the parts of its prompt.
 func (g *Guard) RecordSuccess(r *Request) {
+	g.recordUnknownParts(r)
 	for _, d := range g.tracked(r) {
 		before, cleared := 0, false
 		g.withList(func(l *List) {
@@ -280,6 +284,20 @@
 	}
 }
 
+// recordUnknownParts records the success of parts that may not be on the list, while the history
+// of crashes is unknown.
+func (g *Guard) recordUnknownParts(r *Request) {
+	if g.clk.Now() >= clock.Millis(g.historyUnknownUntil.Load()) {
+		return
+	}
+	parts := r.promptParts()
+	g.withList(func(l *List) {
+		for _, p := range parts[:min(len(parts), maxBlamedParts)] {
+			l.RecordPartSuccess(p.Digest())
+		}
+	})
+}
+
 // RecordAlive records that data was received from an engine, on a connection that was opened
 // at openedAt.
 func (g *Guard) RecordAlive(incarnation uint32, openedAt clock.Millis) {
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -18,6 +18,8 @@
 	maxStruckParts = 4096
 	maxUnconfirmed = 256
 	maxConfirmed   = 1024
+	// maxSucceeded limits the parts that are known to succeed, at about 100 bytes each.
+	maxSucceeded = 1024
 )
 
 // List holds what one entry knows of the requests under which engines crashed. It reads no
@@ -47,6 +49,8 @@
 	// historyUnknownUntil is the time until which requests may have crashed engines without
 	// any entry knowing of it.
 	historyUnknownUntil clock.Millis
+	// succeeded holds the parts of requests that succeeded while the history was unknown.
+	succeeded *simplelru.LRU[Digest, struct{}]
 }
 
 // NewList returns an empty list. randomID returns the random IDs by which the observations of
@@ -59,6 +63,7 @@
 	l.struckParts, _ = simplelru.NewLRU(maxStruckParts, onEvict)
 	l.unconfirmed, _ = simplelru.NewLRU(maxUnconfirmed, onEvict)
 	l.confirmed, _ = simplelru.NewLRU(maxConfirmed, onEvict)
+	l.succeeded, _ = simplelru.NewLRU[Digest, struct{}](maxSucceeded, nil)
 	return l
 }
 
@@ -80,10 +85,14 @@
 
 // SetHistoryUnknownUntil sets the time until which requests may have crashed engines without
 // any entry knowing of it, because all entries started recently. Until then a single crash
-// makes a request a suspect, unless other engines crashed at the same time, and a single
-// trial in which only its engine crashed holds it back for unconfirmedPause.
+// makes a request or a part a suspect, unless other engines crashed at the same time or the
+// part is known to succeed. A single trial in which only its engine crashed then holds a
+// request back for unconfirmedPause.
 func (l *List) SetHistoryUnknownUntil(until clock.Millis) { l.historyUnknownUntil = until }
 
+// RecordPartSuccess records that a request with a part succeeded, which may not be on the list.
+func (l *List) RecordPartSuccess(d Digest) { l.succeeded.Add(d, struct{}{}) }
+
 // Attempt is an attempt to run a request at an engine.
 type Attempt struct {
 	// ID is the client's request ID, for logs.
--- a/engines/quarantine/parts_test.go
+++ b/engines/quarantine/parts_test.go
@@ -274,3 +274,21 @@
 		merge(t, to, from.TakePending(quarantine.MaxReports, now), now)
 	}
 }
+
+// After all entries started, one crash makes a suspect, but not of a part that is known to succeed.
+func TestPartThatSucceededIsNoSuspectByOneCrashWithUnknownHistory(t *testing.T) {
+	l := newList()
+	l.SetHistoryUnknownUntil(60_000)
+	l.RecordPartSuccess(companions[0])
+	recordPartCrash(l, 1, 1, 1000, nil, companions[0], culprit)
+	if a, ok := l.Admit(quarantine.Subjects{companions[0]}, false, 1100).(quarantine.Allowed); !ok {
+		t.Errorf("got %#v for the part that succeeded, want it allowed", a)
+	}
+	if a, ok := l.Admit(quarantine.Subjects{companions[0], culprit}, false, 1100).(quarantine.Trial); !ok || len(a.Suspects) != 1 || a.Suspects[0] != culprit {
+		t.Errorf("got %#v for the other part, want its trial alone", a)
+	}
+	recordPartCrash(l, 2, 2, 2000, nil, companions[0])
+	if a, ok := l.Admit(quarantine.Subjects{companions[0]}, false, 2100).(quarantine.Trial); !ok {
+		t.Errorf("got %#v after a second crash, want a trial", a)
+	}
+}
--- a/gate/place.go
+++ b/gate/place.go
@@ -27,7 +27,7 @@
 		Service: c.service, Keys: c.prefixKeys, Tokens: c.prefixTokens, Cost: cost, Bound: bound, Slack: slack,
 		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.version, Tried: c.tried, Isolated: isolated, Random: random(),
 	}, now)
-	if !ok && isolated {
+	if !ok && isolated && (c.version == "" || g.registry.HasUntried(c.service, c.version, c.tried)) {
 		return pick{}, verdict.New(c.verdict(), verdict.HeldBack, "engines crashed while they ran this request, and no engine of %s is free to run it in isolation", c.service).WithRetryAfter(retrySoon)
 	}
 	if !ok {
