quarantine: Tell peers of the success of a part that they still suspect

At edge-portmore-1, which had proven the request, its strikes were gone, so its successful trial at 19.62 s was recorded nowhere; edge-halfway-tree-2 suspected it until its own trial at 28.30 s, and a request at edge-new-kingston-1 was refused meanwhile.

Cause: a success was recorded and reported only where the record had strikes.

A record remembers that it was suspected since its latest success, and a success of such a record is reported whatever its strikes. An entry that confirms a crash later than it was told of the proof clears the strikes of others then. Two tests fail without it (TestSuccessOfPartReachesEntriesThatStillSuspectIt, TestConfirmedProofClearsStrikesOfOthers).

--- a/engines/quarantine/fleet_test.go
+++ b/engines/quarantine/fleet_test.go
@@ -298,7 +298,7 @@
 	incarnation := e.incarnation
 	f.after(listLag, func() {
 		for _, o := range f.entries {
-			o.list.ConfirmCrash(incarnation)
+			o.list.ConfirmCrash(incarnation, f.now)
 		}
 	})
 	f.lastIncarnation++
--- a/engines/quarantine/guard.go
+++ b/engines/quarantine/guard.go
@@ -309,7 +309,7 @@
 // ConfirmCrash records that this entry itself found an engine to be unreachable.
 func (g *Guard) ConfirmCrash(incarnation uint32) {
 	if g.active.Load() {
-		g.withList(func(l *List) { l.ConfirmCrash(incarnation) })
+		g.withList(func(l *List) { l.ConfirmCrash(incarnation, g.clk.Now()) })
 	}
 }
 
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -126,7 +126,7 @@
 
 // recordCrashAt is like RecordCrash, for a crash in the past.
 func (l *List) recordCrashAt(a Attempt, at, now clock.Millis) int {
-	l.ConfirmCrash(a.Incarnation)
+	l.ConfirmCrash(a.Incarnation, now)
 	return l.addStrike(a, crash{at: at, confirmed: true}, now)
 }
 
@@ -209,17 +209,18 @@
 	l.EndTrial(d, now)
 	l.broken.remove(func(b brokenAttempt) bool { return b.Digest == d })
 	r := l.get(d)
-	if r == nil || r.strikes() == 0 {
+	if r == nil || r.strikes() == 0 && !r.suspected {
 		return false
 	}
-	suspect := l.isSuspect(r, now)
+	struck, suspect := r.strikes() > 0, r.suspected || l.isSuspect(r, now)
 	r.addSuccess(success{id: l.newID(), at: now})
+	r.suspected = false
 	l.touch(r, now)
 	l.put(r)
 	if suspect {
 		l.queue(r, true)
 	}
-	return true
+	return struck
 }
 
 // RecordAlive records that data was received from an engine on a connection that was opened
@@ -239,11 +240,15 @@
 }
 
 // ConfirmCrash records that this entry itself found that an engine crashed.
-func (l *List) ConfirmCrash(incarnation uint32) {
-	for _, r := range l.recordsOf(incarnation) {
+func (l *List) ConfirmCrash(incarnation uint32, now clock.Millis) {
+	records := l.recordsOf(incarnation)
+	for _, r := range records {
 		r.confirm(incarnation)
 		l.put(r)
 	}
+	for _, r := range records {
+		l.clearExplained(r, now)
+	}
 }
 
 // UnresponsiveIncarnations returns the incarnations of engines that became unresponsive while
@@ -354,6 +359,7 @@
 // put adds a record, or moves it to the cache to which it belongs now.
 func (l *List) put(r *record) {
 	to := l.cacheOf(r)
+	r.suspected = r.suspected || r.strikes() >= SuspectStrikes
 	for _, c := range l.caches() {
 		c.Remove(r.digest)
 	}
--- a/engines/quarantine/parts_test.go
+++ b/engines/quarantine/parts_test.go
@@ -97,7 +97,6 @@
 	recordPartCrash(l, 2, 2, 2000, nil, both...)
 	failPartTrial(t, l, 3, 3, 2001, both...)
 	failPartTrial(t, l, 4, 4, 3100, both...)
-	confirmAll(l, 4)
 	if got, least := pauseOf(t, l, 3200, both...), clock.Millis(9000); got < least {
 		t.Errorf("got a pause of %d ms for both parts, want %d at least", got, least)
 	}
@@ -114,13 +113,6 @@
 	}
 }
 
-// confirmAll has the entry find all engine incarnations up to n unreachable.
-func confirmAll(l *quarantine.List, n uint32) {
-	for i := range n {
-		l.ConfirmCrash(i + 1)
-	}
-}
-
 // Guards against trials of all that ran beside a part that crashes engines: once it is proven, the
 // crashes at which it was present say nothing about others.
 func TestCrashesUnderProvenPartAreNoStrikesForOthers(t *testing.T) {
@@ -292,3 +284,46 @@
 		t.Errorf("got %#v after a second crash, want a trial", a)
 	}
 }
+
+// Guards against a part that one entry goes on to suspect after another one, which takes its
+// crashes for those of another part, has run it.
+func TestSuccessOfPartReachesEntriesThatStillSuspectIt(t *testing.T) {
+	a, b := newList(), quarantine.NewList(rand.New(rand.NewPCG(7, 7)).Uint32)
+	for i := range uint32(2) {
+		now := clock.Millis(1000 * (i + 1))
+		recordPartCrash(a, uint64(i), i+1, now, nil, culprit)
+		recordPartCrash(a, uint64(10+i), i+1, now, nil, companions[1])
+	}
+	exchange(t, a, b, 2000)
+	failPartTrial(t, a, 3, 3, 2300, culprit)
+	failPartTrial(t, a, 4, 4, 3400, culprit)
+	if got, want := []int{a.Strikes(companions[1]), b.Strikes(companions[1])}, []int{0, 2}; !slices.Equal(got, want) {
+		t.Fatalf("got strikes %v at the two entries, want %v", got, want)
+	}
+	succeed(a, 3600, companions[1])
+	exchange(t, a, b, 3600)
+	if got := b.Strikes(companions[1]); got != 0 {
+		t.Errorf("got %d strikes at the other entry after the success, want 0", got)
+	}
+}
+
+// An entry learns of a proof before it finds out itself that the engines crashed.
+func TestConfirmedProofClearsStrikesOfOthers(t *testing.T) {
+	a, b := newList(), quarantine.NewList(rand.New(rand.NewPCG(7, 7)).Uint32)
+	for i := range uint32(2) {
+		now := clock.Millis(1000 * (i + 1))
+		recordPartCrash(a, uint64(i), i+1, now, nil, culprit)
+		recordPartCrash(b, uint64(10+i), i+1, now, nil, companions[1])
+	}
+	failPartTrial(t, a, 3, 3, 2300, culprit)
+	failPartTrial(t, a, 4, 4, 3400, culprit)
+	exchange(t, a, b, 3500)
+	if got := b.Strikes(companions[1]); got != 2 {
+		t.Errorf("got %d strikes before the crashes are confirmed, want 2", got)
+	}
+	b.ConfirmCrash(3, 4900)
+	b.ConfirmCrash(4, 4900)
+	if got := b.Strikes(companions[1]); got != 0 {
+		t.Errorf("got %d strikes after the crashes were confirmed, want 0", got)
+	}
+}
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -82,6 +82,9 @@
 	success success
 	// trial is the latest trial.
 	trial trial
+	// suspected is true if the record had SuspectStrikes strikes since the latest success. Peers
+	// may still suspect it.
+	suspected bool
 	// correctedAt is when this entry last corrected a peer that reported crashes from before
 	// success.
 	correctedAt clock.Millis
--- a/engines/quarantine/reports.go
+++ b/engines/quarantine/reports.go
@@ -289,6 +289,7 @@
 	changed := false
 	if in.Success != nil {
 		changed = r.addSuccess(success{id: in.Success.ID, at: now - in.Success.Age})
+		r.suspected = r.suspected && !changed
 	}
 	stale := false
 	for _, c := range in.Crashes {
@@ -304,8 +305,10 @@
 		}
 	}
 	if in.Trial != nil {
-		changed = r.mergeTrial(trial{id: in.Trial.ID, incarnation: in.Trial.Incarnation, deadline: now + in.Trial.Remaining}, now) || changed
-		l.setTrial(r, r.trial)
+		if r.mergeTrial(trial{id: in.Trial.ID, incarnation: in.Trial.Incarnation, deadline: now + in.Trial.Remaining}, now) {
+			l.setTrial(r, r.trial)
+			changed = true
+		}
 	}
 	if !known && r.strikes() == 0 {
 		return false
