gate: Do not take an empty first list for proof that no stream began before

Callers could see a stream of two software versions: one that a v1 engine began goes on at v2.

Cause: the test listed its engines while the gate was reading, and a first list without engines was taken for proof that no stream had begun before, since the gate must then be older than all engines. A store that came back empty, or engines that are all being replaced, show the same. The test won a race in its usual runs.

Now the versions of a service are known from the first list on, whatever it holds; for the time that a stream may be resumed, unknown origins are refused after a start, as they were with engines on the list.

--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -83,10 +83,6 @@
 	if first = !g.listFreshness.Known(); first {
 		g.registry.MarkSynced(at)
 		g.versionsKnownSince = at
-		if len(g.registry.IDs()) == 0 {
-			// No stream began before this process started.
-			g.versionsKnownSince = math.MinInt64
-		}
 	}
 	g.list.readAt, g.list.unverifiedSince = at, 0
 	g.setList(sum, at)
