quarantine: Cover what mutants of the fix survived

Of 20 mutants 4 survived by the first tests: all parts of a trial's request counted as tried; parts left out of what an entry that starts is told; a lost claim of a trial ignored; and the proof that explains other crashes taken from unconfirmed reports, which needs two confirmed trials all the same (hasConfirmedTrials), so that the mutant changes nothing that can be seen.

--- a/engines/quarantine/parts_test.go
+++ b/engines/quarantine/parts_test.go
@@ -327,3 +327,18 @@
 		t.Errorf("got %d strikes after the crashes were confirmed, want 0", got)
 	}
 }
+
+// An entry that has just started is told of suspected parts as of whole requests.
+func TestSuspectedPartsAreBroadcast(t *testing.T) {
+	l := newList()
+	for i := range uint32(2) {
+		recordPartCrash(l, uint64(i), i+1, clock.Millis(1000*(i+1)), nil, culprit)
+	}
+	for l.HasPending() {
+		l.TakePending(quarantine.MaxReports, 2000)
+	}
+	l.BroadcastSuspects()
+	if got := l.TakePending(quarantine.MaxReports, 2100); len(got) != 1 || !got[0].Part || got[0].Digest != culprit {
+		t.Errorf("got %+v, want a report of the part", got)
+	}
+}
