soak: Play requests that share a part which crashes engines

A play of its own (sharing): two parts, each in requests with another ID, path and body, come to random gates beside kills, pauses, stops, reloads and faults of the store. Requests with a part may reach at most three engines later than 3 s after the fifth, but for those that a disturbed gate sent.

--- a/measure/soak/again.go
+++ b/measure/soak/again.go
@@ -104,7 +104,7 @@
 func (w *deployment) behave(variant string) func(standin.Run) standin.Reply {
 	reply := behave(variant)
 	switch w.cfg.Play {
-	case Ending:
+	case Ending, Sharing:
 		return crashOn(w.cfg.Seed, reply)
 	case Restarting, Copying:
 	default:
--- a/measure/soak/callers.go
+++ b/measure/soak/callers.go
@@ -121,6 +121,9 @@
 
 func (w *deployment) request(addr string, a request) (*http.Request, error) {
 	prompt := fmt.Sprintf("p%d:100,q%d:900,%s:10", len(a.id)%3, len(a.id)%7, a.id)
+	if a.crashPart != "" {
+		prompt = fmt.Sprintf("p%d:100,%s:50,%s:10", len(a.id)%3, a.crashPart, a.id)
+	}
 	return standin.NewRequest(standin.RequestParams{
 		URL: "http://" + addr + a.path, Host: host, ID: a.id, Key: a.key, Prompt: prompt, Deadline: a.deadline(), Tokens: a.tokens, Body: a.crashBody,
 	})
--- a/measure/soak/ending.go
+++ b/measure/soak/ending.go
@@ -59,7 +59,7 @@
 // crashOn returns the behavior of an engine in an ending play.
 func crashOn(seed uint64, reply func(standin.Run) standin.Reply) func(standin.Run) standin.Reply {
 	return func(run standin.Run) standin.Reply {
-		if !strings.Contains(run.URI, crashingMark) {
+		if !strings.Contains(run.URI, crashingMark) && crashingPartOf(run) == "" {
 			return reply(run)
 		}
 		rng := rand.New(rand.NewPCG(seed, uint64(len(run.ID))))
--- a/measure/soak/judge.go
+++ b/measure/soak/judge.go
@@ -20,6 +20,8 @@
 	key  string
 	// crashBody is the body of a request that crashes engines, "" for others.
 	crashBody string
+	// crashPart is a part of its prompt that crashes engines, "" for none.
+	crashPart string
 	// tokens is the maximum number of output tokens that the request states, 0 if it states
 	// none.
 	tokens      int
@@ -208,6 +210,7 @@
 	r.judgeRestarted(engines, services)
 	r.judgeStreams()
 	r.judgeCrashingRequests(engines)
+	r.judgeCrashingParts(engines)
 	for _, e := range r.decoys {
 		if n := len(e.Runs()); n > 0 {
 			r.addViolation("%d requests reached %s, which only foreign entries name", n, e.ID())
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -72,13 +72,19 @@
 	// Ending has requests that crash the engines which run them, and disturbances of gates
 	// and of the store.
 	Ending Play = "ending"
+	// Sharing is like Ending, with requests that differ in all but a part of their prompts,
+	// which crashes the engines.
+	Sharing Play = "sharing"
 	// Copying has a store that is restored from older copies, suspended instances, and
 	// disturbances of all kinds.
 	Copying Play = "copying"
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Copying, Hushing, Failing, Breaking, Releasing}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Sharing, Copying, Hushing, Failing, Breaking, Releasing}
+
+// crashesEngines reports whether requests crash the engines which run them.
+func (p Play) crashesEngines() bool { return p == Ending || p == Sharing }
 
 func (p Play) hasLongStreams() bool { return p == Planned || p == Mixed }
 
@@ -174,7 +180,7 @@
 		from = mixedKinds
 	case Restarting:
 		from = restartingKinds
-	case Ending:
+	case Ending, Sharing:
 		from = endingKinds
 	case Copying:
 		from = copyingKinds
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -202,6 +202,11 @@
 				w.wg.Go(func() { w.callCrashing(k) })
 			}
 		}
+		if w.cfg.Play == Sharing && i == 0 {
+			for k := range crashingParts {
+				w.wg.Go(func() { w.callSharing(k) })
+			}
+		}
 		if w.cfg.Play == Breaking {
 			for c := range breakingCallers {
 				w.wg.Go(func() { w.callBreaking(i, c) })
@@ -285,7 +290,7 @@
 // publishEngine publishes an engine's state. The caller holds mu.
 func (w *deployment) publishEngine(i int, state string) {
 	addr := w.links[i].Addr()
-	if w.cfg.Play == Ending {
+	if w.cfg.Play.crashesEngines() {
 		addr = w.engines[i].Addr()
 	}
 	w.store.PutEngine(w.engines[i], w.services[i], state, addr)
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -40,6 +40,8 @@
 		"engines that restart under a light load": {91003, soak.Restarting},
 		// Gates lost the record of engines that a request had crashed.
 		"requests that crash engines": {100007, soak.Ending},
+		// Requests that differed in all but a part of their prompts crashed engine after engine.
+		"requests that share a part which crashes engines": {1, soak.Sharing},
 		// The soak sent SIGHUP to a gate that did not catch signals yet, and the steady
 		// clock of the soak started below zero.
 		"a store restored from older copies, and suspended instances": {130003, soak.Copying},
--- a/measure/soak/weldsoak/main.go
+++ b/measure/soak/weldsoak/main.go
@@ -32,7 +32,7 @@
 	Minutes   float64 `arg:"--minutes" default:"1" help:"time in minutes for which new seeds are run"`
 	Seconds   int     `arg:"--seconds" default:"20" help:"length of one run in seconds, at least 15"`
 	Processes int     `arg:"--processes" default:"4" help:"number of gates, 1 to 200"`
-	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending, copying, hushing, failing, breaking or releasing; if empty, seeds alternate between all but the first"`
+	Play      string  `arg:"--play" help:"even, planned, mixed, growing, restarting, ending, sharing, copying, hushing, failing, breaking or releasing; if empty, seeds alternate between all but the first"`
 	Shrink    int     `arg:"--shrink" default:"16" help:"maximum number of runs that search for a smaller schedule after a violation"`
 	Dir       string  `arg:"--dir" help:"directory for settings files and logs, created if missing; temporary if empty"`
 }
