quarantine: Limit how long false reports hold back a part

Found by reading: a peer could report four failed trials of a part that this entry never saw, and it was refused for as long as it came. A whole request is held back for five minutes at most by reports alone (unconfirmedPause). The same holds for parts now: after the last pause a part stays out for good only if this entry confirmed the crashes itself.

TestFalseReportsHoldPartBackForMinutes fails without the change (Retry-After of an hour).

--- a/engines/quarantine/admission.go
+++ b/engines/quarantine/admission.go
@@ -289,10 +289,12 @@
 	switch {
 	case failed <= 0:
 		return 0
-	case failed > len(partPauses):
+	case failed <= len(partPauses):
+		return partPauses[failed-1]
+	case isProven(l.failures(r, func(c crash) bool { return c.confirmed })):
 		return forGood
 	}
-	return partPauses[failed-1]
+	return unconfirmedPause
 }
 
 // coveredBy reports whether at most n records suffice to have one in each of the sets.
--- a/engines/quarantine/parts_test.go
+++ b/engines/quarantine/parts_test.go
@@ -342,3 +342,15 @@
 		t.Errorf("got %+v, want a report of the part", got)
 	}
 }
+
+// False reports of a peer hold a part back for five minutes at most, as they do a whole request.
+func TestFalseReportsHoldPartBackForMinutes(t *testing.T) {
+	l := newList()
+	forged := falseReport(1)
+	forged.Part = true
+	l.Merge(forged, notLost, 100_000)
+	held, ok := l.Admit(quarantine.Subjects{forged.Digest}, false, 100_001).(quarantine.Held)
+	if most := clock.Millis(300_000); !ok || held.RetryAfter > most {
+		t.Errorf("got %#v, want it held for at most %d ms", held, most)
+	}
+}
