--- a/engines/quarantine/reports.go
+++ b/engines/quarantine/reports.go
@@ -110,7 +110,7 @@
 	for _, c := range r.Crashes {
 		b = binary.BigEndian.AppendUint32(b, c.ID)
 		b = binary.BigEndian.AppendUint32(b, c.Incarnation)
-		b = binary.AppendUvarint(b, uint64(max(0, c.Age))<<1|uint64(trialBit(c.Trial)))
+		b = binary.AppendUvarint(b, uint64(max(0, c.Age))<<1|uint64(bit(c.Trial)))
 	}
 	if unresponsive != 0 {
 		b = append(b, unresponsive)
@@ -139,8 +139,8 @@
 	return bits
 }
 
-func trialBit(trial bool) byte {
-	if trial {
+func bit(set bool) byte {
+	if set {
 		return 1
 	}
 	return 0
@@ -385,17 +385,10 @@
 // know, those of whole requests first.
 func (l *List) suspects() []*record {
 	out := append(l.confirmed.Values(), l.unconfirmed.Values()...)
-	slices.SortStableFunc(out, func(a, b *record) int { return cmp.Compare(partBit(a), partBit(b)) })
+	slices.SortStableFunc(out, func(a, b *record) int { return cmp.Compare(bit(a.part), bit(b.part)) })
 	return out
 }
 
-func partBit(r *record) int {
-	if r.part {
-		return 1
-	}
-	return 0
-}
-
 // Sample returns reports of at most n suspects, either all on whole requests or all on parts.
 // Successive calls cycle through all of them.
 func (l *List) Sample(n int, now clock.Millis) Reports {
