--- a/gate/account.go
+++ b/gate/account.go
@@ -53,6 +53,9 @@
 // tenths rounds v to one decimal place.
 func tenths(v float64) float64 { return math.Round(v*10) / 10 }
 
+// hundredths rounds v to two decimal places.
+func hundredths(v float64) float64 { return math.Round(v*100) / 100 }
+
 const microsPerMilli = 1000
 
 func inSeconds(d clock.Millis) float64 { return float64(d) / millisPerSecond }
@@ -95,7 +98,16 @@
 		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after), "origin", c.versionBasis)
 	}
 	if c.route != nil {
-		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version())
+		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version(), "priority", priority(c))
+	}
+	if c.workspace != nil {
+		attrs = append(attrs, "workspace", c.workspace.Name)
+	}
+	if c.pressure > 0 {
+		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
+	}
+	if c.turnWait > 0 {
+		attrs = append(attrs, "turn_ms", c.turnWait)
 	}
 	if c.guardRequest != nil && g.guard.Tracking() {
 		attrs = append(attrs, "parts", c.guardRequest.LoggedParts())
--- a/gate/call.go
+++ b/gate/call.go
@@ -42,7 +42,14 @@
 	route         *table.Route
 	service       string
 	workspace     *table.Workspace
-	body          []byte
+	// pressure is how full the engines of the service were when their room was checked: 1
+	// if all slots were taken. It is zero if it was not checked.
+	pressure float64
+	// overShare is true if the workspace used more than its fair share of the service.
+	overShare bool
+	// turnWait is how long the request waited for its turn.
+	turnWait clock.Millis
+	body     []byte
 	// guardRequest is the call as the guard knows it, nil until it is first sent. isolated is
 	// true if the latest attempt was isolated.
 	guardRequest *quarantine.Request
--- a/table/table.go
+++ b/table/table.go
@@ -160,9 +160,12 @@
 	services  map[string]Service
 	// streamTimeouts has the longest timeout of the resumable streams of each service.
 	streamTimeouts map[string]clock.Millis
-	keyed          bool
-	byKey          map[string]*Workspace
-	limits         Limits
+	// priorities has the distinct priorities of the routes of each service, most urgent
+	// first.
+	priorities map[string][]int
+	keyed      bool
+	byKey      map[string]*Workspace
+	limits     Limits
 }
 
 // New returns the table of cfg. The longest matching prefix of a host wins; of two
@@ -170,10 +173,11 @@
 func New(cfg Config) *Table {
 	t := &Table{
 		version: cfg.Version, limits: cfg.Limits, keyed: cfg.RequireKey,
-		slashRoutes: make(map[routeKey]*Route, len(cfg.Routes)), otherRoutes: map[string][]*Route{}, services: map[string]Service{}, streamTimeouts: map[string]clock.Millis{}, byKey: map[string]*Workspace{},
+		slashRoutes: make(map[routeKey]*Route, len(cfg.Routes)), otherRoutes: map[string][]*Route{}, services: map[string]Service{}, streamTimeouts: map[string]clock.Millis{}, priorities: map[string][]int{}, byKey: map[string]*Workspace{},
 	}
 	for _, r := range cfg.Routes {
 		t.addRoute(normalized(r))
+		t.addPriority(r)
 		if r.Kind != Stream || !r.Resumable {
 			continue
 		}
@@ -221,6 +225,20 @@
 	}
 }
 
+// addPriority adds the priority of a route to those of its services.
+func (t *Table) addPriority(r *Route) {
+	for _, s := range r.Shares {
+		known := t.priorities[s.Service]
+		if i, ok := slices.BinarySearch(known, r.Priority); !ok {
+			t.priorities[s.Service] = slices.Insert(known, i, r.Priority)
+		}
+	}
+}
+
+// Priorities returns the distinct priorities of the routes of a service, most urgent
+// first. The caller must not modify them.
+func (t *Table) Priorities(service string) []int { return t.priorities[service] }
+
 // Version returns the number that the operators gave the version.
 func (t *Table) Version() int64 { return t.version }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -47,10 +47,12 @@
 	UnknownHistory Reason = "unknown_history"
 	NotReady       Reason = "not_ready"
 	NoRoute        Reason = "no_route"
-	HeldBack       Reason = "held_back"
-	PartHeldBack   Reason = "part_held_back"
-	UnknownOrigin  Reason = "unknown_origin"
-	VersionGone    Reason = "version_gone"
+	// NoRoom means that the engines are too busy for a request of its urgency.
+	NoRoom        Reason = "no_room"
+	HeldBack      Reason = "held_back"
+	PartHeldBack  Reason = "part_held_back"
+	UnknownOrigin Reason = "unknown_origin"
+	VersionGone   Reason = "version_gone"
 )
 
 // Error is a failure with its verdict. It wraps its cause.
