--- a/commands/commands.go
+++ b/commands/commands.go
@@ -30,6 +30,7 @@
 	Demo    *demoCmd         `arg:"subcommand:demo" help:"run a whole fleet on loopback in one process"`
 	Standin *standinCmd      `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a plain service"`
 	Check   *checkCmd        `arg:"subcommand:check" help:"check branches of the settings before they are published"`
+	Review  *reviewCmd       `arg:"subcommand:check-config" help:"check a config of the users' platform before it is published, and show what it changes"`
 	Explain *explainCmd      `arg:"subcommand:explain" help:"show effective settings and the branch that set each"`
 	Load    *loadCmd         `arg:"subcommand:load" help:"send a bounded load and report latency, cache reuse and skew"`
 	Burn    *burnCmd         `arg:"subcommand:burn" help:"report the burn of service levels, merged from entries"`
