--- a/commands/review.go
+++ b/commands/review.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return table.Config{}, err
 	}
-	cfg, err := platform.DecodeConfig([]byte(text))
+	cfg, err := platform.ParsePublished([]byte(text))
 	if err != nil {
 		return table.Config{}, usagef("%s: %w", path, err)
 	}
