--- a/gate/call.go
+++ b/gate/call.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -104,6 +105,8 @@
 	// how it is known. Both are "" while an engine of any version may begin it.
 	version      string
 	versionBasis basis
+	// toldVersion is the version in the record that other entries were sent, "" if none was.
+	toldVersion string
 	// recordedVersion is the version in the latest record of the stream's origin, ""
 	// before there is one. recordedAttempts counts the records and originCall is their
 	// Call.
@@ -127,6 +130,11 @@
 // hasBody reports whether the request has a body.
 func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
 
+// requiredVersion returns the software version that the next engine must have, "" for any.
+// Before the first event it is the version that other entries were told: one that a later
+// record does not reach would resume the stream at that version.
+func (c *call) requiredVersion() string { return cmp.Or(c.version, c.toldVersion) }
+
 // timeLeft returns the time until the request fails.
 func (c *call) timeLeft(now clock.Millis) clock.Millis { return c.giveUpAt - now }
 
--- a/gate/continue.go
+++ b/gate/continue.go
@@ -49,13 +49,13 @@
 func (g *Gate) noEngineOfVersion(c *call) *verdict.Error {
 	g.recordNotContinued(c)
 	return verdict.New(c.verdict(), verdict.VersionGone, "no engine of %s with the software version %q that began the stream is available, listed are %q",
-		c.service, c.version, g.registry.Versions(c.service)).WithRetryAfter(retryVersion)
+		c.service, c.requiredVersion(), g.registry.Versions(c.service)).WithRetryAfter(retryVersion)
 }
 
 // recordNotContinued logs and counts a stream that no engine of its version can continue.
 // The caller holds mu.
 func (g *Gate) recordNotContinued(c *call) {
 	countNotContinued(verdict.VersionGone)
-	g.log.Info("stream_not_continued", "request", c.id, "service", c.service, "version", c.version, "basis", c.versionBasis,
+	g.log.Info("stream_not_continued", "request", c.id, "service", c.service, "version", c.requiredVersion(), "basis", c.versionBasis,
 		"listed", g.registry.Versions(c.service), "tried", len(c.tried))
 }
--- a/gate/evacuate.go
+++ b/gate/evacuate.go
@@ -55,7 +55,7 @@
 // noEngine returns the error for a request for which there is no engine. The caller holds
 // mu.
 func (g *Gate) noEngine(c *call) *verdict.Error {
-	if c.version != "" && !g.registry.HasUntried(c.service, c.version, c.tried) {
+	if v := c.requiredVersion(); v != "" && !g.registry.HasUntried(c.service, v, c.tried) {
 		return g.noEngineOfVersion(c)
 	}
 	if n, all := g.registry.CountEvacuated(c.service); n > 0 && n == all {
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -197,7 +197,7 @@
 	peers, several := g.originPeers, g.versions(c.service, now).sole == ""
 	g.mu.Unlock()
 	if several && peers != nil {
-		c.originHeld = peers.Store(r)
+		c.toldVersion, c.originHeld = version, peers.Store(r)
 	}
 }
 
--- a/gate/place.go
+++ b/gate/place.go
@@ -21,7 +21,7 @@
 		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's list of evacuations is %d ms old", g.tableFreshness.Age(now)).WithRetryAfter(g.retryElsewhere(now))
 	}
 	p, ok := g.chooseUntried(c, isolated, false, now)
-	if !ok && isolated && (c.version == "" || g.registry.HasUntried(c.service, c.version, c.tried)) {
+	if !ok && isolated && (c.requiredVersion() == "" || g.registry.HasUntried(c.service, c.requiredVersion(), c.tried)) {
 		return pick{}, verdict.New(c.verdict(), verdict.HeldBack, "engines crashed while they ran this request, and no engine of %s is free to run it in isolation", c.service).WithRetryAfter(retrySoon)
 	}
 	if !ok {
@@ -40,7 +40,7 @@
 	cost := engines.Cost{Prefill: g.prefillMillis(c.service), Transfer: service.TransferTimePerToken}
 	ch, ok := g.registry.Choose(engines.Query{
 		Service: c.service, Keys: c.prefixKeys, Tokens: c.prefixTokens, Cost: cost, Bound: bound, Slack: slack,
-		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.version, Tried: c.tried, Sound: sound, Isolated: isolated, Random: random(),
+		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.requiredVersion(), Tried: c.tried, Sound: sound, Isolated: isolated, Random: random(),
 	}, now)
 	if !ok {
 		return pick{}, false
