--- a/engines/choose.go
+++ b/engines/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -48,6 +49,11 @@
 	Tried []string
 	// Random breaks ties; from 0 up to, but not including, 1.
 	Random float64
+	// Hall is the entry's data hall. Locality decides which requests leave it and Leave is
+	// its random number, like Random. Locality is nil if halls are not heeded.
+	Hall     string
+	Locality *locality.Spill
+	Leave    float64
 }
 
 const (
@@ -103,6 +109,9 @@
 	// Load is the estimated load of the engine, Mean that of all usable engines.
 	Load float64
 	Mean float64
+	// Hall says why the request stayed in the entry's data hall or left it, "" if its
+	// engine was chosen without regard to halls.
+	Hall locality.Reason
 }
 
 // Choose returns the engine for a request, or false if no engine can be chosen. One that
@@ -261,7 +270,9 @@
 		n++
 	}
 	if loads[first[0]] > firstHomeBound*c.Mean+firstHomeSlack {
-		slices.SortStableFunc(first[:n], func(a, b int) int { return cmp.Compare(loads[a], loads[b]) })
+		slices.SortStableFunc(first[:n], func(a, b int) int {
+			return cmp.Compare(loads[a]-q.hallCredit(order.in[a]), loads[b]-q.hallCredit(order.in[b]))
+		})
 	}
 	for i := 0; order.has(i); i++ {
 		index, basis := order.index(i), ByRank
@@ -337,12 +348,17 @@
 	return r.top[i]
 }
 
-// chooseByLoad chooses the engine with the lowest load per slot.
+// chooseByLoad chooses the engine with the lowest load per slot in the data hall that the
+// request goes to.
 func (c *Choice) chooseByLoad(q Query, usable []*Engine, loads []float64) {
+	c.Hall = q.leaveHall(usable, loads)
 	best, bestScore := -1, 0.0
 	start := int(q.Random * float64(len(usable)))
 	for k := range usable {
 		i := (start + k) % len(usable)
+		if !q.admits(c.Hall, usable[i]) {
+			continue
+		}
 		s := loads[i] / float64(usable[i].info.Slots)
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
--- a/gate/account.go
+++ b/gate/account.go
@@ -103,6 +103,9 @@
 	if c.workspace != nil {
 		attrs = append(attrs, "workspace", c.workspace.Name)
 	}
+	if c.hallReason != "" {
+		attrs = append(attrs, "hall_reason", c.hallReason)
+	}
 	if c.pressure > 0 {
 		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -10,6 +10,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/table"
@@ -95,6 +96,9 @@
 	prefillMillis  float64
 	engineLoad     float64
 	meanLoad       float64
+	// hallReason says why the request stayed in this data hall or left it, "" if halls did
+	// not matter.
+	hallReason locality.Reason
 
 	// reply is the response to the caller.
 	reply *relay.Reply
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/engines/prefill"
 	"github.com/weldfall/weldfall/engines/quarantine"
@@ -97,6 +98,8 @@
 	WarmupExtra   float64
 	// LoadBound is the maximum load of an engine as a multiple of the mean.
 	LoadBound float64
+	// Locality is what leaving a data hall costs.
+	Locality locality.Settings
 }
 
 // Config configures a Gate.
@@ -104,6 +107,8 @@
 	ID      string
 	Dialect Dialect
 	Bounds  Bounds
+	// Hall is the data hall of the process, "" if it is unknown.
+	Hall string
 	// Link is the downlink of the process, nil if its capacity is unknown.
 	Link  *downlink.Downlink
 	Clock *clock.Clock
@@ -131,6 +136,9 @@
 	// prefillSpeeds holds the prefill speed of the engines of each service. It is guarded by
 	// mu.
 	prefillSpeeds map[string]*prefill.Estimator
+	// spills holds what is known of leaving the data hall for each service. It is guarded by
+	// mu.
+	spills map[string]*locality.Spill
 	// guard tracks requests under which engines crashed. endChecks limits the checks whether
 	// an engine has ended to one at a time for each address.
 	guard     *quarantine.Guard
@@ -219,7 +227,7 @@
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, counts: newCounts(),
-		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
+		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
 		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
 	g.shutdown.estimate = g.estimate
@@ -240,8 +248,9 @@
 	}
 	g.mu.Lock()
 	g.warmupParts = map[string]int{}
+	clear(g.spills)
 	g.mu.Unlock()
-	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "evacuation_ms", b.Evacuation, "change_ms", b.Change, "grace_ms", b.Grace, "engine_silence_ms", b.EngineSilence, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound)
+	g.log.Info("bounds_in_force", "revocation_ms", b.Revocation, "evacuation_ms", b.Evacuation, "change_ms", b.Change, "grace_ms", b.Grace, "engine_silence_ms", b.EngineSilence, "retry_ratio", b.RetryRatio, "load_bound", b.LoadBound, "hall_megabyte_ms", b.Locality.MegabyteMillis)
 }
 
 func headerSet(names []string) map[string]bool {
--- a/gate/place.go
+++ b/gate/place.go
@@ -41,12 +41,14 @@
 	ch, ok := g.registry.Choose(engines.Query{
 		Service: c.service, Keys: c.prefixKeys, Tokens: c.prefixTokens, Cost: cost, Bound: bound, Slack: slack,
 		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.version, Tried: c.tried, Sound: sound, Isolated: isolated, Random: random(),
+		Hall: g.cfg.Hall, Locality: g.spill(c.service), Leave: random(),
 	}, now)
 	if !ok {
 		return pick{}, false
 	}
 	in := ch.Engine.Info()
 	ch.Engine.BeginRequest(now)
+	hallMetric(ch.Hall)
 	p := pick{Info: in, choice: ch, chosenAt: now, isolated: isolated, prefillMillis: cost.Prefill}
 	if service.PrefixTransfer && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
@@ -74,6 +76,7 @@
 	c.sentAt = p.chosenAt
 	c.tried, c.isolated = append(c.tried, p.ID), p.isolated
 	c.chosenBy, c.sentBefore, c.engineLoad, c.meanLoad = p.choice.Basis, p.choice.PrefixSent, p.choice.Load, p.choice.Mean
+	c.hallReason = p.choice.Hall
 	c.hasSource, c.fetchCostsMore, c.prefillMillis = p.source != "", p.choice.FetchTooCostly, p.prefillMillis
 }
 
--- a/gate/send.go
+++ b/gate/send.go
@@ -49,6 +49,7 @@
 		}
 		o := g.attempt(ctx, c, e)
 		g.recordOutcome(ctx, c, e, o)
+		g.recordHall(c, e.Info, o)
 		switch o := o.(type) {
 		case attempt.Answered:
 			return nil
