engines, gate: Read how long work takes at an engine

The fourth figure of an engine's load was dropped. A learned type keeps it with its age: a report counts only as far as reports of its age were seen to foretell later ones, and the mean of an engine only as far as it surely differs from that of all. Loads are weighed by it where a service reports it; the bound for the load is not.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -131,16 +131,17 @@
 		mean += l
 	}
 	mean /= float64(len(usable))
+	paced := r.weighByPace(p, usable, loads, now)
 	c := Choice{Mean: mean}
 	var order *ranking
 	if len(q.Keys) > 0 {
 		order = newRanking(q.Keys[len(q.Keys)-1], usable)
 	}
 	if order != nil && !q.Isolated {
-		c.chooseByPrefix(q, order, loads)
+		c.chooseByPrefix(q, order, loads, paced)
 	}
 	if c.Engine == nil {
-		c.chooseByLoad(q, usable, loads)
+		c.chooseByLoad(q, usable, loads, paced)
 	}
 	if q.Version != "" && c.Load >= float64(c.Engine.info.Slots) {
 		// The last engines of a version would get the streams of all that ended.
@@ -200,7 +201,7 @@
 // scratch is memory that choices reuse.
 type scratch struct {
 	live, trusted []*Engine
-	loads         []float64
+	loads, paced  []float64
 }
 
 // AcceptsRequests reports whether an engine may get new requests by its listing entry:
@@ -256,12 +257,12 @@
 }
 
 // chooseByPrefix chooses the first of the prompt's homes unless it is busier than most
-// engines, then the least loaded home, then the next engine in the ranking that has room.
+// engines, then the home that is least loaded for its pace, then the next engine in the ranking that has room.
 //
 // All entries compute the same ranking, so they agree without communication. An engine
 // that joins takes over its part of the prompts at once and fetches missing prefixes from
 // the next engine in the ranking, which had them before.
-func (c *Choice) chooseByPrefix(q Query, order *ranking, loads []float64) {
+func (c *Choice) chooseByPrefix(q Query, order *ranking, loads, paced []float64) {
 	bound := q.Bound*c.Mean + q.Slack
 	var first [maxHomes]int
 	n := 0
@@ -269,9 +270,9 @@
 		first[n] = order.index(n)
 		n++
 	}
-	if loads[first[0]] > firstHomeBound*c.Mean+firstHomeSlack {
+	if paced[first[0]] > firstHomeBound*c.Mean+firstHomeSlack {
 		slices.SortStableFunc(first[:n], func(a, b int) int {
-			return cmp.Compare(loads[a]-q.hallCredit(order.in[a]), loads[b]-q.hallCredit(order.in[b]))
+			return cmp.Compare(paced[a]-q.hallCredit(order.in[a]), paced[b]-q.hallCredit(order.in[b]))
 		})
 	}
 	for i := 0; order.has(i); i++ {
@@ -348,9 +349,9 @@
 	return r.top[i]
 }
 
-// chooseByLoad chooses the engine with the lowest load per slot in the data hall that the
-// request goes to.
-func (c *Choice) chooseByLoad(q Query, usable []*Engine, loads []float64) {
+// chooseByLoad chooses the engine with the lowest load per slot, weighed by pace, in the data
+// hall that the request goes to.
+func (c *Choice) chooseByLoad(q Query, usable []*Engine, loads, paced []float64) {
 	c.Hall = q.leaveHall(usable, loads)
 	best, bestScore := -1, 0.0
 	start := int(q.Random * float64(len(usable)))
@@ -359,7 +360,7 @@
 		if !q.admits(c.Hall, usable[i]) {
 			continue
 		}
-		s := loads[i] / float64(usable[i].info.Slots)
+		s := paced[i] / float64(usable[i].info.Slots)
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
 		}
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/pace"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -62,6 +63,9 @@
 type Load struct {
 	Running int
 	Waiting int
+	// Pace is how long work takes at present as a multiple of the usual, 0 if the engine
+	// does not report it.
+	Pace float64
 }
 
 // Engine is a listed engine and the state kept of it.
@@ -103,6 +107,8 @@
 	warmup     warmupState
 	// checkedAt is when the last health check was allowed, zero if none was.
 	checkedAt clock.Millis
+	// pace is how long work takes at the engine by its own reports.
+	pace pace.Engine
 	// reservedUntil is the end of a reservation for an isolated request.
 	reservedUntil clock.Millis
 	// reports is the list that holds the engine if it has reported a load, between a
--- a/engines/registry.go
+++ b/engines/registry.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/pace"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -40,6 +41,8 @@
 	engines []*Engine
 	// versions counts the engines by software version.
 	versions map[string]int
+	// pace is what the engines reported of how long work takes.
+	pace pace.Pool
 }
 
 // maxIncarnations bounds each record of past incarnations, at about 150 bytes an entry.
--- a/gate/account.go
+++ b/gate/account.go
@@ -106,6 +106,9 @@
 	if c.hallReason != "" {
 		attrs = append(attrs, "hall_reason", c.hallReason)
 	}
+	if c.pace > 0 {
+		attrs = append(attrs, "pace", hundredths(c.pace))
+	}
 	if c.pressure > 0 {
 		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -99,6 +99,8 @@
 	// hallReason says why the request stayed in this data hall or left it, "" if halls did
 	// not matter.
 	hallReason locality.Reason
+	// pace is the expected pace of the engine, 0 if its service reports none.
+	pace float64
 
 	// reply is the response to the caller.
 	reply *relay.Reply
--- a/gate/place.go
+++ b/gate/place.go
@@ -47,9 +47,10 @@
 		return pick{}, false
 	}
 	in := ch.Engine.Info()
+	pace := g.registry.Pace(ch.Engine, now)
 	ch.Engine.BeginRequest(now)
 	hallMetric(ch.Hall)
-	p := pick{Info: in, choice: ch, chosenAt: now, isolated: isolated, prefillMillis: cost.Prefill}
+	p := pick{Info: in, choice: ch, chosenAt: now, isolated: isolated, prefillMillis: cost.Prefill, pace: pace}
 	if service.PrefixTransfer && ch.Source != nil {
 		p.source = ch.Source.Info().Addr
 	}
@@ -69,6 +70,9 @@
 	isolated bool
 	// prefillMillis is the known prefill time in milliseconds a token.
 	prefillMillis float64
+	// pace is how long work is expected to take at the engine as a multiple of the usual, 0
+	// if its service does not report it.
+	pace float64
 }
 
 // setPick records the engine of the next attempt.
@@ -76,7 +80,7 @@
 	c.sentAt = p.chosenAt
 	c.tried, c.isolated = append(c.tried, p.ID), p.isolated
 	c.chosenBy, c.sentBefore, c.engineLoad, c.meanLoad = p.choice.Basis, p.choice.PrefixSent, p.choice.Load, p.choice.Mean
-	c.hallReason = p.choice.Hall
+	c.hallReason, c.pace = p.choice.Hall, p.pace
 	c.hasSource, c.fetchCostsMore, c.prefillMillis = p.source != "", p.choice.FetchTooCostly, p.prefillMillis
 }
 
@@ -100,6 +104,9 @@
 	e.RecordActivity(now)
 	if l, ok := parseLoad(load); ok {
 		e.RecordLoad(l, now)
+		if l.Pace > 0 {
+			g.registry.RecordPace(e, l.Pace, now)
+		}
 	}
 }
 
@@ -162,17 +169,30 @@
 	}
 }
 
-// parseLoad parses "running,waiting,slots".
+// maxPace is the largest reported pace that is believed.
+const maxPace = 100_000.0
+
+// usualPace is the reported pace of an engine at which work takes as long as usual.
+const usualPace = 100.0
+
+// parseLoad parses "running,waiting,slots" or "running,waiting,slots,pace".
 func parseLoad(v string) (engines.Load, bool) {
 	running, rest, ok := strings.Cut(v, ",")
 	if !ok {
 		return engines.Load{}, false
 	}
-	waiting, _, _ := strings.Cut(rest, ",")
+	waiting, rest, _ := strings.Cut(rest, ",")
 	r, err1 := strconv.Atoi(strings.TrimSpace(running))
 	q, err2 := strconv.Atoi(strings.TrimSpace(waiting))
 	if err1 != nil || err2 != nil || r < 0 || q < 0 {
 		return engines.Load{}, false
 	}
-	return engines.Load{Running: r, Waiting: q}, true
+	l := engines.Load{Running: r, Waiting: q}
+	if _, pace, ok := strings.Cut(rest, ","); ok {
+		// A load without a usable pace is still a load.
+		if f, err := strconv.ParseFloat(strings.TrimSpace(pace), 64); err == nil && f > 0 && f <= maxPace {
+			l.Pace = f / usualPace
+		}
+	}
+	return l, true
 }
