engines/locality: Count failures, and leave for one request less where work is long

Failures and callers who leave now count as time, and a request leaves if the difference in load is worth more than the way and the bytes.

--- a/engines/locality/locality.go
+++ b/engines/locality/locality.go
@@ -41,6 +41,9 @@
 	LeftEmpty Reason = "left_empty"
 	// LeftFull means that no engine of the hall has a free slot, and one of another has.
 	LeftFull Reason = "left_full"
+	// LeftLoaded means that the engine in the hall has more requests than one elsewhere, by
+	// more than the way and the price of the bytes come to.
+	LeftLoaded Reason = "left_loaded"
 	// LeftSlow means that responses from other halls come sooner by more than their price.
 	LeftSlow Reason = "left_slow"
 )
@@ -66,8 +69,9 @@
 	moveTime clock.Millis = 500
 	// endPart is the part of the least advantage below which the share falls.
 	endPart = 0.5
-	// rejectedTimes is the number of usual response times that a rejection counts as.
-	rejectedTimes = 5.0
+	// lostTimes is the number of usual response times that a rejection or a failure counts
+	// as.
+	lostTimes = 5.0
 	// rejectedElsewhere is the part of the share that remains after a rejection in
 	// another hall.
 	rejectedElsewhere = 0.5
@@ -110,10 +114,21 @@
 	s.update(now)
 }
 
+// ObserveFailed records that an engine failed a request.
+func (s *Spill) ObserveFailed(own bool, now clock.Millis) {
+	s.add(own, lostTimes*max(1, s.usual), now)
+	s.update(now)
+}
+
+// ObserveGone records that a caller left after the given time without a response.
+func (s *Spill) ObserveGone(own bool, after, now clock.Millis) {
+	s.add(own, float64(after), now)
+	s.update(now)
+}
+
 // ObserveRejected records that an engine rejected a request because it was full.
 func (s *Spill) ObserveRejected(own bool, now clock.Millis) {
-	s.add(own, rejectedTimes*max(1, s.usual), now)
-	s.update(now)
+	s.ObserveFailed(own, now)
 	if !own {
 		s.share *= rejectedElsewhere
 	}
@@ -139,6 +154,8 @@
 		return Stayed
 	case r.OwnLoad >= 1 && r.OtherLoad < 1:
 		return LeftFull
+	case s.usual*(r.OwnLoad-r.OtherLoad) > s.cfg.WayMillis+s.price()+s.cfg.MinAdvantageMillis:
+		return LeftLoaded
 	case random < min(s.share, float64(r.OtherSlots)/float64(r.OwnSlots+r.OtherSlots)):
 		return LeftSlow
 	}
@@ -155,9 +172,8 @@
 	own, ownDoubt := s.own.estimate(s.usual, now)
 	s.learnUsual(own, step)
 	other, otherDoubt := s.other.estimate(min(own, s.usual)+s.cfg.WayMillis, now)
-	price := s.cfg.MegabyteMillis * s.bytes / megabyte
 	needed := s.cfg.MinAdvantageMillis + math.Hypot(ownDoubt, otherDoubt)
-	switch advantage := own - other - price; {
+	switch advantage := own - other - s.price(); {
 	case advantage > needed:
 		s.share = min(1, s.share+float64(step)/float64(moveTime)*(advantage-needed)/own)
 	case advantage < endPart*needed:
@@ -165,6 +181,9 @@
 	}
 }
 
+// price returns what the bytes of a request are worth between halls, in milliseconds.
+func (s *Spill) price() float64 { return s.cfg.MegabyteMillis * s.bytes / megabyte }
+
 // learnUsual moves the usual response time towards the present one.
 func (s *Spill) learnUsual(own float64, step clock.Millis) {
 	if s.own.weight == 0 {
--- a/engines/locality/locality_test.go
+++ b/engines/locality/locality_test.go
@@ -75,10 +75,36 @@
 	}
 }
 
+// Requests leave a hall whose engine fails some of them, though the others are as quick as
+// ever.
+func TestFailuresCountAsTime(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(s *locality.Spill, now clock.Millis)
+	}{
+		{"failed", func(s *locality.Spill, now clock.Millis) { s.ObserveFailed(true, now) }},
+		{"rejected", func(s *locality.Spill, now clock.Millis) { s.ObserveRejected(true, now) }},
+		{"gone", func(s *locality.Spill, now clock.Millis) { s.ObserveGone(true, 600, now) }},
+	} {
+		s := locality.New(settings)
+		now := respond(s, true, 20, 100, 0)
+		for range 100 {
+			c.fail(s, now+10)
+			now = respond(s, true, 20, 1, now)
+		}
+		if got := s.Share(); got < 0.3 {
+			t.Errorf("%s: got share %v with half of the requests lost, want at least 0.3", c.name, got)
+		}
+	}
+}
+
 func TestDecideByRoom(t *testing.T) {
 	fresh := locality.New(settings)
 	slow := locality.New(settings)
 	respond(slow, true, 100, 100, respond(slow, true, 20, 100, 0))
+	usual, short := locality.New(settings), locality.New(settings)
+	respond(usual, true, 60, 100, 0)
+	respond(short, true, 10, 100, 0)
 	for _, c := range []struct {
 		name   string
 		spill  *locality.Spill
@@ -90,6 +116,9 @@
 		{"no engine elsewhere", slow, locality.Room{OwnSlots: 6}, 0, locality.Stayed},
 		{"full here", fresh, locality.Room{OwnSlots: 6, OtherSlots: 6, OwnLoad: 1}, 0.9, locality.LeftFull},
 		{"full everywhere", fresh, locality.Room{OwnSlots: 6, OtherSlots: 6, OwnLoad: 1, OtherLoad: 1}, 0.9, locality.Stayed},
+		{"a request more here", usual, locality.Room{OwnSlots: 6, OtherSlots: 6, OwnLoad: 2. / 6, OtherLoad: 1. / 6}, 0.9, locality.LeftLoaded},
+		{"a request more where work is short", short, locality.Room{OwnSlots: 6, OtherSlots: 6, OwnLoad: 2. / 6, OtherLoad: 1. / 6}, 0.9, locality.Stayed},
+		{"a request less here", usual, locality.Room{OwnSlots: 6, OtherSlots: 6, OwnLoad: 1. / 6, OtherLoad: 2. / 6}, 0.9, locality.Stayed},
 		{"slow here", slow, locality.Room{OwnSlots: 6, OtherSlots: 6}, 0.4, locality.LeftSlow},
 		{"slow here, but few slots elsewhere", slow, locality.Room{OwnSlots: 6, OtherSlots: 2}, 0.4, locality.Stayed},
 	} {
--- a/gate/halls.go
+++ b/gate/halls.go
@@ -33,8 +33,8 @@
 	return s
 }
 
-// recordHall records the response time or the rejection of a request without a prompt, by
-// the side on which its engine is. Times of prompts differ too much to compare halls.
+// recordHall records the response time, the rejection or the failure of a request without a
+// prompt, by the side on which its engine is. Times of prompts differ too much to compare halls.
 func (g *Gate) recordHall(c *call, e engines.Info, o attempt.Outcome) {
 	if len(c.prefixKeys) > 0 {
 		return
@@ -60,7 +60,13 @@
 		}
 	case attempt.Refused:
 		s.ObserveRejected(own, now)
-	case attempt.Unsent, attempt.Broken, attempt.Failed, attempt.CallerGone:
+	case attempt.Broken, attempt.Failed:
+		s.ObserveFailed(own, now)
+	case attempt.CallerGone:
+		if !c.reply.Started() {
+			s.ObserveGone(own, now-c.sentAt, now)
+		}
+	case attempt.Unsent:
 	}
 }
 
