--- a/commands/gate.go
+++ b/commands/gate.go
@@ -67,7 +67,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	log.Info("started", "role", "gate", "version", Version, "hall", cfg.Hall, "listen", ls[0].Addr(),
-		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "peers", ls[3].Addr(), "store", cfg.Store)
+		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "peers", ls[3].Addr(), "store", cfg.Store, "hall_megabyte_ms", cfg.Bounds.Locality.MegabyteMillis)
 	return runGate(ctx, cfg, log, ls, hup)
 }
 
