--- a/engines/choose.go
+++ b/engines/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -48,6 +49,11 @@
 	Tried []string
 	// Random breaks ties; from 0 up to, but not including, 1.
 	Random float64
+	// Hall is the entry's data hall. Locality decides which requests leave it and Leave is
+	// its random number, like Random. Locality is nil if halls are not heeded.
+	Hall     string
+	Locality *locality.Spill
+	Leave    float64
 }
 
 const (
@@ -103,6 +109,9 @@
 	// Load is the estimated load of the engine, Mean that of all usable engines.
 	Load float64
 	Mean float64
+	// Hall says why the request stayed in the entry's data hall or left it, "" if its
+	// engine was chosen without regard to halls.
+	Hall locality.Reason
 }
 
 // Choose returns the engine for a request, or false if no engine can be chosen. One that
@@ -122,16 +131,17 @@
 		mean += l
 	}
 	mean /= float64(len(usable))
+	paced := r.weighByPace(p, usable, loads, now)
 	c := Choice{Mean: mean}
 	var order *ranking
 	if len(q.Keys) > 0 {
 		order = newRanking(q.Keys[len(q.Keys)-1], usable)
 	}
 	if order != nil && !q.Isolated {
-		c.chooseByPrefix(q, order, loads)
+		c.chooseByPrefix(q, order, loads, paced)
 	}
 	if c.Engine == nil {
-		c.chooseByLoad(q, usable, loads)
+		c.chooseByLoad(q, usable, loads, paced)
 	}
 	if q.Version != "" && c.Load >= float64(c.Engine.info.Slots) {
 		// The last engines of a version would get the streams of all that ended.
@@ -191,7 +201,7 @@
 // scratch is memory that choices reuse.
 type scratch struct {
 	live, trusted []*Engine
-	loads         []float64
+	loads, paced  []float64
 }
 
 // AcceptsRequests reports whether an engine may get new requests by its listing entry:
@@ -247,12 +257,12 @@
 }
 
 // chooseByPrefix chooses the first of the prompt's homes unless it is busier than most
-// engines, then the least loaded home, then the next engine in the ranking that has room.
+// engines, then the home that is least loaded for its pace, then the next engine in the ranking that has room.
 //
 // All entries compute the same ranking, so they agree without communication. An engine
 // that joins takes over its part of the prompts at once and fetches missing prefixes from
 // the next engine in the ranking, which had them before.
-func (c *Choice) chooseByPrefix(q Query, order *ranking, loads []float64) {
+func (c *Choice) chooseByPrefix(q Query, order *ranking, loads, paced []float64) {
 	bound := q.Bound*c.Mean + q.Slack
 	var first [maxHomes]int
 	n := 0
@@ -260,8 +270,10 @@
 		first[n] = order.index(n)
 		n++
 	}
-	if loads[first[0]] > firstHomeBound*c.Mean+firstHomeSlack {
-		slices.SortStableFunc(first[:n], func(a, b int) int { return cmp.Compare(loads[a], loads[b]) })
+	if paced[first[0]] > firstHomeBound*c.Mean+firstHomeSlack {
+		slices.SortStableFunc(first[:n], func(a, b int) int {
+			return cmp.Compare(paced[a]-q.hallCredit(order.in[a]), paced[b]-q.hallCredit(order.in[b]))
+		})
 	}
 	for i := 0; order.has(i); i++ {
 		index, basis := order.index(i), ByRank
@@ -337,13 +349,18 @@
 	return r.top[i]
 }
 
-// chooseByLoad chooses the engine with the lowest load per slot.
-func (c *Choice) chooseByLoad(q Query, usable []*Engine, loads []float64) {
+// chooseByLoad chooses the engine with the lowest load per slot, weighed by pace, in the data
+// hall that the request goes to.
+func (c *Choice) chooseByLoad(q Query, usable []*Engine, loads, paced []float64) {
+	c.Hall = q.leaveHall(usable, loads)
 	best, bestScore := -1, 0.0
 	start := int(q.Random * float64(len(usable)))
 	for k := range usable {
 		i := (start + k) % len(usable)
-		s := loads[i] / float64(usable[i].info.Slots)
+		if !q.admits(c.Hall, usable[i]) {
+			continue
+		}
+		s := paced[i] / float64(usable[i].info.Slots)
 		if best < 0 || s < bestScore {
 			best, bestScore = i, s
 		}
--- a/gate/account.go
+++ b/gate/account.go
@@ -103,6 +103,12 @@
 	if c.workspace != nil {
 		attrs = append(attrs, "workspace", c.workspace.Name)
 	}
+	if c.hallReason != "" {
+		attrs = append(attrs, "hall_reason", c.hallReason)
+	}
+	if c.pace > 0 {
+		attrs = append(attrs, "pace", hundredths(c.pace))
+	}
 	if c.pressure > 0 {
 		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -11,6 +11,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/table"
@@ -96,6 +97,11 @@
 	prefillMillis  float64
 	engineLoad     float64
 	meanLoad       float64
+	// hallReason says why the request stayed in this data hall or left it, "" if halls did
+	// not matter.
+	hallReason locality.Reason
+	// pace is the expected pace of the engine, 0 if its service reports none.
+	pace float64
 
 	// reply is the response to the caller.
 	reply *relay.Reply
