report/account: Show who waited, was refused and paid

Lines of requests name their workspace and priority, but the report had neither. Add a table by priority and one of the twenty workspaces that lost most. At most 20,000 workspaces are counted one by one.

--- a/report/account/account.go
+++ b/report/account/account.go
@@ -94,6 +94,8 @@
 	retries map[string]*serviceRetries
 	// streams has the streams by the attempts that began them.
 	streams map[streamKey]*stream
+	// workspaces and priorities have the requests by workspace and by priority.
+	workspaces, priorities map[string]*demand
 	// skipped counts lines that are not logfmt, and those of which a needed field
 	// is missing or invalid.
 	skipped int
@@ -102,7 +104,7 @@
 // New returns an empty account.
 func New() *Account {
 	return &Account{attemptCauses: map[string]Cause{}, crashed: map[string]bool{}, tables: map[int64]*tableUse{}, suspects: map[string]*suspect{},
-		retries: map[string]*serviceRetries{}, streams: map[streamKey]*stream{}}
+		retries: map[string]*serviceRetries{}, streams: map[streamKey]*stream{}, workspaces: map[string]*demand{}, priorities: map[string]*demand{}}
 }
 
 const maxLineBytes = 64 << 10
@@ -190,6 +192,7 @@
 		r.Cause = causeOfFailure(f, attemptCause)
 	}
 	a.requests = append(a.requests, r)
+	a.recordDemand(r.Outcome, f)
 	a.recordStream(id, f)
 	a.recordVersion(f, at)
 }
--- a/report/account/report.go
+++ b/report/account/report.go
@@ -67,6 +67,7 @@
 		writeGroup(t, g)
 	}
 	a.writeCauses(t)
+	a.writeDemand(t)
 	a.writeSuspects(t)
 	a.writeRetries(t)
 	a.writeStreams(t)
