--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 
@@ -18,3 +19,18 @@
 	g.respond(c, err)
 	return w.Result()
 }
+
+// OverShare runs the steps up to authorise for a request and reports whether it is above
+// the fair part of its workspace.
+func (g *Gate) OverShare(r *http.Request) bool {
+	c := g.newCall(httptest.NewRecorder(), r)
+	for _, step := range []func(context.Context, *call) *verdict.Error{g.validateHeaders, g.resolve, g.authorise} {
+		if err := step(r.Context(), c); err != nil {
+			panic(err)
+		}
+	}
+	return g.overShare(c)
+}
+
+// TrackedWorkspaces returns the number of workspaces whose use is tracked.
+func (g *Gate) TrackedWorkspaces() int { return g.fair.Tracked() }
