engines/fairshare: Keep bursts out of usual use

The first part of a surge was counted as usual before it was told from chance, so the part of a surging workspace grew by two to five times. Feed usual use from a credit of the part, a second of it and two standard deviations.

--- a/engines/fairshare/fairshare.go
+++ b/engines/fairshare/fairshare.go
@@ -40,6 +40,8 @@
 	// creditFor is how much of its part a workspace may use at once and have it counted as
 	// usual.
 	creditFor clock.Millis = 1000
+	// burstSigmas is how many standard deviations, and how many requests, it may use more.
+	burstSigmas = 2
 	// refreshPeriod is how often the growth of all workspaces is computed.
 	refreshPeriod clock.Millis = 200
 	// activeFor is how long a workspace without requests still counts for the equal part.
@@ -85,6 +87,8 @@
 	// oldest.
 	Gates int
 	Age   clock.Millis
+	// deviation is the standard deviation of the use if it were the part at most.
+	deviation float64
 }
 
 // Tracker tracks the use of services by workspaces. It is safe for concurrent use.
@@ -164,13 +168,9 @@
 		t.refresh(s, now)
 	}
 	d := t.decide(s, w, r.Short, now)
+	usual := w.spendCredit(cost, d, now)
 	if now-s.start < learnFor {
-		d.Excess = 1
-	}
-	usual := cost
-	if credit := w.spendCredit(cost, d.Part, now); d.Excess > 1 {
-		// The excess does not become usual.
-		usual = credit
+		usual, d.Excess = cost, 1
 	}
 	w.usual.add(usual, now)
 	s.usual.add(usual, now)
@@ -181,11 +181,15 @@
 	return d
 }
 
-// spendCredit returns how much of a cost counts as usual. Over time that is at most the
-// part.
-func (w *workspace) spendCredit(cost, part float64, now clock.Millis) float64 {
-	allowed := min(creditFor, now-w.seenAt)
-	w.credit = min(w.credit+part*float64(allowed)/millisPerSecond, part*float64(creditFor)/millisPerSecond)
+// spendCredit returns how much of a cost counts as usual, so that an excess does not become
+// usual. Over time that is at most the part; bursts that may be chance count.
+func (w *workspace) spendCredit(cost float64, d Decision, now clock.Millis) float64 {
+	burst := d.Part*float64(creditFor)/millisPerSecond + burstSigmas*d.deviation*windowSeconds + burstSigmas*cost
+	if w.seenAt == 0 {
+		w.credit = burst
+	} else {
+		w.credit = min(burst, w.credit+d.Part*float64(now-w.seenAt)/millisPerSecond)
+	}
 	w.seenAt = now
 	spent := min(cost, w.credit)
 	w.credit -= spent
@@ -222,7 +226,7 @@
 	if w := s.workspaces[h]; w != nil {
 		return w
 	}
-	w := &workspace{hash: h, weight: 1, usual: average{at: now}, since: now, seenAt: now - creditFor}
+	w := &workspace{hash: h, weight: 1, usual: average{at: now}, since: now}
 	if len(s.workspaces) >= t.cfg.Tracked {
 		var least *workspace
 		for _, w := range s.workspaces {
@@ -298,6 +302,7 @@
 func (t *Tracker) decide(s *service, w *workspace, short bool, now clock.Millis) Decision {
 	rate, variance := w.recent.rate(s.start, now)
 	d := Decision{Usage: rate, Part: s.part(w, now)}
+	d.deviation = math.Sqrt(variance * min(1, d.Part/max(rate, math.SmallestNonzeroFloat64)))
 	reported := float64(quietSigmas)
 	if short {
 		reported = shortSigmas
