engines/fairshare: Search the tracked workspaces in a list

A request of an untracked workspace searched a map of 256: 27.9 µs with 100,000 workspaces that take turns, now 1.6 (BenchmarkRecord, busy machine). Hash service and workspace as one text: XXH3 combines a seed with a short text only by XOR.

--- a/engines/fairshare/fairshare.go
+++ b/engines/fairshare/fairshare.go
@@ -113,6 +113,8 @@
 	// start is when the first request was counted.
 	start      clock.Millis
 	workspaces map[uint32]*workspace
+	// tracked has the same workspaces. It is searched faster.
+	tracked []*workspace
 	// usual is the usual use by all workspaces, tracked or not.
 	usual average
 	// growths is sorted by growth and has the workspaces that have been tracked for long.
@@ -152,7 +154,7 @@
 
 // Hash identifies a workspace of a service in reports.
 func Hash(service, workspace string) uint32 {
-	return uint32(xxh3.HashStringSeed(workspace, xxh3.HashString(service)))
+	return uint32(xxh3.HashString(service + "\x00" + workspace))
 }
 
 // Record counts a request and decides about it.
@@ -228,15 +230,13 @@
 	}
 	w := &workspace{hash: h, weight: 1, usual: average{at: now}, since: now}
 	if len(s.workspaces) >= t.cfg.Tracked {
-		var least *workspace
-		for _, w := range s.workspaces {
-			if least == nil || cmp.Or(cmp.Compare(w.rank, least.rank), cmp.Compare(w.seenAt, least.seenAt)) < 0 {
-				least = w
-			}
-		}
-		delete(s.workspaces, least.hash)
+		i := s.least()
+		delete(s.workspaces, s.tracked[i].hash)
 		// Of those that use the least, the new one is the last to be dropped.
-		w.rank = least.rank
+		w.rank = s.tracked[i].rank
+		s.tracked[i] = w
+	} else {
+		s.tracked = append(s.tracked, w)
 	}
 	if t.cfg.Weight != nil {
 		w.weight = t.cfg.Weight(r.Workspace)
@@ -245,6 +245,18 @@
 	return w
 }
 
+// least returns the index of the workspace that uses the least, of several that of the one
+// that was seen first.
+func (s *service) least() int {
+	least := 0
+	for i, w := range s.tracked {
+		if l := s.tracked[least]; w.rank < l.rank || w.rank == l.rank && w.seenAt < l.seenAt {
+			least = i
+		}
+	}
+	return least
+}
+
 // refresh computes the growth of the tracked workspaces.
 func (t *Tracker) refresh(s *service, now clock.Millis) {
 	s.refreshedAt = now
@@ -252,7 +264,7 @@
 	// What is new has grown from nothing, which says nothing of the others.
 	known := min(usualHalfLife, now-s.start) / 2
 	most := maxVote * s.usual.rate(s.start, now)
-	for _, w := range s.workspaces {
+	for _, w := range s.tracked {
 		rate, _ := w.recent.rate(s.start, now)
 		usual := w.usual.rate(s.start, now)
 		w.rank = rate + usual
