--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
+	"github.com/weldfall/weldfall/engines/fairshare"
 	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/engines/prefill"
@@ -149,6 +150,8 @@
 	// for others.
 	origins        *origin.Book
 	originSearches *searches
+	// fair tracks the use of services by workspaces.
+	fair *fairshare.Tracker
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -227,12 +230,15 @@
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, counts: newCounts(),
-		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
+		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
+		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
+		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
 		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
 	metrics.GetOrCreateGauge("weldfall_origins", func() float64 { return float64(g.origins.Len()) })
+	metrics.GetOrCreateGauge("weldfall_tracked_workspaces", func() float64 { return float64(g.fair.Tracked()) })
 	g.SetOthers(cfg.ID, nil)
 	g.limits.Store(&cfg.Bounds)
 	cfg.Clock.OnSuspend(g.onSuspend)
