--- a/gate/halls.go
+++ b/gate/halls.go
@@ -50,8 +50,8 @@
 	switch o.(type) {
 	case attempt.Answered:
 		arrived := now
-		if c.route.Kind == table.Stream {
-			arrived = c.reply.FirstAt()
+		if first := c.reply.FirstAt(); c.route.Kind == table.Stream && first > 0 {
+			arrived = first
 		}
 		bytes := int64(len(c.body)) + c.reply.BytesWritten()
 		s.Observe(own, arrived-c.sentAt, bytes, now)
