--- a/gate/gate.go
+++ b/gate/gate.go
@@ -227,8 +227,8 @@
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
 		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, counts: newCounts(),
-		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
-		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
+		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
+		spills: map[string]*locality.Spill{}, origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
