--- a/report/account/workspaces.go
+++ b/report/account/workspaces.go
@@ -33,8 +33,9 @@
 	waitedMS int
 }
 
-// lost returns how many requests were due a response and got none in time.
-func (d *demand) lost() int { return d.late + d.refused + d.noRoom + d.failed }
+// lost returns how many requests got no response in time, or were left by their callers,
+// who may have waited too long.
+func (d *demand) lost() int { return d.late + d.refused + d.noRoom + d.failed + d.left }
 
 func (d *demand) count(o Outcome, f map[string]string) {
 	d.asked++
--- a/report/account/workspaces_test.go
+++ b/report/account/workspaces_test.go
@@ -34,11 +34,13 @@
 		line("01.4", "msg=failed request=e route=r status=503 verdict=not_run reason=overloaded workspace=ws-2 priority=2")+
 			line("01.5", "msg=failed request=f route=r status=502 verdict=may_have_run reason=engine_failed workspace=ws-2 priority=2")+
 			line("01.6", "msg=failed request=g route=r status=0 cut=true verdict=may_have_run reason=caller_gone workspace=ws-1 priority=2")+
-			line("01.7", "msg=answered request=h route=r status=200 priority=2"),
+			line("01.7", "msg=answered request=h route=r status=200 priority=2")+
+			line("01.8", "msg=failed request=i route=r status=0 cut=true verdict=may_have_run reason=caller_gone workspace=ws-0 priority=2")+
+			line("01.9", "msg=answered request=j route=r status=200 workspace=ws-3 priority=2"),
 	)
 	for heading, want := range map[string][]string{
-		"workspace": {"ws-2 4 0 0 2 1 1 0 2 1 0 ms", "ws-1 3 1 1 0 0 0 1 1 0 13 ms"},
-		"priority":  {"0 2 1 1 0 0 0 0 1 0 20 ms", "2 5 1 0 1 1 1 1 1 1 0 ms", "10 1 0 0 1 0 0 0 1 0 0 ms"},
+		"workspace": {"ws-2 4 0 0 2 1 1 0 2 1 0 ms", "ws-1 3 1 1 0 0 0 1 1 0 13 ms", "ws-0 1 0 0 0 0 0 1 0 0 0 ms", "ws-3 1 1 0 0 0 0 0 0 0 0 ms"},
+		"priority":  {"0 2 1 1 0 0 0 0 1 0 20 ms", "2 7 2 0 1 1 1 2 1 1 0 ms", "10 1 0 0 1 0 0 0 1 0 0 ms"},
 	} {
 		if got := rowsOf(out, heading); strings.Join(got, "\n") != strings.Join(want, "\n") {
 			t.Errorf("got rows by %s\n%s\nwant\n%s", heading, strings.Join(got, "\n"), strings.Join(want, "\n"))
