engines/turn: Limit requests to engines without load reports

Engines of plain services rejected a third to a half of all arrivals under overload, and gates sent the callers away for the same 250 ms. Each gate now keeps a window for its own requests by what they came to, a short queue by priority, and a spread Retry-After.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -243,6 +243,7 @@
 	for i, e := range in {
 		out[i] = e.estimateLoad(mean, out[i])
 	}
+	addBeliefs(in, out, now)
 	return out
 }
 
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -77,6 +77,8 @@
 	reportedAt    clock.Millis
 	// hasReport is true once the engine has reported its load.
 	hasReport bool
+	// belief estimates the load of an engine that reports none.
+	belief belief
 	// lastActiveAt is when the engine last sent anything to this entry.
 	lastActiveAt clock.Millis
 	// silentSince is when the present silence began: when the engine last sent anything,
--- a/gate/call.go
+++ b/gate/call.go
@@ -49,7 +49,10 @@
 	overShare bool
 	// turnWait is how long the request waited for its turn.
 	turnWait clock.Millis
-	body     []byte
+	// turn is the request's place in the queue of its service. It is empty if it needs none
+	// or has returned it.
+	turn turnPlace
+	body []byte
 	// guardRequest is the call as the guard knows it, nil until it is first sent. isolated is
 	// true if the latest attempt was isolated.
 	guardRequest *quarantine.Request
--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -18,3 +21,27 @@
 	g.respond(c, err)
 	return w.Result()
 }
+
+// Turn passes a plain request through its turn and returns what ends it.
+func (g *Gate) Turn(ctx context.Context, goal, left clock.Millis) (end func(), err *verdict.Error) {
+	now := g.clk.Now()
+	w := httptest.NewRecorder()
+	c := g.newCall(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+	c.service, c.route, c.giveUpAt = "app", &table.Route{Name: "r", Goal: goal}, now+left
+	return func() { g.endTurn(c) }, g.awaitTurn(ctx, c)
+}
+
+// RejectTurn records that an engine rejected a request.
+func (g *Gate) RejectTurn() {
+	g.turns.mu.Lock()
+	defer g.turns.mu.Unlock()
+	g.turns.of("app").Rejected(g.clk.Now())
+}
+
+// Turns returns the numbers of requests that run and wait.
+func (g *Gate) Turns() (running, waiting, channels int) {
+	g.turns.mu.Lock()
+	defer g.turns.mu.Unlock()
+	s := g.turns.of("app")
+	return s.Running(), s.Waiting(), len(s.granted)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -142,6 +142,9 @@
 	origins        *origin.Book
 	originSearches *searches
 
+	// turns holds the requests to services whose engines report no load.
+	turns turns
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	registry *engines.Registry
--- a/gate/send.go
+++ b/gate/send.go
@@ -53,16 +53,7 @@
 		case attempt.Answered:
 			return nil
 		case attempt.CallerGone:
-			if cause := context.Cause(ctx); errors.Is(cause, errGraceOver) {
-				// A caller whose response has not begun gets an error, so that it does not
-				// have to guess the reason from a closed connection.
-				return verdict.New(c.verdict(), verdict.Leaving, "%w", cause)
-			}
-			if cause := context.Cause(ctx); errors.Is(cause, errOverdue) {
-				return verdict.New(c.verdict(), verdict.Deadline, "%w", cause)
-			}
-			c.reply.MarkAborted()
-			return verdict.New(c.verdict(), verdict.CallerGone, "the caller closed the connection or stopped reading")
+			return cancelled(ctx, c)
 		case attempt.Failed:
 			held = o.Response
 			if err := g.retryOrFail(c, o, e.Info); err != nil {
@@ -78,6 +69,20 @@
 	}
 }
 
+// cancelled returns the error for a request whose context ended.
+func cancelled(ctx context.Context, c *call) *verdict.Error {
+	if cause := context.Cause(ctx); errors.Is(cause, errGraceOver) {
+		// A caller whose response has not begun gets an error, so that it does not have to
+		// guess the reason from a closed connection.
+		return verdict.New(c.verdict(), verdict.Leaving, "%w", cause)
+	}
+	if cause := context.Cause(ctx); errors.Is(cause, errOverdue) {
+		return verdict.New(c.verdict(), verdict.Deadline, "%w", cause)
+	}
+	c.reply.MarkAborted()
+	return verdict.New(c.verdict(), verdict.CallerGone, "the caller closed the connection or stopped reading")
+}
+
 // attempt sends the request to an engine and relays the response.
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
@@ -98,6 +103,7 @@
 	}
 	g.recordActivity(e.Incarnation(), a.Header.Get(g.wire.Load))
 	if a.NotRun() {
+		g.observeRejection(c, e.Info, a.StatusCode)
 		return g.engineRefused(e.Info, a)
 	}
 	c.ran++
@@ -106,6 +112,7 @@
 	}
 	g.guard.RecordAlive(e.Incarnation().Hash(), a.ConnectedAt())
 	o := g.relay(ctx, c, e.Info, a)
+	g.observeResponse(c, e.Info, o, now)
 	g.finish(e.Incarnation(), engineOutcome(ctx, o))
 	return o
 }
@@ -225,7 +232,7 @@
 		return verdict.New(c.verdict(), verdict.Deadline, "the request did not finish within %d ms", now-c.start)
 	}
 	if final.Verdict() == verdict.NotRun {
-		return final.WithRetryAfter(retrySoon)
+		return final.WithRetryAfter(g.retryAfterRejection(c, o, now))
 	}
 	return final
 }
