gate: Tell callers when full engines have room, also if all were tried

A service with two engines left ran out of engines before the third rejection and its callers got the fixed 250 ms. They get the time of the queue now.

--- a/engines/turn/pace.go
+++ b/engines/turn/pace.go
@@ -3,10 +3,11 @@
 import "github.com/weldfall/weldfall/common/clock"
 
 const (
-	paceBucket  clock.Millis = 125
-	paceBuckets              = 8
+	paceBucket clock.Millis = 125
+	// paceBuckets is the number of buckets.
+	paceBuckets int64 = 8
 	// paceSpan is the time over which events are counted.
-	paceSpan = paceBucket * paceBuckets
+	paceSpan = paceBucket * clock.Millis(paceBuckets)
 )
 
 // pace counts events of the last second.
--- a/engines/turn/window.go
+++ b/engines/turn/window.go
@@ -23,7 +23,7 @@
 	// forgetAfter is how long a window stays in force without a rejection and without a
 	// request that found it full.
 	forgetAfter clock.Millis = 5000
-	minWindow                = 1.0
+	minWindow   float64      = 1
 )
 
 // window limits the requests that one entry has at the engines of a service. It is not in
--- a/gate/send.go
+++ b/gate/send.go
@@ -44,6 +44,10 @@
 			c.reply.WriteBuffered(held)
 			return nil
 		}
+		if err != nil && c.refused > 0 && err.Reason() == verdict.NoEngine {
+			// All engines are full.
+			return err.WithRetryAfter(g.retryAfterRejection(c, attempt.Refused{}, g.clk.Now()))
+		}
 		if err != nil {
 			return err
 		}
