engines/turn: Let windows grow slower and further

With growth of 0.25 a response time up to half the goal, the model of 27 gates and two engines had 0.077 of arrivals rejected at three times the capacity, over the aim of 0.05. With 0.1 and 0.55 of the goal: 0.028, and the same share in time.

--- a/engines/turn/fleet_test.go
+++ b/engines/turn/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -29,6 +30,7 @@
 	weight  float64
 	q       *turn.Queue
 	waiting map[*turn.Ticket]*job
+	order   []*turn.Ticket
 	// sent counts the requests at each engine.
 	sent map[*engine]int
 	gone bool
@@ -94,12 +96,13 @@
 				f.tally.asked++
 				f.arrive(&job{g: g, first: now}, now)
 			}
-			for t, j := range g.waiting {
-				if now >= t.LeaveAt() {
+			for _, t := range slices.Clone(g.order) {
+				if j := g.waiting[t]; j != nil && now >= t.LeaveAt() {
 					delete(g.waiting, t)
 					f.refused(j, g.q.Refuse(f.request(j, now), now), now)
 				}
 			}
+			g.order = slices.DeleteFunc(g.order, func(t *turn.Ticket) bool { return g.waiting[t] == nil })
 			if now%10 == 0 {
 				f.admitted(g, g.q.Admit(now), now)
 			}
@@ -129,6 +132,7 @@
 	default:
 		j.ticket = t
 		j.g.waiting[t] = j
+		j.g.order = append(j.g.order, t)
 	}
 }
 
@@ -253,8 +257,8 @@
 			if ideal := min(1, 1/demand); inTime < 0.9*ideal {
 				t.Errorf("%s, demand %.1f: got %.3f in time, want at least 0.9 of %.3f", site.name, demand, inTime, ideal)
 			}
-			if rejected > 0.1 {
-				t.Errorf("%s, demand %.1f: got %.3f of arrivals rejected by engines, want at most 0.1", site.name, demand, rejected)
+			if rejected > 0.05 {
+				t.Errorf("%s, demand %.1f: got %.3f of arrivals rejected by engines, want at most 0.05", site.name, demand, rejected)
 			}
 		}
 	}
@@ -287,8 +291,7 @@
 	}
 }
 
-// Gates that vanish leave their room to the others, and so does one that stalls while its
-// requests are at engines.
+// Gates that vanish leave their room to the others.
 func TestFleetTakesTheRoomOfGatesThatVanish(t *testing.T) {
 	f := newFleet(3, 27, 3, 15, 120, 600, true)
 	f.demand = func(now clock.Millis) float64 {
--- a/engines/turn/window.go
+++ b/engines/turn/window.go
@@ -8,7 +8,7 @@
 	// proportion to what their callers ask for.
 	growth = 0.08
 	// maxGrowth bounds the growth in a response time.
-	maxGrowth = 0.25
+	maxGrowth = 0.1
 	// fastGrowth and maxFastGrowth hold while responses take less than fastPart of the time
 	// from which the window shrinks.
 	fastGrowth    = 0.5
@@ -19,7 +19,7 @@
 	cutRejected    = 0.7
 	minCut, maxCut = 0.7, 0.95
 	// slowPart is the part of a route's goal that a response may take.
-	slowPart = 0.5
+	slowPart = 0.55
 	// forgetAfter is how long a window stays in force without a rejection and without a
 	// request that found it full.
 	forgetAfter clock.Millis = 5000
