engines/turn: Count places as scarce for a second after a refusal

Refusals at one gate are 100 ms apart and more, so second runs of failed requests went on between them.

--- a/engines/turn/turn.go
+++ b/engines/turn/turn.go
@@ -223,12 +223,12 @@
 // mayStart reports whether a request may take a free place. A returning one leaves it while
 // others were refused a moment ago.
 func (q *Queue) mayStart(t *Ticket, now clock.Millis) bool {
-	return !t.req.Returning || !q.Scarce(now)
+	return !t.req.Returning || float64(now-q.firstRefusedAt) > holdBack*q.responseTime
 }
 
-// Scarce reports whether a request that had not been refused before was a moment ago.
+// Scarce reports whether a request was refused in the last second.
 func (q *Queue) Scarce(now clock.Millis) bool {
-	return q.window.inForce && float64(now-q.firstRefusedAt) <= holdBack*q.responseTime
+	return q.window.inForce && q.refusals.count(now) > 0
 }
 
 func (q *Queue) start(t *Ticket, now clock.Millis) {
