--- a/gate/gate.go
+++ b/gate/gate.go
@@ -153,6 +153,9 @@
 	// fair tracks the use of services by workspaces.
 	fair *fairshare.Tracker
 
+	// turns holds the requests to services whose engines report no load.
+	turns turns
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	registry *engines.Registry
