engines/upstream: Limit the head of a response

Cause: net/http reads a response head of any size, and the responses before the final one of any number. An engine that sends a head without end took memory until the time of the request was over, over loopback 8 GB in 12 s.

Change: a head, with the informational responses before it, has at most 64 KiB. A longer one is no response: the attempt is broken, counts against the engine, and its connection is closed.

Before: TestEndlessHeadEndsTheExchange ran out of 8 GB. After: passes, 7 of 7 cases. The test of bytes after a complete response passed before.

--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -169,6 +169,8 @@
 	dialedAt, connectedAt clock.Millis
 	// received counts the bytes received in the current exchange.
 	received int64
+	// maxReceived is the value of received from which on reading fails, zero for none.
+	maxReceived int64
 	// receivedAt is when data was last received or, before that, the connection was
 	// established.
 	receivedAt atomic.Int64
@@ -191,6 +193,9 @@
 // exchange received part of a response or nothing. A timeout is returned only if the exchange
 // does not wait longer, since a chunked body reports it again on every later read.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.maxReceived > 0 && c.received >= c.maxReceived {
+		return 0, errHeadTooLong
+	}
 	n, err := c.nc.Read(b)
 	for n == 0 && c.onSilence != nil && isTimeout(err) {
 		more := c.onSilence(c.hasArrived)
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -33,8 +33,13 @@
 	maxStrayResponses = 2
 	// maxStrayBody is the largest body in bytes of a response that is skipped.
 	maxStrayBody = 64 << 10
+	// maxHead is the largest size in bytes of the head of a response, with the informational
+	// responses before it.
+	maxHead = 64 << 10
 )
 
+var errHeadTooLong = fmt.Errorf("head exceeds %d bytes", maxHead)
+
 // Errors of an exchange. After an error that does not wrap ErrNotSent, the request may be
 // running at the engine.
 var (
@@ -209,6 +214,8 @@
 
 // readHead reads the head of the next final response, skipping informational ones.
 func readHead(c *conn, r *Request) (*http.Response, error) {
+	c.maxReceived = c.received + maxHead
+	defer func() { c.maxReceived = 0 }()
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		switch {
