gate: End answers that are none by their silence

Cause: each byte of a stream restarted the time after which another engine is looked for, also bytes of an event that never ends, comments and empty lines. A request also stayed with an engine whenever data had arrived as that time was over, so a head that came slowly held it until its own time was over. A head that stopped within a line had two engines secured, of which one stayed counted as busy. The body of a refusal was awaited for as long as a response. Split searched a long event from its start each time.

Change: the time counts from the header, from the latest event with an ID or data, or from the last decision; arrived data keeps a request once. An exchange that ended by silence reads no more. The rest of a discarded response may take 100 ms. Split goes on where it stopped.

Before (go test ./platform -run WithoutEnd): a slow head, a slow event and comments of a stream, and a slow refusal of a request that may not be repeated, 504 or 503 after the whole 30 s.

--- a/engines/events/events.go
+++ b/engines/events/events.go
@@ -19,8 +19,10 @@
 	lastID string
 	// unnumbered is true if the latest whole event with an ID or data had no ID.
 	unnumbered bool
-	// count is the number of whole events.
-	count int
+	// count is the number of whole events, content of those that had an ID or data.
+	count, content int
+	// scanned is the number of pending bytes that are known not to end an event.
+	scanned int
 }
 
 // Split adds the next bytes of the stream and returns all whole events that have not been
@@ -28,16 +30,19 @@
 func (s *Splitter) Split(p []byte) (whole []byte, ok bool) {
 	s.pending = append(s.pending, p...)
 	end := 0
-	for {
-		n := eventEnd(s.pending[end:])
+	for from := s.scanned; ; {
+		n := eventEnd(s.pending[from:])
 		if n < 0 {
 			break
 		}
-		s.record(s.pending[end : end+n])
-		end += n
+		n += from
+		s.record(s.pending[end:n])
+		end, from = n, n
 	}
 	whole = bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
+	// The last two bytes may begin the line end that ends an event.
+	s.scanned = max(0, len(s.pending)-2)
 	return whole, len(s.pending) <= s.maxSize()
 }
 
@@ -77,7 +82,7 @@
 func (s *Splitter) Resumable() bool { return !s.unnumbered }
 
 // DropPending discards the pending bytes, as after an engine was interrupted.
-func (s *Splitter) DropPending() { s.pending = s.pending[:0] }
+func (s *Splitter) DropPending() { s.pending, s.scanned = s.pending[:0], 0 }
 
 // LastID returns the ID of the latest whole event that had one, or "".
 func (s *Splitter) LastID() string { return s.lastID }
@@ -85,6 +90,9 @@
 // Count returns the number of whole events.
 func (s *Splitter) Count() int { return s.count }
 
+// ContentCount returns the number of whole events that had an ID or data.
+func (s *Splitter) ContentCount() int { return s.content }
+
 // record updates the state with a whole event.
 func (s *Splitter) record(event []byte) {
 	s.count++
@@ -97,6 +105,7 @@
 		data = data || bytes.HasPrefix(line, []byte("data"))
 	}
 	if id || data {
+		s.content++
 		s.unnumbered = !id
 	}
 }
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -200,6 +200,8 @@
 	for n == 0 && c.onSilence != nil && isTimeout(err) {
 		more := c.onSilence(c.hasArrived)
 		if more <= 0 {
+			// Package bufio reads again after an error behind part of a line.
+			c.onSilence = nil
 			break
 		}
 		c.setReadTimeout(more)
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -18,6 +18,8 @@
 	// discardLimit is the maximum number of bytes that are read from a response that is
 	// discarded.
 	discardLimit = 64 << 10
+	// discardTimeout is how long the rest of such a response may take.
+	discardTimeout clock.Millis = 100
 	// minStreamSilence is the minimum pause after which another engine is looked for to continue
 	// a resumable stream: less than the two seconds after which callers abandon a stream.
 	minStreamSilence clock.Millis = 1000
@@ -29,13 +31,14 @@
 // discardRest reads the rest of a response, so that its connection can be reused.
 func discardRest(a *upstream.Response) {
 	a.EndOnSilence()
+	a.SetReadTimeout(discardTimeout)
 	// If the rest cannot be read, the connection is closed.
 	_, _ = io.CopyN(io.Discard, a, discardLimit)
 }
 
 // relay passes the response of an engine on to the caller.
-func (g *Gate) relay(ctx context.Context, c *call, e engines.Info, a *upstream.Response) attempt.Outcome {
-	x := exchange{g, c, e}
+func (g *Gate) relay(ctx context.Context, c *call, s *silence, a *upstream.Response) attempt.Outcome {
+	x := exchange{g, c, s.with, s}
 	o := c.reply.Relay(ctx, x, a.Response, a)
 	if a, ok := o.(attempt.Answered); ok && a.End == framing.Complete {
 		c.progress.RecordRest()
@@ -48,6 +51,7 @@
 	g    *Gate
 	c    *call
 	with engines.Info
+	s    *silence
 }
 
 var _ relay.Exchange = exchange{}
@@ -59,13 +63,7 @@
 func (x exchange) TimeLeft() clock.Millis { return x.c.timeLeft(x.g.clk.Now()) }
 
 // ReadTimeout implements relay.Exchange.
-func (x exchange) ReadTimeout() clock.Millis {
-	left := x.TimeLeft()
-	if r := x.c.route; r.Retryable() && x.c.ran < r.Attempts {
-		return min(left, streamSilence(r))
-	}
-	return left
-}
+func (x exchange) ReadTimeout() clock.Millis { return x.s.streamTimeout(x.TimeLeft()) }
 
 // streamSilence returns the pause of a resumable stream after which another engine is looked
 // for to continue it.
@@ -76,6 +74,9 @@
 // OnRead implements relay.Exchange.
 func (x exchange) OnRead() { x.g.recordActivity(x.with.Incarnation(), "") }
 
+// OnContent implements relay.Exchange.
+func (x exchange) OnContent() { x.s.recordProgress() }
+
 // OnUnbuffered implements relay.Exchange.
 func (x exchange) OnUnbuffered() { x.g.durations.RecordPassThrough(x.c.route.Name) }
 
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -40,7 +40,8 @@
 	WantsStream() bool
 	// TimeLeft returns how long the caller still waits.
 	TimeLeft() clock.Millis
-	// ReadTimeout returns how long the engine may take for the next bytes of a stream.
+	// ReadTimeout returns how long the engine may take for the next bytes of a stream, zero if
+	// its time is over.
 	ReadTimeout() clock.Millis
 	// OnRead is called when bytes of a stream have arrived.
 	OnRead()
@@ -50,6 +51,9 @@
 	// OnEvents is called before events are written, with the total number of events so far in
 	// the responses of all engines.
 	OnEvents(events int)
+	// OnContent is called when events with content have arrived, rather than comments or empty
+	// lines alone.
+	OnContent()
 	// OnUnbuffered is called when a response is too large to be buffered.
 	OnUnbuffered()
 }
@@ -156,7 +160,11 @@
 		if n > 0 {
 			x.OnRead()
 		}
+		content := p.splitter.ContentCount()
 		complete, ok := p.splitter.Split(buf[:n])
+		if p.splitter.ContentCount() > content {
+			x.OnContent()
+		}
 		if !ok {
 			err = errTooLong
 		}
--- a/gate/relay/relay_test.go
+++ b/gate/relay/relay_test.go
@@ -25,6 +25,8 @@
 	// and unbuffered is true once OnUnbuffered was called.
 	reads, events int
 	unbuffered    bool
+	// content counts the calls of OnContent.
+	content int
 	// refusal is what BeforeEvents returns.
 	refusal error
 }
@@ -37,6 +39,8 @@
 
 func (x *exchange) BeforeEvents(context.Context) error { return x.refusal }
 
+func (x *exchange) OnContent() { x.content++ }
+
 func (x *exchange) OnUnbuffered() { x.unbuffered = true }
 
 // body is the body of a response.
--- a/gate/send.go
+++ b/gate/send.go
@@ -93,6 +93,7 @@
 	}
 	defer a.Close()
 	s.responded = true
+	s.recordProgress()
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		return g.misdirected(e.Info, a)
 	}
@@ -105,7 +106,7 @@
 		countContinued(c.versionBasis)
 	}
 	g.guard.RecordAlive(e.Incarnation().Hash(), a.ConnectedAt())
-	o := g.relay(ctx, c, e.Info, a)
+	o := g.relay(ctx, c, s, a)
 	g.finish(e.Incarnation(), engineOutcome(ctx, o))
 	return o
 }
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -20,6 +20,24 @@
 	with engines.Info
 	// responded is true once the header of the response has arrived.
 	responded bool
+	// since is the latest time at which the stream went on or its silence was decided on.
+	since clock.Millis
+	// arrivedBefore is true if the request stayed because data had arrived, and that was
+	// neither a whole header nor a whole event with content since.
+	arrivedBefore bool
+}
+
+// recordProgress records that the header, or an event with content, has arrived.
+func (s *silence) recordProgress() { s.since, s.arrivedBefore = s.g.clk.Now(), false }
+
+// streamTimeout returns how long the engine of a stream may take for the next bytes. Bytes that
+// are no event do not extend it.
+func (s *silence) streamTimeout(left clock.Millis) clock.Millis {
+	r := s.c.route
+	if !r.Retryable() || s.c.ran >= r.Attempts {
+		return left
+	}
+	return min(left, max(0, s.since+streamSilence(r)-s.g.clk.Now()))
 }
 
 // secured is an engine that was chosen for the next attempt of a request, which counts as
@@ -67,6 +85,10 @@
 	sent := max(c.sentAt, c.reply.LastAt())
 	outcome, cause := silenceEnds, causeDeadline
 	left := c.timeLeft(s.g.clk.Now())
+	if s.arrivedBefore {
+		// What arrives is no response.
+		arrived = func() bool { return false }
+	}
 	if left > 0 {
 		outcome = silenceWaits
 		if cause = s.secure(ctx, arrived); cause == causeSecured {
@@ -74,6 +96,8 @@
 		}
 	}
 	now := s.g.clk.Now()
+	s.since = now
+	s.arrivedBefore = s.arrivedBefore || cause == causeArrived && (!s.responded || c.route.Kind == table.Stream)
 	left = c.timeLeft(now)
 	metrics.GetOrCreateCounter(`weldfall_engine_silences_total{outcome="` + string(outcome) + `",cause="` + string(cause) + `"}`).Inc()
 	s.g.log.Info("engine_silent", "request", c.id, "service", c.service, "engine", s.with.ID, "silent_ms", now-sent, "responded", s.responded,
