quarantine: Weigh a loss of many engines less

Cause: the reports of strikes that gates exchange reach each other 0.2 to 2.4 s late under load, with the age that they had when they were sent. The same ends of engines looked like later ones, so that parts that were at a few engines when two fifths of them ended had two to five strikes, and requests with them were refused beside trials.

Change: eight engines or more that end within 0.1 s are a loss. The crashes of a record in it are one group whatever their times, none until another crash follows, unless three of the engines had the record; see docs/design/parts-that-crash-engines.md.

--- a/engines/quarantine/admission.go
+++ b/engines/quarantine/admission.go
@@ -377,10 +377,10 @@
 // failures returns the number of failed trials of a request, considering only the crashes for
 // which counts returns true: isolated counts the trials in which only its engine crashed.
 // Trials that failed at the same time count once, since entries that did not receive each
-// other's claims ran both.
+// other's claims ran both. A trial that ended with a loss of many engines proves nothing.
 func (l *List) failures(r *record, counts func(crash) bool) (isolated, all int) {
 	for _, group := range groups(r.crashes) {
-		failed := slices.DeleteFunc(slices.Clone(group), func(c crash) bool { return !c.trial || !counts(c) })
+		failed := slices.DeleteFunc(slices.Clone(group), func(c crash) bool { return !c.trial || c.loss != 0 || !counts(c) })
 		if len(failed) == 0 {
 			continue
 		}
--- a/engines/quarantine/list.go
+++ b/engines/quarantine/list.go
@@ -38,6 +38,8 @@
 	byTrial map[uint32][]Digest
 	// recent holds the latest engine crashes under any request.
 	recent []crashTime
+	// losses holds the latest moments in which many engines ended.
+	losses []*loss
 	broken brokenAttempts
 	// outbox and partOutbox hold the whole requests and the parts to report to peers. They are
 	// sent in separate messages, since older versions reject a message with a part.
@@ -141,8 +143,8 @@
 // addStrike adds a crash to the whole request and, unless the engine merely became
 // unresponsive, to the parts of its prompt. It returns the strikes of the whole request.
 func (l *List) addStrike(a Attempt, c crash, now clock.Millis) int {
-	l.noteCrash(a.Incarnation, c.at)
-	c.incarnation = a.Incarnation
+	l.noteCrash(a.Incarnation, c.at, false)
+	c.incarnation, c.loss = a.Incarnation, l.lossOf(a.Incarnation, c.at)
 	for i, p := range a.Parts {
 		if c.unresponsive {
 			l.EndTrial(p.Digest, now)
--- a/engines/quarantine/record.go
+++ b/engines/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -45,6 +46,11 @@
 	// unresponsive is true if the only evidence is that the engine became unresponsive. at is
 	// then the time at which the request was sent.
 	unresponsive bool
+	// loss is the ID of the loss of many engines that the crash belongs to, zero if there is
+	// none.
+	loss uint32
+	// maybeLost is true if a peer reported the crash soon after a loss of which it may be part.
+	maybeLost bool
 }
 
 // success is a successful run. Successes are compared by ID, since their times become less
@@ -97,17 +103,48 @@
 // strikes returns the number of strikes since the latest success. Simultaneous crashes count
 // once. For a whole request they count twice if there are at least largeGroup of them, but a
 // part that many requests share may be at all engines of a rack that fails.
+//
+// A loss of many engines is a strike only if largeGroup of them had the record, which may then
+// have crashed them all. Otherwise it is one strike once there is another one that is no part of
+// the loss.
 func (r *record) strikes() int {
-	n := 0
-	for _, group := range groups(r.crashes) {
+	n, minor, sure := 0, 0, false
+	for _, group := range r.groups() {
+		if group[0].loss != 0 && len(group) < largeGroup {
+			minor = 1
+			continue
+		}
 		n++
+		sure = sure || slices.ContainsFunc(group, func(c crash) bool { return !c.maybeLost })
 		if len(group) >= largeGroup && !r.part {
 			n++
 		}
 	}
+	if sure {
+		n += minor
+	}
 	return n
 }
 
+// onlyLost reports whether nothing is known of the record but crashes that are no strikes.
+func (r *record) onlyLost() bool {
+	return len(r.crashes) > 0 && r.strikes() == 0 && r.success.id == 0 && r.trial.id == 0
+}
+
+// groups returns the simultaneous crashes, those of one loss together.
+func (r *record) groups() [][]crash {
+	byLoss := map[uint32][]crash{}
+	var others []crash
+	for _, c := range r.crashes {
+		if c.loss == 0 {
+			others = append(others, c)
+			continue
+		}
+		byLoss[c.loss] = append(byLoss[c.loss], c)
+	}
+	return append(groups(others), slices.Collect(maps.Values(byLoss))...)
+}
+
 // isConfirmed reports whether this entry confirmed any of the crashes itself.
 func (r *record) isConfirmed() bool {
 	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.confirmed })
--- a/engines/quarantine/reports.go
+++ b/engines/quarantine/reports.go
@@ -298,8 +298,9 @@
 			stale = true
 			continue
 		}
-		l.noteCrash(c.Incarnation, at)
-		received := crash{id: c.ID, incarnation: c.Incarnation, at: at, trial: c.Trial, unresponsive: c.Unresponsive, confirmed: !c.Unresponsive && isLost(c.Incarnation)}
+		at = l.noteCrash(c.Incarnation, at, true)
+		received := crash{id: c.ID, loss: l.lossOf(c.Incarnation, at), incarnation: c.Incarnation, at: at, trial: c.Trial, unresponsive: c.Unresponsive, confirmed: !c.Unresponsive && isLost(c.Incarnation)}
+		received.maybeLost = received.loss == 0 && l.maybeLost(at)
 		if c.Unresponsive || !l.isExplained(r, received, now) {
 			changed = r.addCrash(received) || changed
 		}
@@ -348,7 +349,7 @@
 	}
 	var out Reports
 	for _, d := range from.take(n) {
-		if r := l.get(d); r != nil {
+		if r := l.get(d); r != nil && !r.onlyLost() {
 			out = append(out, r.report(now))
 		}
 	}
