--- a/engines/choose.go
+++ b/engines/choose.go
@@ -31,6 +31,9 @@
 	// Bound times the mean plus Slack. Bound is above 1.
 	Bound float64
 	Slack float64
+	// WithinSlots is true if an engine without a free slot gets no prompt that it may have
+	// cached while the mean load is below its slots.
+	WithinSlots bool
 	// MaxSilence is how long an engine may leave requests without sending anything
 	// before it is avoided.
 	MaxSilence clock.Millis
@@ -268,13 +271,22 @@
 		if i < n {
 			index, basis = first[i], ByHome
 		}
-		if loads[index]+1 <= bound {
+		if loads[index]+1 <= q.roomFor(order.in[index], bound, c.Mean) {
 			c.Engine, c.Load, c.Basis = order.in[index], loads[index], basis
 			return
 		}
 	}
 }
 
+// roomFor returns the load up to which an engine has room for a prompt that it may have
+// cached.
+func (q Query) roomFor(e *Engine, bound, mean float64) float64 {
+	if slots := float64(e.info.Slots); q.WithinSlots && mean < slots {
+		return min(bound, slots)
+	}
+	return bound
+}
+
 const (
 	// The first home takes all requests of a prompt while its load is at most
 	// firstHomeBound times the mean plus firstHomeSlack. Each further home costs a fetch
--- a/gate/account.go
+++ b/gate/account.go
@@ -72,6 +72,7 @@
 		g.counts.pause.Update(inSeconds(c.reply.LongestPause()))
 	}
 	g.counts.bytesOut.Add(int(c.reply.BytesWritten()))
+	g.recordStay(c, now)
 	engine := ""
 	if len(c.tried) > 0 {
 		engine = c.tried[len(c.tried)-1]
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,6 +146,8 @@
 	mu       sync.Mutex
 	registry *engines.Registry
 	budgets  map[string]*serviceBudget
+	// rooms holds the room of each service.
+	rooms map[string]*serviceRoom
 	// evacuated lists the data halls under evacuation, sorted.
 	evacuated []string
 	// tableFreshness is when the table and the evacuations, which are read together, were
@@ -218,7 +220,7 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d, style: failureStyle(d.RequestID),
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
-		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, counts: newCounts(),
+		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, rooms: map[string]*serviceRoom{}, counts: newCounts(),
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, guard: quarantine.NewGuard(cfg.Clock, cfg.Log), shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
 		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
--- a/gate/place.go
+++ b/gate/place.go
@@ -40,7 +40,7 @@
 	cost := engines.Cost{Prefill: g.prefillMillis(c.service), Transfer: service.TransferTimePerToken}
 	ch, ok := g.registry.Choose(engines.Query{
 		Service: c.service, Keys: c.prefixKeys, Tokens: c.prefixTokens, Cost: cost, Bound: bound, Slack: slack,
-		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), Version: c.version, Tried: c.tried, Sound: sound, Isolated: isolated, Random: random(),
+		MaxSilence: maxSilence(c.route), Warmup: g.warmup(c), WithinSlots: c.pressure > 0, Version: c.version, Tried: c.tried, Sound: sound, Isolated: isolated, Random: random(),
 	}, now)
 	if !ok {
 		return pick{}, false
