admission: Weigh short requests, the route's priority and lateness

Cause: refusing short requests wins no room; callers that come back have missed their goal; every workspace here has a priority, which hid that of the routes. Change: short kinds begin to be rejected last; the route's priority decides before the workspace's; callers that come back go after the others; the wait given is a mean stay at least.

--- a/engines/admission/admission.go
+++ b/engines/admission/admission.go
@@ -16,13 +16,15 @@
 // divided by its slots.
 type Config struct {
 	// MostUrgent and LeastUrgent are the pressures above which requests of the most and the
-	// least urgent rank begin to be rejected. Those of ranks between are spaced evenly, and
-	// requests that are shorter than the mean begin nearer to the most urgent.
+	// least urgent rank begin to be rejected. Those of ranks between are spaced evenly.
 	MostUrgent, LeastUrgent float64
+	// Short is the pressure above MostUrgent at which requests without length would begin to
+	// be rejected: the shorter a request, the less room is won.
+	Short float64
 	// Width is the rise in pressure over which the admitted share falls from all to the floor.
 	Width float64
 	// OverShare is the pressure that is added for a workspace above its fair share, Returning
-	// what is taken off for a caller that comes back.
+	// for a caller that comes back: it has missed its goal, which others can still meet.
 	OverShare, Returning float64
 	// Floor is the share of a rank's requests that is admitted at any pressure at which they
 	// can begin in time. OverShareFloor is that of a workspace above its fair share.
@@ -36,8 +38,8 @@
 // DefaultConfig returns the settings of a service.
 func DefaultConfig() Config {
 	return Config{
-		MostUrgent: 1.1, LeastUrgent: 0.7, Width: 0.2, OverShare: 0.15, Returning: 0.15,
-		Floor: 0.15, OverShareFloor: 0.05, MinBack: 500, MaxBackShare: 1.0 / 3,
+		MostUrgent: 1, LeastUrgent: 0.6, Short: 0.15, Width: 0.2, OverShare: 0.15, Returning: 0.1,
+		Floor: 0.1, OverShareFloor: 0.05, MinBack: 500, MaxBackShare: 1.0 / 3,
 	}
 }
 
@@ -75,10 +77,10 @@
 	ID string
 	// Route names the kind of request.
 	Route string
-	// Rank is the position of its priority among the Ranks of the service; 0 is the most
-	// urgent. RouteRank is that of its route, which decides within a rank: the priority of a
-	// workspace replaces that of the route.
-	Rank, RouteRank, Ranks int
+	// RouteRank is the position of its route's priority among the Ranks of the service; 0 is
+	// the most urgent. Rank is that of the priority that engines are given, which is the
+	// workspace's if it has one. It decides between requests of one RouteRank.
+	RouteRank, Rank, Ranks int
 	// OverShare is true if its workspace uses more than its fair share, Returning if the
 	// caller was probably rejected before.
 	OverShare, Returning bool
@@ -203,12 +205,13 @@
 // share returns the share of requests like q that is admitted.
 func (s *Service) share(q Request, pressure float64) float64 {
 	c := s.cfg
-	begin, floor := c.MostUrgent-(c.MostUrgent-c.LeastUrgent)*q.lateness()*s.length(q.Route), c.Floor
+	long := s.length(q.Route)
+	begin, floor := c.MostUrgent+(1-long)*c.Short-long*(c.MostUrgent-c.LeastUrgent)*q.lateness(), c.Floor
 	if q.OverShare {
 		begin, floor = begin-c.OverShare, c.OverShareFloor
 	}
 	if q.Returning {
-		begin += c.Returning
+		begin -= c.Returning
 	}
 	return min(1, max(floor, 1-(1-floor)*(pressure-begin)/c.Width))
 }
@@ -219,15 +222,15 @@
 	if last <= 0 {
 		return 0
 	}
-	return float64(q.Rank*q.Ranks+q.RouteRank) / float64(last)
+	return float64(q.RouteRank*q.Ranks+q.Rank) / float64(last)
 }
 
 // back returns when a rejected caller should come back. An overload that has lasted for some
-// time is expected to last as long again.
+// time is expected to last as long again, and at least until other requests have the slots.
 func (s *Service) back(left clock.Millis, draw float64, now clock.Millis) clock.Millis {
-	lasted := clock.Millis(0)
+	lasted := clock.Millis(s.stay.mean)
 	if s.overloaded {
-		lasted = now - s.since
+		lasted = max(lasted, now-s.since)
 	}
 	d := min(float64(max(s.cfg.MinBack, lasted)), s.cfg.MaxBackShare*float64(left))
 	return max(1, clock.Millis(d*(1+draw)/2))
