admission: Reject an excess before everything else

Cause: a surging workspace of the most urgent priority had its excess rejected a rank earlier, beside the requests of others rather than behind them. The pressure was set after the fair part was asked for, so weaker excesses were not told.

--- a/gate/room.go
+++ b/gate/room.go
@@ -34,12 +34,23 @@
 
 // checkRoom rejects a request if the engines of its service have no room for it.
 func (g *Gate) checkRoom(_ context.Context, c *call) *verdict.Error {
-	c.overShare = g.overShare(c)
 	ranks := c.table.Priorities(c.service)
 	if len(ranks) < 2 {
+		c.overShare = g.overShare(c)
 		return nil
 	}
 	now := g.clk.Now()
+	g.mu.Lock()
+	s, changed := g.updateRoom(c, now)
+	room, overloaded := s.room, s.Overloaded()
+	g.mu.Unlock()
+	if changed {
+		g.logRoom(c.service, overloaded, room)
+	}
+	if c.pressure, _ = room.Pressure(); c.pressure > 0 {
+		s.pressure.Update(c.pressure)
+	}
+	c.overShare = g.overShare(c)
 	rank, routeRank := 0, 0
 	if !c.resumed.resumes() {
 		rank, routeRank = rankOf(ranks, priority(c)), rankOf(ranks, c.route.Priority)
@@ -49,16 +60,8 @@
 		Left: c.timeLeft(now), MaxWait: maxSilence(c.route),
 	}
 	g.mu.Lock()
-	s, changed := g.updateRoom(c, now)
-	room, overloaded := s.room, s.Overloaded()
 	d := s.Decide(q, room, now)
 	g.mu.Unlock()
-	if changed {
-		g.logRoom(c.service, overloaded, room)
-	}
-	if c.pressure = d.Pressure; c.pressure > 0 {
-		s.pressure.Update(c.pressure)
-	}
 	if d.Admitted() {
 		return nil
 	}
