--- a/measure/soak/again.go
+++ b/measure/soak/again.go
@@ -108,6 +108,8 @@
 		return crashOn(w.cfg.Seed, reply)
 	case Silent:
 		return silentReply(reply)
+	case Crowding:
+		return crowded(reply)
 	case Restarting, Copying:
 	default:
 		return reply
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -81,7 +81,7 @@
 )
 
 // Plays lists all plays.
-var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Sharing, Copying, Hushing, Failing, Breaking, Releasing, Silent}
+var Plays = []Play{Even, Planned, Mixed, Growing, Restarting, Ending, Sharing, Copying, Hushing, Failing, Breaking, Releasing, Silent, Crowding}
 
 // crashesEngines reports whether requests crash the engines which run them.
 func (p Play) crashesEngines() bool { return p == Ending || p == Sharing }
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -220,6 +220,11 @@
 				w.wg.Go(func() { w.callFailing(i, c) })
 			}
 		}
+		if w.cfg.Play == Crowding {
+			for c := range crowdingCallers {
+				w.wg.Go(func() { w.callCrowding(i, c) })
+			}
+		}
 		if w.cfg.Play == Silent {
 			for c := range silentCallers {
 				w.wg.Go(func() { w.callSilent(i, c) })
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -58,6 +58,8 @@
 		// A stream continued at any software version, in a response and over a caller's
 		// attempts.
 		"releases under streams that callers resume": {1, soak.Releasing},
+		// Engines have little room: requests wait at gates and are refused there.
+		"engines with little room": {1, soak.Crowding},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
