admission: Hold nothing while there is room

Cause: what a workspace asks above its fair part was rejected from a pressure of 0.45. Change: the excess goes with the least urgent, from 0.6, with a smaller floor.

--- a/engines/admission/admission.go
+++ b/engines/admission/admission.go
@@ -23,10 +23,9 @@
 	Short float64
 	// Width is the rise in pressure over which the admitted share falls from all to the floor.
 	Width float64
-	// OverShare is how much below LeastUrgent requests above the fair share of their workspace
-	// begin to be rejected, whatever their rank. Returning is the pressure that is added for a
-	// caller that comes back: it has missed its goal, which others can still meet.
-	OverShare, Returning float64
+	// Returning is the pressure that is added for a caller that comes back: it has missed its
+	// goal, which others can still meet.
+	Returning float64
 	// Floor is the share of a rank's requests that is admitted at any pressure at which they
 	// can begin in time. OverShareFloor is that of a workspace above its fair share.
 	Floor, OverShareFloor float64
@@ -39,7 +38,7 @@
 // DefaultConfig returns the settings of a service.
 func DefaultConfig() Config {
 	return Config{
-		MostUrgent: 1, LeastUrgent: 0.6, Short: 0.15, Width: 0.2, OverShare: 0.15, Returning: 0.1,
+		MostUrgent: 1, LeastUrgent: 0.6, Short: 0.15, Width: 0.2, Returning: 0.1,
 		Floor: 0.1, OverShareFloor: 0.05, MinBack: 500, MaxBackShare: 1.0 / 3,
 	}
 }
@@ -209,7 +208,7 @@
 	long := s.length(q.Route)
 	begin, floor := c.MostUrgent+(1-long)*c.Short-long*(c.MostUrgent-c.LeastUrgent)*q.lateness(), c.Floor
 	if q.OverShare {
-		begin, floor = c.LeastUrgent-c.OverShare, c.OverShareFloor
+		begin, floor = c.LeastUrgent, c.OverShareFloor
 	}
 	if q.Returning {
 		begin -= c.Returning
