gate, engines: Share the label of a service, the workspace's name and a decay

Change: serviceLabel, workspaceName and newDecay serve them; toldVersion is sentVersion. Behaviour is the same, but that the belief is zero after 60 half-lives (3.6 s) in place of a negligible rest.

--- a/engines/plain.go
+++ b/engines/plain.go
@@ -25,6 +25,8 @@
 	responseTimeFor clock.Millis = 500
 )
 
+var fullDecay = newDecay(fullHalfLife)
+
 // belief is what this entry's own requests tell about an engine that reports no load.
 type belief struct {
 	// responseTime is the mean of the latest response times, zero before the first.
@@ -84,7 +86,7 @@
 		n = differencePart * float64(slots) * (b.responseTime/max(1, fastest) - 1)
 	}
 	if b.rejectedAt != 0 {
-		n = max(n, float64(slots)*fullLoads*math.Exp2(-float64(now-b.rejectedAt)/float64(fullHalfLife)))
+		n = max(n, float64(slots)*fullLoads*fullDecay.weight(now-b.rejectedAt))
 	}
 	return min(n, float64(slots)*fullLoads)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -114,8 +114,8 @@
 	// how it is known. Both are "" while an engine of any version may begin it.
 	version      string
 	versionBasis basis
-	// toldVersion is the version in the record that other entries were sent, "" if none was.
-	toldVersion string
+	// sentVersion is the version in the record that other entries were sent, "" if none was.
+	sentVersion string
 	// recordedVersion is the version in the latest record of the stream's origin, ""
 	// before there is one. recordedAttempts counts the records and originCall is their
 	// Call.
@@ -140,9 +140,9 @@
 func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
 
 // requiredVersion returns the software version that the next engine must have, "" for any.
-// Before the first event it is the version that other entries were told: one that a later
-// record does not reach would resume the stream at that version.
-func (c *call) requiredVersion() string { return cmp.Or(c.version, c.toldVersion) }
+// Before the first event it is the version in the record that other entries were sent: one that
+// a later record does not reach would resume the stream at that version.
+func (c *call) requiredVersion() string { return cmp.Or(c.version, c.sentVersion) }
 
 // timeLeft returns the time until the request fails.
 func (c *call) timeLeft(now clock.Millis) clock.Millis { return c.giveUpAt - now }
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -197,7 +197,7 @@
 	peers, several := g.originPeers, g.versions(c.service, now).sole == ""
 	g.mu.Unlock()
 	if several && peers != nil {
-		c.toldVersion, c.originHeld = version, peers.Store(r)
+		c.sentVersion, c.originHeld = version, peers.Store(r)
 	}
 }
 
--- a/gate/retries.go
+++ b/gate/retries.go
@@ -25,6 +25,15 @@
 	otherServices      = "other"
 )
 
+// serviceLabel returns the label of a service in metrics if so many services have labels of
+// their own.
+func serviceLabel(service string, metered int) string {
+	if metered >= maxMeteredServices {
+		return otherServices
+	}
+	return service
+}
+
 // grant is the decision whether another attempt may follow one that ended.
 type grant string
 
@@ -60,10 +69,7 @@
 		b.Configure(cfg)
 		return b
 	}
-	label := service
-	if len(g.budgets) >= maxMeteredServices {
-		label = otherServices
-	}
+	label := serviceLabel(service, len(g.budgets))
 	b := &serviceBudget{
 		Budget:   budget.New(cfg),
 		requests: metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_repeat_base_total{service=%q}", label)),
--- a/gate/room.go
+++ b/gate/room.go
@@ -99,10 +99,7 @@
 	if s := g.rooms[service]; s != nil {
 		return s
 	}
-	label := service
-	if len(g.rooms) >= maxMeteredServices {
-		label = otherServices
-	}
+	label := serviceLabel(service, len(g.rooms))
 	s := &serviceRoom{
 		Service: admission.New(admission.DefaultConfig()), label: label,
 		pressure: metrics.GetOrCreateHistogram(fmt.Sprintf("weldfall_pressure{service=%q}", label)),
@@ -131,11 +128,7 @@
 }
 
 func (g *Gate) logNoRoom(c *call, q admission.Request, d admission.Decision, r admission.Room) {
-	workspace := ""
-	if c.workspace != nil {
-		workspace = c.workspace.Name
-	}
-	g.log.Info("no_room", "request", c.id, "service", c.service, "route", c.route.Name, "workspace", workspace, "priority", priority(c), "rank", q.Rank, "route_rank", q.RouteRank,
+	g.log.Info("no_room", "request", c.id, "service", c.service, "route", c.route.Name, "workspace", c.workspaceName(), "priority", priority(c), "rank", q.Rank, "route_rank", q.RouteRank,
 		"cause", d.Cause, "pressure", hundredths(d.Pressure), "share", hundredths(d.Share), "engines", r.Engines, "reports", r.Reports, "report_age_ms", r.MeanAge, "oldest_ms", r.MaxAge,
 		"over_share", c.overShare, "returning", q.Returning, "expected_wait_ms", d.ExpectedWait, "back_ms", d.Back)
 }
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -50,10 +50,7 @@
 	if t.services == nil {
 		t.services = map[string]*serviceTurns{}
 	}
-	label := service
-	if len(t.services) >= maxMeteredServices {
-		label = otherServices
-	}
+	label := serviceLabel(service, len(t.services))
 	s := &serviceTurns{
 		Queue: turn.NewQueue(), service: service, label: label, granted: map[*turn.Ticket]chan struct{}{},
 		waits: metrics.GetOrCreateHistogram(fmt.Sprintf("weldfall_turn_wait_seconds{service=%q}", label)),
@@ -191,11 +188,7 @@
 // logTurn logs a refusal. by is "queue" if the request was not sent to an engine, "engines" if
 // they rejected it.
 func (g *Gate) logTurn(c *call, r turn.Refusal, by string) {
-	workspace := ""
-	if c.workspace != nil {
-		workspace = c.workspace.Name
-	}
-	g.log.Info("turn", "request", c.id, "service", c.service, "route", c.route.Name, "workspace", workspace, "priority", priority(c), "over_share", c.overShare, "by", by,
+	g.log.Info("turn", "request", c.id, "service", c.service, "route", c.route.Name, "workspace", c.workspaceName(), "priority", priority(c), "over_share", c.overShare, "by", by,
 		"queued", r.Queued, "window", tenths(r.Window), "pace", tenths(r.Pace), "wait_ms", r.Wait, "waited_ms", c.turnWait, "limit_ms", c.callerTimeout, "back_ms", r.Back, "returning", c.turn.returning)
 }
 
