--- a/engines/engine.go
+++ b/engines/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/pace"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -111,6 +112,8 @@
 	checkedAt clock.Millis
 	// pace is how long work takes at the engine by its own reports.
 	pace pace.Engine
+	// said is what the engine said of itself, nil if that is nothing.
+	said *statement.State
 	// reservedUntil is the end of a reservation for an isolated request.
 	reservedUntil clock.Millis
 	// reports is the list that holds the engine if it has reported a load, between a
--- a/engines/registry.go
+++ b/engines/registry.go
@@ -8,6 +8,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/pace"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/route"
 )
 
@@ -31,8 +32,10 @@
 	// evacuated maps each data hall under evacuation, whose engines get no new
 	// requests, to the start of the evacuation.
 	evacuated map[string]clock.Millis
-	reports   reportList
-	scratch   scratch
+	// statements holds what engines said of themselves, also of those that are not listed.
+	statements *statement.Book[Incarnation]
+	reports    reportList
+	scratch    scratch
 }
 
 // pool is the engines of one service.
@@ -56,7 +59,7 @@
 	ended, _ := simplelru.NewLRU[Incarnation, struct{}](maxIncarnations, nil)
 	firstListed, _ := simplelru.NewLRU[Incarnation, clock.Millis](maxIncarnations, nil)
 	crashed, _ := simplelru.NewLRU[Incarnation, struct{}](maxIncarnations, nil)
-	return &Registry{byID: map[string]*Engine{}, byHash: map[uint32]*Engine{}, byService: map[string]*pool{}, byAddr: map[string][]*Engine{}, prefixes: newPrefixCache(), ended: ended, firstListed: firstListed, crashed: crashed}
+	return &Registry{byID: map[string]*Engine{}, byHash: map[uint32]*Engine{}, byService: map[string]*pool{}, byAddr: map[string][]*Engine{}, prefixes: newPrefixCache(), ended: ended, firstListed: firstListed, crashed: crashed, statements: statement.NewBook[Incarnation]()}
 }
 
 // Change is the effect of an update on the registry.
@@ -157,7 +160,7 @@
 	if !ok {
 		firstListedAt = now
 	}
-	r.register(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), listedAt: now, firstListedAt: firstListedAt, health: health{updatedAt: now}, warmup: warmupState{listedUntil: warmupUntil}})
+	r.register(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), listedAt: now, firstListedAt: firstListedAt, health: health{updatedAt: now}, warmup: warmupState{listedUntil: warmupUntil}, said: r.statements.Of(in.Incarnation())})
 }
 
 // register adds an engine to all indexes.
--- /dev/null
+++ b/engines/statements.go
@@ -0,0 +1,19 @@
+package engines
+
+import (
+	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/statement"
+)
+
+// RecordStatement records what a response of an incarnation said of it. The incarnation need
+// not be listed.
+func (r *Registry) RecordStatement(n Incarnation, in statement.Said, now clock.Millis) statement.Change {
+	s, change := r.statements.Record(n, in, now)
+	if e := r.Find(n); e != nil {
+		e.said = s
+	}
+	return change
+}
+
+// Said returns what an incarnation said of itself, nil if that is nothing.
+func (r *Registry) Said(n Incarnation) *statement.State { return r.statements.Of(n) }
--- a/gate/account.go
+++ b/gate/account.go
@@ -12,6 +12,7 @@
 	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/statement"
 )
 
 // counts are the gate's counters and histograms.
@@ -113,6 +114,9 @@
 	if c.pressure > 0 {
 		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
 	}
+	if c.said.Leaving {
+		attrs = append(attrs, "said", statement.Left)
+	}
 	if c.turnWait > 0 {
 		attrs = append(attrs, "turn_ms", c.turnWait)
 	}
@@ -163,5 +167,6 @@
 		cause = "status " + strconv.Itoa(o.Response.Status)
 	}
 	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "version", e.Version, "events", c.events, "outcome", outcomeName(o), "cause", cause,
-		"again", granted.allowed(), "repeat", granted, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left)
+		"again", granted.allowed(), "repeat", granted, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left,
+		"rest_ms", c.said.Rest, "leaving", c.said.Leaving)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -13,6 +13,7 @@
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/quarantine"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
@@ -88,6 +89,8 @@
 	refused int
 	// unsent is the number of engines that could not be reached.
 	unsent int
+	// said is what the latest engine said of itself in its response.
+	said statement.Said
 	// chosenBy is how the latest engine was chosen. sentBefore is true if this entry had sent
 	// the prompt there before. hasSource is true if the engine was given the address of
 	// another one that has a longer prefix.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -26,6 +26,7 @@
 	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/engines/prefill"
 	"github.com/weldfall/weldfall/engines/quarantine"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/peers"
 	"github.com/weldfall/weldfall/peers/changes"
@@ -62,6 +63,9 @@
 	// Resumes carries the ID of the caller's attempt that received the first event of the
 	// stream that the request resumes.
 	Resumes string
+	// Statement returns what the head of a response says of the engine that sent it. It may be
+	// nil.
+	Statement func(status int, h http.Header) statement.Said
 	// Reserved lists the headers that only the system sets. They are removed from callers'
 	// requests.
 	Reserved []string
--- a/gate/send.go
+++ b/gate/send.go
@@ -9,6 +9,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/verdict"
@@ -91,6 +92,7 @@
 // attempt sends the request to an engine and relays the response.
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
+	c.said = statement.Said{}
 	g.recordOrigin(c, e.Version)
 	req := g.request(c, e, now)
 	s := &silence{g: g, c: c, with: e.Info}
@@ -108,6 +110,7 @@
 		return g.misdirected(e.Info, a)
 	}
 	g.recordActivity(e.Incarnation(), a.Header.Get(g.wire.Load))
+	g.recordStatement(c, e.Info, a)
 	if a.NotRun() {
 		g.observeRejection(c, e.Info, a.StatusCode)
 		return g.engineRefused(e.Info, a)
--- /dev/null
+++ b/gate/statements.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/weldfall/weldfall/engines"
+	"github.com/weldfall/weldfall/engines/statement"
+	"github.com/weldfall/weldfall/engines/upstream"
+)
+
+// recordStatement records what the head of a response says of its engine.
+func (g *Gate) recordStatement(c *call, e engines.Info, a *upstream.Response) {
+	if g.wire.Statement == nil {
+		return
+	}
+	said := g.wire.Statement(a.StatusCode, a.Header)
+	now := g.clk.Now()
+	g.mu.Lock()
+	change := g.registry.RecordStatement(e.Incarnation(), said, now)
+	restLeft := max(0, g.registry.Said(e.Incarnation()).RestUntil()-now)
+	listAge := g.listFreshness.Age(now)
+	g.mu.Unlock()
+	c.said = said
+	switch change {
+	case statement.Same:
+		return
+	case statement.Ignored:
+		g.log.Warn("engine_says", "engine", e.ID, "service", c.service, "addr", e.Addr, "said", change, "value", said.Ignored, "cause", said.Reason, "status", a.StatusCode, "request", c.id)
+	default:
+		g.log.Info("engine_says", "engine", e.ID, "service", c.service, "addr", e.Addr, "said", change, "asked_ms", said.Rest, "rest_left_ms", restLeft,
+			"status", a.StatusCode, "list_age_ms", listAge, "request", c.id)
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_statements_total{said=%q}`, change)).Inc()
+}
