engines, gate: Send nothing to an engine that said that it leaves

Callers' requests went to engines that had said that they leave: 10.4 s later on vigia, while the store was away and the list still had the engine as ready. Cause: whether an engine accepts requests was known from the list alone, which may be older than what the engine itself says.

Each response head is decoded in platform, and an incarnation that said that it leaves accepts no requests from then on: it is not chosen, not secured for a next attempt, and a request that waited for a connection is not sent but chosen again. The statement is kept beside the list, so that neither a new entry nor a return from an older copy ends it; another incarnation is free.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -207,9 +207,12 @@
 	loads, paced  []float64
 }
 
-// AcceptsRequests reports whether an engine may get new requests by its listing entry:
-// the entry is valid and not draining, and no other engine owns the address.
-func (e *Engine) AcceptsRequests() bool { return !e.info.Draining && !e.unreadable && !e.displaced() }
+// AcceptsRequests reports whether an engine may get new requests by its listing entry and by
+// what it said: the entry is valid and not draining, no other engine owns the address, and the
+// engine did not say that it leaves.
+func (e *Engine) AcceptsRequests() bool {
+	return !e.info.Draining && !e.unreadable && !e.said.Leaving() && !e.displaced()
+}
 
 // suspect reports whether new requests should avoid the engine. rate is the failure rate
 // of the service.
--- a/engines/statements.go
+++ b/engines/statements.go
@@ -15,5 +15,8 @@
 	return change
 }
 
+// Closed reports whether an incarnation said that it wants no requests now.
+func (r *Registry) Closed(n Incarnation) bool { return r.statements.Of(n).Leaving() }
+
 // Said returns what an incarnation said of itself, nil if that is nothing.
 func (r *Registry) Said(n Incarnation) *statement.State { return r.statements.Of(n) }
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -279,14 +279,19 @@
 	if err != nil {
 		return err
 	}
+	p.keep(c)
+	return nil
+}
+
+// keep makes an acquired connection idle again that no request was sent on.
+func (p *Pool) keep(c *conn) {
 	if c.expiresAt == 0 {
 		p.release(c, true, nil)
-		return nil
+		return
 	}
 	p.mu.Lock()
-	p.idle[addr] = append(p.idle[addr], c)
+	p.idle[c.addr] = append(p.idle[c.addr], c)
 	p.mu.Unlock()
-	return nil
 }
 
 // dial opens a connection unless the limit for the address is reached.
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -73,6 +73,9 @@
 	Body   []byte
 	// HasBody makes the client send a Content-Length even if the body is empty.
 	HasBody bool
+	// Allow is called when there is a connection for the request. If it returns an error, the
+	// request is not sent. It may be nil.
+	Allow func() error
 	// SilenceTimeout is how long the engine may send nothing before connections without
 	// received data since then are no longer used. Zero means no timeout.
 	SilenceTimeout clock.Millis
@@ -168,6 +171,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Allow != nil {
+		if err := r.Allow(); err != nil {
+			p.keep(c)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	p.beginExchange(c, r.SilenceTimeout)
 	c.onSilence = r.OnSilence
 	stop := context.AfterFunc(ctx, c.abort)
--- a/gate/send.go
+++ b/gate/send.go
@@ -97,6 +97,7 @@
 	req := g.request(c, e, now)
 	s := &silence{g: g, c: c, with: e.Info}
 	req.OnSilence = func(arrived func() bool) clock.Millis { return s.onSilence(ctx, arrived) }
+	req.Allow = func() error { return g.checkOpen(e.Incarnation()) }
 	answered := g.watchForSilence(ctx, c, e.Info, now)
 	a, err := g.pool.Do(ctx, e.Addr, req, g.responseTimeout(c, now))
 	answered()
@@ -131,7 +132,7 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		result := engines.Unreachable
-		if ctx.Err() != nil || errors.Is(err, upstream.ErrFull) {
+		if ctx.Err() != nil || errors.Is(err, upstream.ErrFull) || errors.Is(err, errClosed) {
 			result = engines.Neutral
 		}
 		g.finish(e.Incarnation(), result)
--- a/gate/statements.go
+++ b/gate/statements.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,6 +11,19 @@
 	"github.com/weldfall/weldfall/engines/upstream"
 )
 
+// errClosed means that the engine chosen for a request has meanwhile said that it wants none.
+var errClosed = errors.New("the engine wants no requests")
+
+// checkOpen returns errClosed if an incarnation said that it wants no requests.
+func (g *Gate) checkOpen(n engines.Incarnation) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.registry.Closed(n) {
+		return errClosed
+	}
+	return nil
+}
+
 // recordStatement records what the head of a response says of its engine.
 func (g *Gate) recordStatement(c *call, e engines.Info, a *upstream.Response) {
 	if g.wire.Statement == nil {
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -38,7 +38,8 @@
 }
 
 // place decides whether a request may be sent, and to which engine. It is the one that was
-// secured unless the request became a suspect since.
+// secured unless the request became a suspect since, or the engine said that it wants no
+// requests.
 func (g *Gate) place(ctx context.Context, c *call) (pick, *verdict.Error) {
 	isolated, err := g.guard.Admit(ctx, c.suspect(), c.verdict(), g.contact())
 	if err != nil {
@@ -46,7 +47,7 @@
 	}
 	if next := c.next; next != nil {
 		c.next = nil
-		if !isolated {
+		if !isolated && g.checkOpen(next.Incarnation()) == nil {
 			c.setPick(next.pick)
 			return next.pick, nil
 		}
