engines, gate: Send nothing to an engine that asked for a rest

An engine that rejects a request with 503 and Retry-After wants none from this entry for so long.

The time is kept with what else the engine said, and asked wherever a request may reach it: choice, next attempt, an engine secured for one, a connection that was waited for, health checks, fetches of prompts, and the room of its service. After it the engine gets one request each 100 ms for a second as long as others can serve. If all engines of a service rest, callers are told when the first rest ends, spread over a second.

--- a/engines/choose.go
+++ b/engines/choose.go
@@ -172,7 +172,7 @@
 		if q.Isolated && now < e.reservedUntil {
 			continue
 		}
-		if e.AcceptsRequests() && e.hasVersion(q.Version) && !r.isEvacuated(e) && !e.atWarmupLimit(q.Warmup, now) {
+		if e.AcceptsRequests(now) && e.hasVersion(q.Version) && !r.isEvacuated(e) && !e.atWarmupLimit(q.Warmup, now) {
 			live = append(live, e)
 		}
 	}
@@ -209,15 +209,15 @@
 
 // AcceptsRequests reports whether an engine may get new requests by its listing entry and by
 // what it said: the entry is valid and not draining, no other engine owns the address, and the
-// engine did not say that it leaves.
-func (e *Engine) AcceptsRequests() bool {
-	return !e.info.Draining && !e.unreadable && !e.said.Leaving() && !e.displaced()
+// engine did not say that it leaves or rests.
+func (e *Engine) AcceptsRequests(now clock.Millis) bool {
+	return !e.info.Draining && !e.unreadable && !e.said.Closed(now) && !e.displaced()
 }
 
 // suspect reports whether new requests should avoid the engine. rate is the failure rate
 // of the service.
 func (e *Engine) suspect(rate float64, maxSilence, now clock.Millis) bool {
-	if e.missing || now < e.reservedUntil || e.health.avoided(now) || e.silence(now) > maxSilence {
+	if e.missing || now < e.reservedUntil || e.said.Held(now) || e.health.avoided(now) || e.silence(now) > maxSilence {
 		return true
 	}
 	return e.health.failureRate(now) > rate+suspectMargin
--- a/engines/engine.go
+++ b/engines/engine.go
@@ -159,6 +159,7 @@
 func (e *Engine) BeginRequest(now clock.Millis) {
 	e.inflight++
 	e.warmup.record(now)
+	e.said.Begin(now)
 	if e.silentSince == 0 {
 		e.silentSince = now
 	}
@@ -223,8 +224,12 @@
 const healthCheckPeriod clock.Millis = 1000
 
 // AllowHealthCheck reports whether a health check of the engine is due. If it is, the
-// caller must perform it: the next one is allowed only after healthCheckPeriod.
+// caller must perform it: the next one is allowed only after healthCheckPeriod. An engine that
+// rests gets none.
 func (e *Engine) AllowHealthCheck(now clock.Millis) bool {
+	if e.said.Resting(now) {
+		return false
+	}
 	if e.checkedAt != 0 && now-e.checkedAt < healthCheckPeriod {
 		return false
 	}
--- a/engines/restart_test.go
+++ b/engines/restart_test.go
@@ -320,7 +320,7 @@
 		}
 	}
 	r.Remove("e02")
-	if !r.Get("e00").AcceptsRequests() {
+	if !r.Get("e00").AcceptsRequests(0) {
 		t.Error("got an engine that accepts no requests, want it to as the only one with its address")
 	}
 }
@@ -335,7 +335,7 @@
 	}
 	r.MarkSynced(10)
 	for _, id := range r.IDs() {
-		if !r.Get(id).AcceptsRequests() {
+		if !r.Get(id).AcceptsRequests(0) {
 			t.Errorf("got %s displaced by its order in the first listing, want each to be tried", id)
 		}
 	}
@@ -370,7 +370,7 @@
 					e.EndRequest(engines.Replaced, now)
 				}
 			}
-			takes := slices.DeleteFunc(r.IDs(), func(id string) bool { return !r.Get(id).AcceptsRequests() })
+			takes := slices.DeleteFunc(r.IDs(), func(id string) bool { return !r.Get(id).AcceptsRequests(0) })
 			c, ok := r.Choose(query(uint64(now)), now)
 			if ok != (len(takes) > 0) {
 				t.Fatalf("got an engine: %v, want %v of %v", ok, len(takes) > 0, takes)
@@ -411,7 +411,7 @@
 		if got := r.Put(actual, now); got != engines.Joined {
 			t.Errorf("%s: got %q when it is listed again, want %q", name, got, engines.Joined)
 		}
-		if e := r.Get(actual.ID); e == nil || !e.AcceptsRequests() {
+		if e := r.Get(actual.ID); e == nil || !e.AcceptsRequests(0) {
 			t.Errorf("%s: got an engine that accepts no requests, want it used", name)
 		}
 	}
--- a/engines/room.go
+++ b/engines/room.go
@@ -24,7 +24,7 @@
 	usable := r.scratch.live[:0]
 	n := 0
 	for _, e := range p.engines {
-		if !e.AcceptsRequests() || r.isEvacuated(e) {
+		if !e.AcceptsRequests(now) || r.isEvacuated(e) {
 			continue
 		}
 		n++
--- a/engines/source.go
+++ b/engines/source.go
@@ -84,9 +84,10 @@
 	return e.reopenedAt > 0 && now-e.reopenedAt < newEnginePeriod
 }
 
-// canServeFetch reports whether an engine is likely to respond to a fetch.
+// canServeFetch reports whether an engine is likely to respond to a fetch. One that rests is
+// spared, one that leaves is not.
 func (r *Registry) canServeFetch(e *Engine, maxSilence, now clock.Millis) bool {
-	if e.unreadable || e.displaced() || e.health.avoided(now) || e.silence(now) > maxSilence {
+	if e.unreadable || e.displaced() || e.said.Resting(now) || e.health.avoided(now) || e.silence(now) > maxSilence {
 		return false
 	}
 	if since, ok := r.evacuated[e.info.Hall]; ok && e.listedAt > since {
--- a/engines/statements.go
+++ b/engines/statements.go
@@ -16,7 +16,28 @@
 }
 
 // Closed reports whether an incarnation said that it wants no requests now.
-func (r *Registry) Closed(n Incarnation) bool { return r.statements.Of(n).Leaving() }
+func (r *Registry) Closed(n Incarnation, now clock.Millis) bool {
+	return r.statements.Of(n).Closed(now)
+}
+
+// Resting returns how many engines of a service get no requests only because they rest, and
+// when the first of these rests ends, zero if there is none. version is the software version
+// that the engines must have, "" for any.
+func (r *Registry) Resting(service, version string, now clock.Millis) (n int, until clock.Millis) {
+	p := r.byService[service]
+	if p == nil {
+		return 0, 0
+	}
+	for _, e := range p.engines {
+		if !e.said.Resting(now) || e.said.Leaving() || e.info.Draining || !e.hasVersion(version) || r.isEvacuated(e) {
+			continue
+		}
+		if n++; n == 1 || e.said.RestUntil() < until {
+			until = e.said.RestUntil()
+		}
+	}
+	return n, until
+}
 
 // Said returns what an incarnation said of itself, nil if that is nothing.
 func (r *Registry) Said(n Incarnation) *statement.State { return r.statements.Of(n) }
--- a/engines/statements_test.go
+++ b/engines/statements_test.go
@@ -1,6 +1,7 @@
 package engines_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/weldfall/weldfall/engines"
@@ -87,3 +88,104 @@
 		t.Errorf("got requests at %v, want none", got)
 	}
 }
+
+// restingRegistry returns a registry with n engines, the first of which rests until 2000.
+func restingRegistry(n int) (*engines.Registry, engines.Info) {
+	r := engines.NewRegistry()
+	for i := range n {
+		r.Put(engines.Info{ID: fmt.Sprintf("i-%d", i+1), Service: "llm", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Slots: 8}, 0)
+	}
+	in := r.Get("i-1").Info()
+	r.RecordStatement(in.Incarnation(), statement.Said{Rest: 2000}, 0)
+	return r, in
+}
+
+func TestEngineThatRestsGetsNothing(t *testing.T) {
+	r, in := restingRegistry(3)
+	if got := chosen(r, 60); got["i-1"] > 0 || got["i-2"] == 0 || got["i-3"] == 0 {
+		t.Errorf("got requests at %v, want them at the others", got)
+	}
+	e := r.Get("i-1")
+	if e.AllowHealthCheck(1000) {
+		t.Error("got a health check during the rest, want none")
+	}
+	if !e.AllowHealthCheck(2000) {
+		t.Error("got no health check after the rest, want one")
+	}
+	room, ok := r.Room("llm", 1000, 1000)
+	if want := 2; !ok || room.Engines != want {
+		t.Errorf("got the room of %d engines, %v, want %d", room.Engines, ok, want)
+	}
+	if r.HasUntried("llm", "", []string{"i-2", "i-3"}, 1000) {
+		t.Error("got the engine as untried during its rest, want none")
+	}
+	if n, until := r.Resting("llm", "", 1000); n != 1 || until != 2000 {
+		t.Errorf("got %d resting engines until %d, want 1 until 2000", n, until)
+	}
+	if n, _ := r.Resting("llm", "", 2000); n != 0 {
+		t.Errorf("got %d resting engines after the rest, want 0", n)
+	}
+	if !r.Closed(in.Incarnation(), 1999) || r.Closed(in.Incarnation(), 2000) {
+		t.Error("want the engine closed until its rest ends, and open then")
+	}
+}
+
+// Guards against the prompts of an engine that all return to it when its rest ends, and against
+// callers who are rejected for that although there is no other engine.
+func TestEngineIsSparedAfterItsRestIfThereAreOthers(t *testing.T) {
+	const now = 2050
+	for others, want := range map[int]int{0: 20, 2: 1} {
+		r, in := restingRegistry(1 + others)
+		key, got := homeOf(t, r, in.ID), 0
+		for i := range 20 {
+			c, ok := r.Choose(engines.Query{Service: "llm", Keys: []uint64{key}, Tokens: 5000, Bound: 100, Slack: 100, MaxSilence: 1000, Random: float64(i) / 20}, now)
+			if ok && c.Engine.Info().ID == in.ID {
+				c.Engine.BeginRequest(now)
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("%d other engines: got %d of 20 requests at the engine after its rest, want %d", others, got, want)
+		}
+	}
+}
+
+// homeOf returns the key of a prompt whose home is the engine with the given ID once its rest
+// is long over.
+func homeOf(t *testing.T, r *engines.Registry, id string) uint64 {
+	t.Helper()
+	for key := range uint64(1000) {
+		c, ok := r.Choose(engines.Query{Service: "llm", Keys: []uint64{key}, Tokens: 5000, Bound: 100, Slack: 100, MaxSilence: 1000}, 1_000_000)
+		if ok && c.Engine.Info().ID == id {
+			return key
+		}
+	}
+	t.Fatalf("got no prompt whose home is %s", id)
+	return 0
+}
+
+// An engine that rests is spared a fetch, one that leaves is not: its prompts move to others.
+func TestFetchFromEnginesThatSaidSomething(t *testing.T) {
+	for name, tc := range map[string]struct {
+		said statement.Said
+		want bool
+	}{
+		"leaves": {statement.Said{Leaving: true}, true},
+		"rests":  {statement.Said{Rest: 60_000}, false},
+	} {
+		r, in := restingRegistry(2)
+		const now = 10_000
+		q := engines.Query{Service: "llm", Keys: []uint64{homeOf(t, r, in.ID)}, Tokens: 5000, Cost: engines.Cost{Prefill: 1}, Bound: 100, Slack: 100, MaxSilence: 1000}
+		for _, id := range r.IDs() {
+			r.Get(id).RecordActivity(now)
+		}
+		if c, _ := r.Choose(q, now); c.Engine.Info().ID != in.ID {
+			t.Fatalf("%s: got engine %s, want the home", name, c.Engine.Info().ID)
+		}
+		r.RecordStatement(in.Incarnation(), tc.said, now)
+		c, _ := r.Choose(q, now+1)
+		if got := c.Source != nil; got != tc.want || c.Engine.Info().ID == in.ID {
+			t.Errorf("%s: got engine %s, a fetch %v, want the other engine and a fetch %v", name, c.Engine.Info().ID, got, tc.want)
+		}
+	}
+}
--- a/engines/version.go
+++ b/engines/version.go
@@ -22,10 +22,10 @@
 
 // HasUntried reports whether an engine of a service and version accepts requests and is
 // not among the tried ones.
-func (r *Registry) HasUntried(service, version string, tried []string) bool {
+func (r *Registry) HasUntried(service, version string, tried []string, now clock.Millis) bool {
 	p := r.byService[service]
 	return p != nil && slices.ContainsFunc(p.engines, func(e *Engine) bool {
-		return e.AcceptsRequests() && e.hasVersion(version) && !r.isEvacuated(e) && !slices.Contains(tried, e.info.ID)
+		return e.AcceptsRequests(now) && e.hasVersion(version) && !r.isEvacuated(e) && !slices.Contains(tried, e.info.ID)
 	})
 }
 
--- a/engines/version_test.go
+++ b/engines/version_test.go
@@ -83,7 +83,7 @@
 		if !ok && candidates > 0 && !q.Isolated {
 			t.Fatalf("got no engine of %d candidates", candidates)
 		}
-		if got, want := r.HasUntried(service, want, tried), candidates > 0; got != want {
+		if got, want := r.HasUntried(service, want, tried, 0), candidates > 0; got != want {
 			t.Fatalf("got an untried engine of the version: %t, want %t", got, want)
 		}
 	})
@@ -102,7 +102,7 @@
 	if c, ok := r.Choose(q, now); ok {
 		t.Errorf("got engine %s, which has no free slot, want none", c.Engine.Info().ID)
 	}
-	if !r.HasUntried(service, "v1", nil) {
+	if !r.HasUntried(service, "v1", nil, 0) {
 		t.Error("got no engine of the version, want the full one")
 	}
 }
--- a/gate/continue.go
+++ b/gate/continue.go
@@ -37,7 +37,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ok := g.registry.HasUntried(c.service, c.version, c.tried)
+	ok := g.registry.HasUntried(c.service, c.version, c.tried, g.clk.Now())
 	if !ok {
 		g.recordNotContinued(c)
 	}
--- a/gate/evacuate.go
+++ b/gate/evacuate.go
@@ -54,8 +54,11 @@
 
 // noEngine returns the error for a request for which there is no engine. The caller holds
 // mu.
-func (g *Gate) noEngine(c *call) *verdict.Error {
-	if v := c.requiredVersion(); v != "" && !g.registry.HasUntried(c.service, v, c.tried) {
+func (g *Gate) noEngine(c *call, now clock.Millis) *verdict.Error {
+	if n, until := g.allRest(c, now); n > 0 {
+		return verdict.New(c.verdict(), verdict.NoEngine, "all %d engines of %s want no requests for now, %d tried", n, c.service, len(c.tried)).WithRetryAfter(retryAfterRest(until, now))
+	}
+	if v := c.requiredVersion(); v != "" && !g.registry.HasUntried(c.service, v, c.tried, now) {
 		return g.noEngineOfVersion(c)
 	}
 	if n, all := g.registry.CountEvacuated(c.service); n > 0 && n == all {
--- a/gate/place.go
+++ b/gate/place.go
@@ -21,11 +21,11 @@
 		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's list of evacuations is %d ms old", g.tableFreshness.Age(now)).WithRetryAfter(g.retryElsewhere(now))
 	}
 	p, ok := g.chooseUntried(c, isolated, false, now)
-	if !ok && isolated && (c.requiredVersion() == "" || g.registry.HasUntried(c.service, c.requiredVersion(), c.tried)) {
+	if !ok && isolated && (c.requiredVersion() == "" || g.registry.HasUntried(c.service, c.requiredVersion(), c.tried, now)) {
 		return pick{}, verdict.New(c.verdict(), verdict.HeldBack, "engines crashed while they ran this request, and no engine of %s is free to run it in isolation", c.service).WithRetryAfter(retrySoon)
 	}
 	if !ok {
-		return pick{}, g.noEngine(c)
+		return pick{}, g.noEngine(c, now)
 	}
 	c.setPick(p)
 	return p, nil
@@ -156,7 +156,7 @@
 			g.mu.Unlock()
 			return
 		}
-		addr, accepts := e.Info().Addr, e.AcceptsRequests()
+		addr, accepts := e.Info().Addr, e.AcceptsRequests(g.clk.Now())
 		g.mu.Unlock()
 		if !accepts || g.pool.Preconnect(addr) != nil {
 			continue
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -175,7 +175,7 @@
 		return causeArrived
 	case !g.knowsEvacuations(now):
 		return causeNotReady
-	case !g.registry.HasUntried(c.service, c.requiredVersion(), c.tried):
+	case !g.registry.HasUntried(c.service, c.requiredVersion(), c.tried, now):
 		return causeNoEngine
 	case b.Remaining(now) < 1 && !b.take(now):
 		return causeBudget
--- a/gate/statements.go
+++ b/gate/statements.go
@@ -6,11 +6,30 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/engines/upstream"
 )
 
+// restSpread is the time after the end of a rest over which callers are told to return.
+const restSpread clock.Millis = 1000
+
+// allRest returns how many engines rest that could serve a call, and when the first of these
+// rests ends. n is zero if one of them does not rest. The caller holds mu.
+func (g *Gate) allRest(c *call, now clock.Millis) (n int, until clock.Millis) {
+	if g.registry.HasUntried(c.service, c.requiredVersion(), nil, now) {
+		return 0, 0
+	}
+	return g.registry.Resting(c.service, c.requiredVersion(), now)
+}
+
+// retryAfterRest returns when the caller of a request should return that has no engine before
+// the given end of a rest.
+func retryAfterRest(until, now clock.Millis) clock.Millis {
+	return max(1, until-now) + clock.Millis(random()*float64(restSpread))
+}
+
 // errClosed means that the engine chosen for a request has meanwhile said that it wants none.
 var errClosed = errors.New("the engine wants no requests")
 
@@ -18,7 +37,7 @@
 func (g *Gate) checkOpen(n engines.Incarnation) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.registry.Closed(n) {
+	if g.registry.Closed(n, g.clk.Now()) {
 		return errClosed
 	}
 	return nil
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -270,6 +270,12 @@
 
 // retryAfterRejection returns when the caller of a request that did not run should return.
 func (g *Gate) retryAfterRejection(c *call, o attempt.Outcome, now clock.Millis) clock.Millis {
+	g.mu.Lock()
+	resting, until := g.allRest(c, now)
+	g.mu.Unlock()
+	if resting > 0 {
+		return retryAfterRest(until, now)
+	}
 	s := c.turn.queue
 	if _, refused := o.(attempt.Refused); !refused || s == nil {
 		return retrySoon
