engines: Keep the draining of an incarnation when its entry lapses and returns

The draining is kept beside what the engine itself said. What peers reported wrongly is still forgotten.

Requests tell how many engines were left out of the choice (closed), and account tells rests from full engines.

--- a/engines/registry.go
+++ b/engines/registry.go
@@ -148,6 +148,7 @@
 		r.register(e)
 	}
 	if drainStarted {
+		r.keepDraining(e)
 		return DrainStarted
 	}
 	return Changed
@@ -160,7 +161,11 @@
 	if !ok {
 		firstListedAt = now
 	}
-	r.register(&Engine{info: in, target: route.NewTarget(in.ID, in.Slots), listedAt: now, firstListedAt: firstListedAt, health: health{updatedAt: now}, warmup: warmupState{listedUntil: warmupUntil}, said: r.statements.Of(in.Incarnation())})
+	e := &Engine{info: in, target: route.NewTarget(in.ID, in.Slots), listedAt: now, firstListedAt: firstListedAt, health: health{updatedAt: now}, warmup: warmupState{listedUntil: warmupUntil}, said: r.statements.Of(in.Incarnation())}
+	r.register(e)
+	if in.Draining {
+		r.keepDraining(e)
+	}
 }
 
 // register adds an engine to all indexes.
@@ -242,12 +247,13 @@
 }
 
 // Forget drops an engine and the state of all its incarnations, which came from wrong
-// reports. Only the time of the first listing is kept.
+// reports. Only the time of the first listing and what they said in responses are kept.
 func (r *Registry) Forget(id string) {
 	if e, ok := r.byID[id]; ok {
 		r.unregister(e)
 		r.firstListed.Add(e.info.Incarnation(), e.firstListedAt)
 	}
+	r.statements.ForgetDraining(func(n Incarnation) bool { return n.ID == id })
 	for _, past := range []*simplelru.LRU[Incarnation, struct{}]{r.ended, r.crashed} {
 		for _, n := range past.Keys() {
 			if n.ID == id {
--- a/engines/statement/statement.go
+++ b/engines/statement/statement.go
@@ -42,10 +42,14 @@
 	Ignored Change = "ignored"
 )
 
-// State is what an incarnation of an engine said of itself. A nil State has said nothing.
+// State is what an incarnation of an engine said of itself, in responses or by its entry in the
+// listing. A nil State has said nothing.
 type State struct {
-	// leaving stays true once it is set.
+	// leaving is true from when the engine said that it leaves.
 	leaving bool
+	// draining is true from when the listing said that the engine drains, until that is known
+	// to be wrong.
+	draining bool
 	// restUntil is the latest end of all rests that were asked for, zero if there was none.
 	restUntil clock.Millis
 	// ignored holds the reasons for which values were ignored.
@@ -54,8 +58,8 @@
 	begun int
 }
 
-// Leaving reports whether the engine said that it leaves.
-func (s *State) Leaving() bool { return s != nil && s.leaving }
+// Leaving reports whether the engine leaves, by its own responses or by the listing.
+func (s *State) Leaving() bool { return s != nil && (s.leaving || s.draining) }
 
 // Resting reports whether the engine wants no requests at present.
 func (s *State) Resting(now clock.Millis) bool { return s != nil && now < s.restUntil }
@@ -151,3 +155,24 @@
 	}
 	return s, s.record(in, now)
 }
+
+// RecordDraining records that the listing has an incarnation as draining, and returns its state.
+func (b *Book[K]) RecordDraining(n K) *State {
+	s := b.Of(n)
+	if s == nil {
+		s = &State{}
+		b.states.Add(n, s)
+	}
+	s.draining = true
+	return s
+}
+
+// ForgetDraining drops what the listing said of the incarnations that match. What they said in
+// responses holds.
+func (b *Book[K]) ForgetDraining(match func(K) bool) {
+	for _, n := range b.states.Keys() {
+		if s, ok := b.states.Peek(n); ok && match(n) {
+			s.draining = false
+		}
+	}
+}
--- a/engines/statements.go
+++ b/engines/statements.go
@@ -15,11 +15,32 @@
 	return change
 }
 
+// keepDraining records the draining of an engine for as long as its incarnation is known, so
+// that its entry may be removed and come back.
+func (r *Registry) keepDraining(e *Engine) {
+	e.said = r.statements.RecordDraining(e.info.Incarnation())
+}
+
 // Closed reports whether an incarnation said that it wants no requests now.
 func (r *Registry) Closed(n Incarnation, now clock.Millis) bool {
 	return r.statements.Of(n).Closed(now)
 }
 
+// CountClosed returns how many engines of a service said that they want no requests now.
+func (r *Registry) CountClosed(service string, now clock.Millis) int {
+	p := r.byService[service]
+	if p == nil {
+		return 0
+	}
+	n := 0
+	for _, e := range p.engines {
+		if e.said.Closed(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Resting returns how many engines of a service get no requests only because they rest, and
 // when the first of these rests ends, zero if there is none. version is the software version
 // that the engines must have, "" for any.
--- a/engines/statements_test.go
+++ b/engines/statements_test.go
@@ -189,3 +189,25 @@
 		}
 	}
 }
+
+// Guards against requests to an engine that was listed as draining, after its entry has lapsed
+// and come back as ready from an older copy of the list without start times.
+func TestEngineThatDrainedStaysClosedWhenItsEntryReturns(t *testing.T) {
+	in := engines.Info{ID: "i-1", Service: "llm", Addr: "10.0.0.1:80", Slots: 8, Version: "v1"}
+	draining, next := in, in
+	draining.Draining, next.Version = true, "v2"
+	for name, first := range map[string]engines.Info{"draining later": in, "draining from the first": draining} {
+		r := engines.NewRegistry()
+		r.Put(first, 0)
+		r.Put(draining, 1)
+		r.Remove(in.ID)
+		r.Put(in, 2)
+		if got := chosen(r, 20); len(got) != 0 {
+			t.Errorf("%s: got requests at %v, want none", name, got)
+		}
+		r.Put(next, 3)
+		if got := chosen(r, 20); got[in.ID] == 0 {
+			t.Errorf("%s: got no requests at the next incarnation, want some", name)
+		}
+	}
+}
--- a/gate/account.go
+++ b/gate/account.go
@@ -114,6 +114,9 @@
 	if c.pressure > 0 {
 		attrs = append(attrs, "pressure", hundredths(c.pressure), "over_share", c.overShare)
 	}
+	if c.closed > 0 {
+		attrs = append(attrs, "closed", c.closed)
+	}
 	if c.said.Leaving {
 		attrs = append(attrs, "said", statement.Left)
 	}
--- a/gate/call.go
+++ b/gate/call.go
@@ -91,6 +91,8 @@
 	unsent int
 	// said is what the latest engine said of itself in its response.
 	said statement.Said
+	// closed is how many engines were left out of the latest choice because they leave or rest.
+	closed int
 	// chosenBy is how the latest engine was chosen. sentBefore is true if this entry had sent
 	// the prompt there before. hasSource is true if the engine was given the address of
 	// another one that has a longer prefix.
--- a/gate/place.go
+++ b/gate/place.go
@@ -20,6 +20,7 @@
 	if !g.knowsEvacuations(now) {
 		return pick{}, verdict.New(c.verdict(), verdict.NotReady, "this entry's list of evacuations is %d ms old", g.tableFreshness.Age(now)).WithRetryAfter(g.retryElsewhere(now))
 	}
+	c.closed = g.registry.CountClosed(c.service, now)
 	p, ok := g.chooseUntried(c, isolated, false, now)
 	if !ok && isolated && (c.requiredVersion() == "" || g.registry.HasUntried(c.service, c.requiredVersion(), c.tried, now)) {
 		return pick{}, verdict.New(c.verdict(), verdict.HeldBack, "engines crashed while they ran this request, and no engine of %s is free to run it in isolation", c.service).WithRetryAfter(retrySoon)
--- a/report/account/account.go
+++ b/report/account/account.go
@@ -55,6 +55,10 @@
 	EngineUnresponsive Cause = "engine dark"
 	// EngineFull: the engine refused the request, and others were tried.
 	EngineFull Cause = "engine full"
+	// EngineResting: the engine refused the request and asked for a rest, and others were tried.
+	EngineResting Cause = "engine rests"
+	// EnginesClosed: engines that leave or rest were left out, and no other was there.
+	EnginesClosed Cause = "engines leave or rest"
 	// PromptNotCached: the engine had to prefill the prompt.
 	PromptNotCached Cause = "cold prompt"
 	// PromptFetched: the engine fetched the cached prompt from another engine.
@@ -147,7 +151,7 @@
 	id := f["request"]
 	switch f["msg"] {
 	case "attempt_ended":
-		a.attemptCauses[id] = causeOfAttempt(f["outcome"])
+		a.attemptCauses[id] = causeOfAttempt(f)
 		if a.crashed[id] {
 			a.attemptCauses[id] = EngineCrashed
 			delete(a.crashed, id)
@@ -217,12 +221,15 @@
 	return InTime
 }
 
-// causeOfAttempt maps the outcome of a failed attempt to its cause.
-func causeOfAttempt(outcome string) Cause {
-	switch outcome {
+// causeOfAttempt returns the cause that the line of a failed attempt tells.
+func causeOfAttempt(f map[string]string) Cause {
+	switch f["outcome"] {
 	case "failed":
 		return EngineFailed
 	case "refused":
+		if f["rest_ms"] != "" && f["rest_ms"] != "0" {
+			return EngineResting
+		}
 		return EngineFull
 	case "unsent", "silent":
 		return EngineUnresponsive
@@ -252,6 +259,8 @@
 	switch reason := f["reason"]; {
 	case reason == "deadline":
 		return DeadlineExceeded
+	case f["closed"] != "" && attemptCause == NoCause:
+		return EnginesClosed
 	case attemptCause != NoCause:
 		return attemptCause
 	case reason != "":
