--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
@@ -63,3 +64,48 @@
 	s := g.turns.of("app")
 	return s.Running(), s.Waiting(), len(s.granted)
 }
+
+// prepare returns a call for a request that has passed the filters up to its workspace.
+func (g *Gate) prepare(r *http.Request) *call {
+	c := g.newCall(httptest.NewRecorder(), r)
+	for _, step := range []func(context.Context, *call) *verdict.Error{g.validateHeaders, g.resolve, g.admit, g.authorise} {
+		if err := step(r.Context(), c); err != nil {
+			panic(err)
+		}
+	}
+	return c
+}
+
+// PlaceSecured secures an engine for a request, records what the engine says then, and returns
+// the IDs of the secured engine and of the one that the request goes to.
+func (g *Gate) PlaceSecured(r *http.Request, said statement.Said) (first, placed string) {
+	c := g.prepare(r)
+	p := g.chooseAndHear(c, said)
+	c.next = &secured{pick: p}
+	next, err := g.place(r.Context(), c)
+	if err != nil {
+		return p.ID, ""
+	}
+	return p.ID, next.ID
+}
+
+// SendAfter chooses an engine for a request, records what the engine says then, and sends the
+// request. It returns the name of the outcome and whether the engine counts as unreachable.
+func (g *Gate) SendAfter(r *http.Request, said statement.Said) (outcome string, unreachable bool) {
+	c := g.prepare(r)
+	p := g.chooseAndHear(c, said)
+	o := g.attempt(r.Context(), c, p)
+	return outcomeName(o), g.isLost(p.Incarnation().Hash())
+}
+
+func (g *Gate) chooseAndHear(c *call, said statement.Said) pick {
+	p, err := g.choose(c, false)
+	if err != nil {
+		panic(err)
+	}
+	c.tried = nil
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordStatement(p.Incarnation(), said, g.clk.Now())
+	return p
+}
