--- a/engines/statements_test.go
+++ b/engines/statements_test.go
@@ -211,3 +211,16 @@
 		}
 	}
 }
+
+// Guards against an engine that said that it leaves and ends as planned, but counts as crashed
+// because the list never had it as draining: the requests that ran there would be blamed.
+func TestEngineThatSaidItLeavesIsNoCrash(t *testing.T) {
+	in := engines.Info{ID: "i-1", Service: "llm", Addr: "10.0.0.1:80", Slots: 8}
+	r := engines.NewRegistry()
+	r.Put(in, 0)
+	r.RecordStatement(in.Incarnation(), statement.Said{Leaving: true}, 0)
+	r.Remove(in.ID)
+	if r.Crashed(in.Incarnation()) {
+		t.Error("got a crash, want a planned end")
+	}
+}
--- a/report/account/account.go
+++ b/report/account/account.go
@@ -259,7 +259,7 @@
 	switch reason := f["reason"]; {
 	case reason == "deadline":
 		return DeadlineExceeded
-	case f["closed"] != "" && attemptCause == NoCause:
+	case reason == "no_engine" && f["closed"] != "" && attemptCause == NoCause:
 		return EnginesClosed
 	case attemptCause != NoCause:
 		return attemptCause
