review: Show streams that lose a piece when their engine has another version

relayStream records the ID of events that it then drops because the list has another version of the engine. The next engine is asked for what follows them, and the caller gets a stream with a gap that ends as complete.

--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -44,6 +44,8 @@
 	Body      []byte
 	Deadline  time.Duration
 	Header    http.Header
+	// Unique adds the ID of the request to the body, so that no two requests are alike.
+	Unique bool
 }
 
 // Send sends a request and returns the answer. The ID begins with the name of the gate.
@@ -55,6 +57,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline)
 	defer cancel()
 	a := Answer{ID: id, SentAt: time.Now()}
+	if r.Unique {
+		r.Body = append(bytes.Clone(r.Body), id...)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.g.Addr+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		a.Err = err
