engines/upstream, gate: Log whose response ended an attempt, and what became of its connection

What logs lacked to tell the hypotheses of the incident apart: whether a rejection had the ID of the request, whether its connection had been used before, and how the connection of a given-up attempt ended. attempt_ended has conn, exchange, identity and conn_end now; weldfall_engine_rejections_total counts rejections by identity and reuse. No decision changes.

--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -68,6 +68,8 @@
 	idle map[string][]*conn
 	// open counts the connections of each address, idle ones included.
 	open map[string]int
+	// dialed counts the connections that were attempted.
+	dialed int
 	// maxConns is the number of connections to an address that this process may open. An
 	// address without an entry has no limit.
 	maxConns map[string]int
@@ -185,8 +187,13 @@
 	silent bool
 	// onSilence is Request.OnSilence of the current exchange, nil if there is none.
 	onSilence func(arrived func() bool) clock.Millis
-	clk       *clock.Clock
-	link      *downlink.Downlink
+	// number identifies the connection in logs. exchanges counts the exchanges on it, the
+	// current one included.
+	number, exchanges int
+	// trace is Request.Trace of the current exchange, nil if there is none.
+	trace *Trace
+	clk   *clock.Clock
+	link  *downlink.Downlink
 }
 
 // Read reads from the connection and counts the bytes. The count shows whether a failed
@@ -302,6 +309,8 @@
 		return nil, fmt.Errorf("%s: %w", addr, ErrFull)
 	}
 	p.open[addr]++
+	p.dialed++
+	number := p.dialed
 	p.mu.Unlock()
 	p.dials.Inc()
 	dialed := p.clk.Now()
@@ -310,7 +319,7 @@
 		p.uncount(addr)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{nc: nc, addr: addr, dialedAt: dialed, connectedAt: p.clk.Now(), clk: p.clk, link: p.link}
+	c := &conn{nc: nc, addr: addr, dialedAt: dialed, connectedAt: p.clk.Now(), number: number, clk: p.clk, link: p.link}
 	c.receivedAt.Store(int64(c.connectedAt))
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
@@ -415,20 +424,35 @@
 	return c, old
 }
 
-// beginExchange records that an exchange begins on c.
-func (p *Pool) beginExchange(c *conn, silenceTimeout clock.Millis) {
+// beginExchange records that the exchange of a request begins on c.
+func (p *Pool) beginExchange(c *conn, r *Request) {
+	c.onSilence = r.OnSilence
+	c.exchanges++
+	if c.trace = r.Trace; c.trace == nil {
+		c.trace = &Trace{}
+	}
+	c.trace.Conn, c.trace.Exchange = c.number, c.exchanges
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.sentAt, c.silenceTimeout, c.silent = p.clk.Now(), silenceTimeout, false
+	c.sentAt, c.silenceTimeout, c.silent = p.clk.Now(), r.SilenceTimeout, false
 	if p.busy[c.addr] == nil {
 		p.busy[c.addr] = map[*conn]bool{}
 	}
 	p.busy[c.addr][c] = true
 }
 
-// endExchange records that the exchange on c is over.
-func (p *Pool) endExchange(c *conn) {
+// endExchange records that the exchange on c is over, and keeps c or closes it. h is the head
+// of the response.
+func (p *Pool) endExchange(c *conn, keep bool, h http.Header) {
 	c.onSilence = nil
+	trace := c.trace
+	c.trace = nil
+	p.endBusy(c)
+	trace.End = p.release(c, keep, h)
+}
+
+// endBusy removes c from the connections with an exchange in progress.
+func (p *Pool) endBusy(c *conn) {
 	now := p.clk.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -485,10 +509,10 @@
 }
 
 // release keeps c or closes it. The Keep-Alive header of the engine limits its idle time.
-func (p *Pool) release(c *conn, keep bool, h http.Header) {
+func (p *Pool) release(c *conn, keep bool, h http.Header) ConnEnd {
 	if !keep {
 		p.discard(c)
-		return
+		return ConnClosed
 	}
 	idle := idleTimeout
 	if s := keepAliveSeconds(h.Get("Keep-Alive")); s >= 0 {
@@ -496,12 +520,13 @@
 	}
 	if idle <= 0 {
 		p.discard(c)
-		return
+		return ConnClosed
 	}
 	c.expiresAt = p.clk.Now() + idle
 	p.mu.Lock()
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 	p.mu.Unlock()
+	return ConnKept
 }
 
 // discard closes c.
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -86,8 +86,54 @@
 	// zero ends the exchange. arrived reports whether there is something to read by now. If
 	// OnSilence is nil, the first timeout ends the exchange.
 	OnSilence func(arrived func() bool) clock.Millis
+	// Trace is filled in while the exchange goes on. It may be nil.
+	Trace *Trace
 }
 
+// Trace is what an exchange used and how it ended, for logs.
+type Trace struct {
+	// Conn is the number of the connection, zero if there was none. Exchange is 1 for the
+	// first exchange on it.
+	Conn, Exchange int
+	// Identity is "" if no response arrived.
+	Identity Identity
+	// End is "" while the exchange goes on.
+	End ConnEnd
+}
+
+// Identity is whether a response names the request that it responds to.
+type Identity string
+
+const (
+	// IdentityOwn means that the response has the ID of the request.
+	IdentityOwn Identity = "own"
+	// IdentityNone means that the response has no ID.
+	IdentityNone Identity = "none"
+	// IdentityOther means that the response has another ID.
+	IdentityOther Identity = "other"
+)
+
+// identity returns whether a response with the given ID names r.
+func (r *Request) identity(id string) Identity {
+	switch id {
+	case r.ID:
+		return IdentityOwn
+	case "":
+		return IdentityNone
+	}
+	return IdentityOther
+}
+
+// ConnEnd is what became of the connection of an exchange.
+type ConnEnd string
+
+const (
+	// ConnKept means that the connection is kept for another exchange.
+	ConnKept ConnEnd = "kept"
+	// ConnClosed means that the connection was closed.
+	ConnClosed ConnEnd = "closed"
+)
+
 // Response is an engine's response, whose body is still to be read. The caller must call
 // Close.
 type Response struct {
@@ -142,8 +188,7 @@
 	a.once.Do(func() {
 		attached := a.stop()
 		ok := attached && a.ended && a.keep && framing.OfResponse(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
-		a.pool.endExchange(a.conn)
-		a.pool.release(a.conn, ok, a.Header)
+		a.pool.endExchange(a.conn, ok, a.Header)
 	})
 }
 
@@ -177,14 +222,12 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
-	p.beginExchange(c, r.SilenceTimeout)
-	c.onSilence = r.OnSilence
+	p.beginExchange(c, r)
 	stop := context.AfterFunc(ctx, c.abort)
 	a, err := p.exchange(c, r, timeout)
 	if err != nil {
 		stop()
-		p.endExchange(c)
-		p.release(c, false, nil)
+		p.endExchange(c, false, nil)
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
@@ -207,7 +250,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if id := res.Header.Get(p.names.RequestID); id == r.ID || (id == "" && res.StatusCode >= http.StatusBadRequest) {
+		identity := r.identity(res.Header.Get(p.names.RequestID))
+		c.trace.Identity = identity
+		if identity == IdentityOwn || (identity == IdentityNone && res.StatusCode >= http.StatusBadRequest) {
 			a.Response = res
 			a.keep = a.keep && !res.Close
 			return a, nil
--- a/gate/account.go
+++ b/gate/account.go
@@ -171,5 +171,5 @@
 	}
 	g.log.Info("attempt_ended", "request", c.id, "service", c.service, "engine", e.ID, "version", e.Version, "events", c.events, "outcome", outcomeName(o), "cause", cause,
 		"again", granted.allowed(), "repeat", granted, "ran", c.ran, "allowed", c.route.Attempts, "left_ms", left,
-		"rest_ms", c.said.Rest, "leaving", c.said.Leaving)
+		"rest_ms", c.said.Rest, "leaving", c.said.Leaving, "conn", c.trace.Conn, "exchange", c.trace.Exchange, "identity", c.trace.Identity, "conn_end", c.trace.End)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -14,6 +14,7 @@
 	"github.com/weldfall/weldfall/engines/locality"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/statement"
+	"github.com/weldfall/weldfall/engines/upstream"
 	"github.com/weldfall/weldfall/gate/relay"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
@@ -89,6 +90,8 @@
 	refused int
 	// unsent is the number of engines that could not be reached.
 	unsent int
+	// trace is what the latest attempt used and how its exchange ended.
+	trace upstream.Trace
 	// said is what the latest engine said of itself in its response.
 	said statement.Said
 	// closed is how many engines were left out of the latest choice because they leave or rest.
--- a/gate/send.go
+++ b/gate/send.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/attempt"
@@ -95,6 +97,8 @@
 	c.said = statement.Said{}
 	g.recordOrigin(c, e.Version)
 	req := g.request(c, e, now)
+	c.trace = upstream.Trace{}
+	req.Trace = &c.trace
 	s := &silence{g: g, c: c, with: e.Info}
 	req.OnSilence = func(arrived func() bool) clock.Millis { return s.onSilence(ctx, arrived) }
 	req.Allow = func() error { return g.checkOpen(e.Incarnation()) }
@@ -108,13 +112,13 @@
 	s.responded = true
 	s.recordProgress()
 	if a.StatusCode == http.StatusMisdirectedRequest {
-		return g.misdirected(e.Info, a)
+		return g.misdirected(c, e.Info, a)
 	}
 	g.recordActivity(e.Incarnation(), a.Header.Get(g.wire.Load))
 	g.recordStatement(c, e.Info, a)
 	if a.NotRun() {
 		g.observeRejection(c, e.Info, a.StatusCode)
-		return g.engineRefused(e.Info, a)
+		return g.engineRefused(c, e.Info, a)
 	}
 	c.ran++
 	if c.versionBasis != "" {
@@ -152,20 +156,27 @@
 }
 
 // engineRefused returns the outcome of a response that says that the request did not run.
-func (g *Gate) engineRefused(e engines.Info, a *upstream.Response) attempt.Outcome {
+func (g *Gate) engineRefused(c *call, e engines.Info, a *upstream.Response) attempt.Outcome {
 	discardRest(a)
+	countNotRun(c.trace)
 	g.finish(e.Incarnation(), engines.Refused)
 	return attempt.Refused{Err: fmt.Errorf("status %d", a.StatusCode)}
 }
 
 // misdirected returns the outcome of a response from another engine that now has the
 // address. It says nothing about the engine that was meant.
-func (g *Gate) misdirected(e engines.Info, a *upstream.Response) attempt.Outcome {
+func (g *Gate) misdirected(c *call, e engines.Info, a *upstream.Response) attempt.Outcome {
 	discardRest(a)
+	countNotRun(c.trace)
 	g.finish(e.Incarnation(), engines.Replaced)
 	return attempt.Refused{Err: fmt.Errorf("status %d: another engine is at %s", a.StatusCode, e.Addr)}
 }
 
+// countNotRun counts a response that says that the request did not run.
+func countNotRun(t upstream.Trace) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_engine_rejections_total{identity=%q,reused=\"%t\"}", t.Identity, t.Exchange > 1)).Inc()
+}
+
 // engineOutcome returns what the outcome of an attempt says about the engine.
 func engineOutcome(ctx context.Context, o attempt.Outcome) engines.Outcome {
 	switch o := o.(type) {
