--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -206,8 +206,9 @@
 }
 
 // Do sends r to the engine at addr and returns its response once the head has arrived,
-// which must be within timeout, unless r.OnSilence extends it. When ctx is done, Do closes the connection and sends
-// nothing more.
+// which must be within timeout, unless r.OnSilence extends it. A response without a request ID
+// is accepted only if it is a failure and the first response on its connection. When ctx is
+// done, Do closes the connection and sends nothing more.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, timeout clock.Millis) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
@@ -245,17 +246,22 @@
 	if err := p.write(c, r, a); err != nil {
 		return nil, err
 	}
-	for range maxStrayResponses + 1 {
+	for n := range maxStrayResponses + 1 {
 		res, err := readHead(c, r)
 		if err != nil {
 			return nil, err
 		}
 		identity := r.identity(res.Header.Get(p.names.RequestID))
 		c.trace.Identity = identity
-		if identity == IdentityOwn || (identity == IdentityNone && res.StatusCode >= http.StatusBadRequest) {
+		unnamedFailure := identity == IdentityNone && res.StatusCode >= http.StatusBadRequest
+		switch {
+		case identity == IdentityOwn, unnamedFailure && c.exchanges == 1 && n == 0:
 			a.Response = res
 			a.keep = a.keep && !res.Close
 			return a, nil
+		case unnamedFailure:
+			// It may be one response too many to an earlier request, and this one may be running.
+			return nil, fmt.Errorf("%s: %w: status %d without a request ID on a used connection", c.addr, ErrBadResponse, res.StatusCode)
 		}
 		p.strays.Inc()
 		if _, err := io.CopyN(io.Discard, res.Body, maxStrayBody); !errors.Is(err, io.EOF) || res.ContentLength < 0 {
