engines/upstream: Reset the connection of an exchange that is given up

What callers and operators saw: an engine works on a request that has gone on at another engine, or whose caller has gone. Cause: the connection was closed with a FIN, which an engine also gets from a client that has only finished sending. One that supports half-closed connections works on to the end; one that looks when it writes notices at its second write, since the first one succeeds and only brings the reset. TestConnectionOfAGivenUpExchangeIsReset looks from the engine, by reading and by writing: 14 of 20 cases fail with a FIN. Why it works: a reset can't be taken for the end of a request. It is sent only if the response or the body of the request was not complete; a complete exchange still ends with a FIN, which can't take the last bytes away. The line attempt_ended tells which. What it can't do: an engine that never looks at its connection while it computes does not stop, and a reset that is lost on the way is not sent again; the engine's next write brings another.

--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -241,8 +241,15 @@
 	_ = c.nc.SetWriteDeadline(clock.Deadline(max(0, d)))
 }
 
-// abort closes the connection. Another goroutine may be reading from it.
-func (c *conn) abort() { _ = c.nc.Close() }
+// abort resets the connection. Another goroutine may be reading from it. An engine may take a
+// FIN for the end of the request alone, and work on.
+func (c *conn) abort() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		// Fails only on a closed connection.
+		_ = t.SetLinger(0)
+	}
+	_ = c.nc.Close()
+}
 
 // reusable reports whether an idle connection is open and has received no data.
 func (c *conn) reusable() bool {
@@ -293,7 +300,7 @@
 // keep makes an acquired connection idle again that no request was sent on.
 func (p *Pool) keep(c *conn) {
 	if c.expiresAt == 0 {
-		p.release(c, true, nil)
+		p.release(c, nil)
 		return
 	}
 	p.mu.Lock()
@@ -331,7 +338,7 @@
 	if err != nil {
 		return err
 	}
-	p.release(c, true, nil)
+	p.release(c, nil)
 	return nil
 }
 
@@ -345,7 +352,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.release(c, true, nil)
+	p.release(c, nil)
 	return false
 }
 
@@ -441,14 +448,23 @@
 	p.busy[c.addr][c] = true
 }
 
-// endExchange records that the exchange on c is over, and keeps c or closes it. h is the head
-// of the response.
-func (p *Pool) endExchange(c *conn, keep bool, h http.Header) {
+// endExchange records that the exchange on c is over, and keeps, closes or resets c. h is the
+// head of the response.
+func (p *Pool) endExchange(c *conn, end ConnEnd, h http.Header) {
 	c.onSilence = nil
 	trace := c.trace
 	c.trace = nil
 	p.endBusy(c)
-	trace.End = p.release(c, keep, h)
+	switch end {
+	case ConnKept:
+		end = p.release(c, h)
+	case ConnReset:
+		c.abort()
+		p.uncount(c.addr)
+	case ConnClosed:
+		p.discard(c)
+	}
+	trace.End = end
 }
 
 // endBusy removes c from the connections with an exchange in progress.
@@ -508,12 +524,9 @@
 	return old
 }
 
-// release keeps c or closes it. The Keep-Alive header of the engine limits its idle time.
-func (p *Pool) release(c *conn, keep bool, h http.Header) ConnEnd {
-	if !keep {
-		p.discard(c)
-		return ConnClosed
-	}
+// release keeps c idle, or closes it if the Keep-Alive header of the engine leaves it no idle
+// time.
+func (p *Pool) release(c *conn, h http.Header) ConnEnd {
 	idle := idleTimeout
 	if s := keepAliveSeconds(h.Get("Keep-Alive")); s >= 0 {
 		idle = min(idle, clock.Millis(s)*1000-idleMargin)
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -130,8 +130,10 @@
 const (
 	// ConnKept means that the connection is kept for another exchange.
 	ConnKept ConnEnd = "kept"
-	// ConnClosed means that the connection was closed.
+	// ConnClosed means that the connection was closed after a complete exchange.
 	ConnClosed ConnEnd = "closed"
+	// ConnReset means that the connection was reset, since the exchange was not complete.
+	ConnReset ConnEnd = "reset"
 )
 
 // Response is an engine's response, whose body is still to be read. The caller must call
@@ -182,13 +184,19 @@
 // SetReadTimeout sets the time within which the next bytes must arrive.
 func (a *Response) SetReadTimeout(d clock.Millis) { a.conn.setReadTimeout(d) }
 
-// Close keeps the connection if the exchange completed. Otherwise it closes the
+// Close keeps the connection or closes it if the exchange completed. Otherwise it resets the
 // connection, which makes the engine stop.
 func (a *Response) Close() {
 	a.once.Do(func() {
 		attached := a.stop()
-		ok := attached && a.ended && a.keep && framing.OfResponse(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 && a.bodySent()
-		a.pool.endExchange(a.conn, ok, a.Header)
+		end := ConnReset
+		if attached && a.ended && a.bodySent() {
+			end = ConnClosed
+			if a.keep && framing.OfResponse(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 {
+				end = ConnKept
+			}
+		}
+		a.pool.endExchange(a.conn, end, a.Header)
 	})
 }
 
@@ -208,7 +216,7 @@
 // Do sends r to the engine at addr and returns its response once the head has arrived,
 // which must be within timeout, unless r.OnSilence extends it. A response without a request ID
 // is accepted only if it is a failure and the first response on its connection. When ctx is
-// done, Do closes the connection and sends nothing more.
+// done, Do resets the connection and sends nothing more.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, timeout clock.Millis) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
@@ -228,7 +236,7 @@
 	a, err := p.exchange(c, r, timeout)
 	if err != nil {
 		stop()
-		p.endExchange(c, false, nil)
+		p.endExchange(c, ConnReset, nil)
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
