gate, engines/origin: Resume a stream of unknown version by the time for which its caller can

What callers saw: all entries are killed while versions change, and a fresh entry resumes a stream at another version than the one that began it. Cause: a fresh entry took its list for proof after twice the route's timeout and a second. For how long a stream can be resumed was three values: the caller's own limit in the record, the route's timeout in the doubt, and nothing for late callers. A caller that waits longer than the route allows resumed after the doubt was over. Why it works: the record, the doubt and the answer ask one value, and an entry tells others for how long its version has been the only one, so that the entry that asks compares with its own caller's limit. An earlier build does not tell, and counts for the usual time only.

--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -55,7 +55,9 @@
 	Record    string `json:"r,omitempty"`
 	Ambiguous bool   `json:"a,omitempty"`
 	Sole      string `json:"v,omitempty"`
-	Several   bool   `json:"m,omitempty"`
+	// SoleFor is in milliseconds.
+	SoleFor clock.Millis `json:"t,omitempty"`
+	Several bool         `json:"m,omitempty"`
 }
 
 // Config configures an Exchange.
@@ -170,7 +172,7 @@
 		x.cfg.Log.Debug("origin_not_asked", "peer", addr, "error", err)
 		return nil
 	}
-	f := origin.Finding{Ambiguous: a.Ambiguous, Sole: a.Sole, Several: a.Several}
+	f := origin.Finding{Ambiguous: a.Ambiguous, Sole: a.Sole, SoleFor: a.SoleFor, Several: a.Several}
 	if records, err := origin.Unpack(a.Record); err == nil && len(records) == 1 && records[0].Key == q.Key {
 		f.Record = &records[0]
 	}
@@ -188,7 +190,7 @@
 		return Answer{}, fmt.Errorf("%s: key %q is not %d bytes in base64", MethodFind, question.Key, len(origin.Key{}))
 	}
 	f := x.cfg.Host.FindOrigin(origin.Query{Key: origin.Key(b), Workspace: question.Workspace, Service: question.Service})
-	a := Answer{Ambiguous: f.Ambiguous, Sole: f.Sole, Several: f.Several}
+	a := Answer{Ambiguous: f.Ambiguous, Sole: f.Sole, SoleFor: f.SoleFor, Several: f.Several}
 	if f.Record != nil {
 		a.Record = origin.Pack([]origin.Record{*f.Record})
 	}
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -139,6 +139,9 @@
 	// Sole is the only version that the service has had for longer than a stream lives,
 	// "" if there is none or the entry does not know.
 	Sole string
+	// SoleFor is for how long Sole has been the only one, zero if the entry, of an earlier
+	// build, does not tell.
+	SoleFor clock.Millis
 	// Several is true if the service has, or had lately, engines of several versions.
 	Several bool
 }
--- a/engines/version.go
+++ b/engines/version.go
@@ -61,13 +61,14 @@
 	}
 }
 
-// ListedOther reports whether a service was listed with a version other than the given
-// one since a time. It covers only versions that are no longer listed.
-func (h *VersionHistory) ListedOther(service, version string, since clock.Millis) bool {
+// LastOther returns when a service was last listed with a version other than the given one,
+// zero if it was not. It covers only versions that are no longer listed.
+func (h *VersionHistory) LastOther(service, version string) clock.Millis {
+	var last clock.Millis
 	for v, at := range h.lastListed[service] {
-		if v != version && at >= since {
-			return true
+		if v != version {
+			last = max(last, at)
 		}
 	}
-	return false
+	return last
 }
--- a/engines/version_test.go
+++ b/engines/version_test.go
@@ -173,29 +173,27 @@
 
 func TestVersionHistory(t *testing.T) {
 	var h engines.VersionHistory
-	if h.ListedOther(service, "v1", 0) {
-		t.Error("got another version from an empty history, want none")
+	if got := h.LastOther(service, "v1"); got != 0 {
+		t.Errorf("got another version at %d from an empty history, want none", got)
 	}
 	h.Record(service, "v2", 1000)
 	for _, tc := range []struct {
 		name, service, version string
-		since                  clock.Millis
-		want                   bool
+		want                   clock.Millis
 	}{
-		{"another version lately", service, "v1", 1000, true},
-		{"another version long ago", service, "v1", 1001, false},
-		{"the version itself", service, "v2", 0, false},
-		{"another service", "other", "v1", 0, false},
+		{"another version", service, "v1", 1000},
+		{"the version itself", service, "v2", 0},
+		{"another service", "other", "v1", 0},
 	} {
-		if got := h.ListedOther(tc.service, tc.version, tc.since); got != tc.want {
-			t.Errorf("%s: got %t, want %t", tc.name, got, tc.want)
+		if got := h.LastOther(tc.service, tc.version); got != tc.want {
+			t.Errorf("%s: got %d, want %d", tc.name, got, tc.want)
 		}
 	}
 	const last = 2999
 	for at := clock.Millis(2000); at <= last; at++ {
 		h.Record(service, fmt.Sprintf("v%d", at), at)
 	}
-	if !h.ListedOther(service, "v1", last) {
-		t.Error("got no other version after many, want the latest")
+	if got := h.LastOther(service, "v1"); got != last {
+		t.Errorf("got another version at %d after many, want the latest at %d", got, last)
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -154,6 +154,8 @@
 	// for others.
 	origins        *origin.Book
 	originSearches *searches
+	// resumeLimits has for how long callers may resume streams by their own limits.
+	resumeLimits *origin.Limits
 	// fair tracks the use of services by workspaces.
 	fair *fairshare.Tracker
 
@@ -242,7 +244,7 @@
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
 		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
 		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
-		origins: origin.NewBook(), originSearches: newSearches(), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
+		origins: origin.NewBook(), originSearches: newSearches(), resumeLimits: origin.NewLimits(maxRequestTime), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -121,7 +121,7 @@
 		g.origins.Hold(*r, g.clk.Now())
 		return r.Version, byRecord, nil
 	}
-	version, err = g.soleVersion(c.service, findings, known)
+	version, err = g.soleVersion(c, findings, known)
 	return version, bySoleVersion, err
 }
 
@@ -188,13 +188,14 @@
 	c.recordedVersion = version
 	c.recordedAttempts++
 	now := g.clk.Now()
+	g.resumeLimits.Record(c.workspaceHash(), c.service, c.callerTimeout, now)
 	r := origin.Record{
 		Key: c.originKey(id), Workspace: c.workspaceHash(), Call: c.originCall, Attempt: c.recordedAttempts,
 		Version: version, TTL: c.resumableFor(now),
 	}
 	g.origins.Begin(r, c.service, now)
 	g.mu.Lock()
-	peers, several := g.originPeers, g.versions(c.service, now).sole == ""
+	peers, several := g.originPeers, g.versions(c.service, g.resumeWindowOf(c, now), now).sole == ""
 	g.mu.Unlock()
 	if several && peers != nil {
 		c.sentVersion, c.originHeld = version, peers.Store(r)
@@ -245,7 +246,7 @@
 // one, unless their services have had a single version. The caller holds mu.
 func (g *Gate) sendBegunOrigins() {
 	now := g.clk.Now()
-	records := g.origins.Begun(func(service string) bool { return g.versions(service, now).sole == "" }, now)
+	records := g.origins.Begun(func(service string) bool { return g.versions(service, g.resumeWindow(service), now).sole == "" }, now)
 	if g.originPeers != nil && len(records) > 0 {
 		go g.sendOrigins(g.originPeers, records)
 	}
@@ -279,6 +280,6 @@
 	r, ambiguous := g.origins.Find(q.Workspace, q.Key, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v := g.versions(q.Service, now)
-	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: v.sole, Several: v.several}
+	v := g.versions(q.Service, g.resumeWindow(q.Service), now)
+	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: v.sole, SoleFor: v.soleFor, Several: v.several}
 }
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -11,19 +11,21 @@
 // service has one version.
 const maxSoleListAge clock.Millis = 5000
 
-// soleVersion returns the only version that a service can have begun a stream at that may
-// still be resumed. known is whether other entries are known.
-func (g *Gate) soleVersion(service string, findings []origin.Finding, known bool) (string, error) {
+// soleVersion returns the only version that the service of a call can have begun a stream at
+// that its caller may still resume. known is whether other entries are known.
+func (g *Gate) soleVersion(c *call, findings []origin.Finding, known bool) (string, error) {
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	own := g.versions(service, now)
+	usual, window := g.resumeWindow(c.service), g.resumeWindowOf(c, now)
+	own := g.versions(c.service, window, now)
 	sole := own.sole
 	for _, f := range findings {
 		if f.Several || (sole != "" && f.Sole != "" && f.Sole != sole) {
 			return "", errSeveralVersions
 		}
-		if sole == "" {
+		covers := f.SoleFor >= window || (f.SoleFor == 0 && window <= usual)
+		if sole == "" && covers {
 			sole = f.Sole
 		}
 	}
@@ -46,23 +48,37 @@
 	// sole is the only version at which such streams can have begun, "" if there are
 	// several or if the entry has not known the list for long enough.
 	sole string
+	// soleFor is for how long sole has been the only one.
+	soleFor clock.Millis
 }
 
-// versions returns what this entry knows of the versions of a service. The caller holds
-// mu.
-func (g *Gate) versions(service string, now clock.Millis) serviceVersions {
+// versions returns what this entry knows of the versions of a service whose streams may be
+// resumed for the given time. The caller holds mu.
+func (g *Gate) versions(service string, window, now clock.Millis) serviceVersions {
 	v := serviceVersions{listed: g.registry.Versions(service)}
-	since := now - g.resumeWindow(service)
-	v.several = len(v.listed) > 1 || (len(v.listed) == 1 && g.pastVersions.ListedOther(service, v.listed[0], since))
-	if len(v.listed) == 1 && !v.several && g.versionsKnownSince <= since {
-		v.sole = v.listed[0]
+	if len(v.listed) != 1 {
+		v.several = len(v.listed) > 1
+		return v
+	}
+	other := g.pastVersions.LastOther(service, v.listed[0])
+	v.several = other > 0 && now-other <= window
+	if soleFor := now - max(g.versionsKnownSince, other); !v.several && soleFor >= window {
+		v.sole, v.soleFor = v.listed[0], soleFor
 	}
 	return v
 }
 
+// resumeWindowOf returns how long after its first event a caller may resume a stream of the
+// service of a call: the service's time, or as long as callers of the workspace are known to
+// wait, if that is longer.
+func (g *Gate) resumeWindowOf(c *call, now clock.Millis) clock.Millis {
+	limit := max(c.callerTimeout, g.resumeLimits.Longest(c.workspaceHash(), c.service, now))
+	return max(g.resumeWindow(c.service), limit+resumeMargin)
+}
+
 // resumeWindow returns how long after its first event a stream of a service may be
-// resumed at most. A caller may begin to resume it when the route's timeout has ended
-// the response.
+// resumed by callers that wait no longer than its routes allow. A caller may begin to resume
+// it when the route's timeout has ended the response.
 func (g *Gate) resumeWindow(service string) clock.Millis {
 	t := g.table.Load()
 	if t == nil {
