engines/upstream: Use no connection twice for the same request

What callers could see: a request that may not be repeated runs twice. Cause: two engines may be listed at one address. The one that was meant rejects the request with 421, and it goes to the other one over the same connection. If the first one sends its rejection twice, the second copy arrives where the response of the other is due, with the right ID, and the request goes on to a third engine. Evidence: TestRequestUsesNoConnectionTwice, 421 before for a request that the engine answered with 200, 200 now. Why it works: responses on a connection are in order, so on one that has not carried the request a response with its ID can only be that of this attempt.

--- a/engines/upstream/left_test.go
+++ b/engines/upstream/left_test.go
@@ -117,3 +117,61 @@
 func readAll(a *upstream.Response) { _, _ = io.Copy(io.Discard, a) }
 
 func readSome(a *upstream.Response) { _, _ = io.ReadFull(a, make([]byte, 1)) }
+
+// Guards against a request that runs twice: two engines are listed at one address, the first one
+// of which rejects the request, and a second copy of that rejection arrives on the same connection
+// where the response of the other is due. It has the request's ID.
+func TestRequestUsesNoConnectionTwice(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for exchange := 1; ; exchange++ {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					rejection := fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: again\r\nContent-Length: 0\r\n\r\n", dialect.RequestID)
+					response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: again\r\nContent-Length: 0\r\n\r\n", dialect.RequestID)
+					switch {
+					case req.Header.Get("First") != "":
+						response = rejection
+					case exchange > 1:
+						response = rejection + response
+					}
+					_, _ = io.WriteString(nc, response)
+				}
+			}()
+		}
+	}()
+	pool := upstream.NewPool(clock.System(), upstream.HeaderNames{RequestID: dialect.RequestID, NotRun: dialect.NotRun}, nil, slog.New(slog.DiscardHandler))
+	for _, tc := range []struct {
+		header http.Header
+		want   int
+	}{
+		{http.Header{"First": {"1"}}, http.StatusMisdirectedRequest},
+		{http.Header{}, http.StatusOK},
+	} {
+		req := &upstream.Request{ID: "again", Method: http.MethodGet, URI: "/x", Host: "h", Header: tc.header}
+		a, err := pool.Do(t.Context(), ln.Addr().String(), req, late)
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAll(a)
+		a.Close()
+		if a.StatusCode != tc.want {
+			t.Errorf("got status %d, want %d", a.StatusCode, tc.want)
+		}
+	}
+}
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -190,6 +190,8 @@
 	// number identifies the connection in logs. exchanges counts the exchanges on it, the
 	// current one included.
 	number, exchanges int
+	// requestID is the ID of the latest request on the connection.
+	requestID string
 	// trace is Request.Trace of the current exchange, nil if there is none.
 	trace *Trace
 	clk   *clock.Clock
@@ -266,10 +268,12 @@
 // but not when it was read: it may have arrived before the suspension.
 func (c *conn) stale() bool { return max(c.dialedAt, c.sentAt) < c.clk.ResumedAt() }
 
-// acquire returns an idle connection or a new one.
-func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
+// acquire returns an idle connection for a request, or a new one. A connection is not used for the
+// same request again, as a second copy of its first response would have the right ID.
+func (p *Pool) acquire(ctx context.Context, addr, requestID string) (*conn, error) {
 	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
-		if c.expiresAt > p.clk.Now() && c.reusable() && !c.stale() {
+		sameRequest := requestID != "" && c.requestID == requestID
+		if c.expiresAt > p.clk.Now() && !sameRequest && c.reusable() && !c.stale() {
 			c.received = 0
 			return c, nil
 		}
@@ -289,7 +293,7 @@
 func (p *Pool) Reserve(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, checkDialTimeout.Duration())
 	defer cancel()
-	c, err := p.acquire(ctx, addr)
+	c, err := p.acquire(ctx, addr, "")
 	if err != nil {
 		return err
 	}
@@ -435,6 +439,7 @@
 func (p *Pool) beginExchange(c *conn, r *Request) {
 	c.onSilence = r.OnSilence
 	c.exchanges++
+	c.requestID = r.ID
 	if c.trace = r.Trace; c.trace == nil {
 		c.trace = &Trace{}
 	}
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -221,7 +221,7 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
 	}
-	c, err := p.acquire(ctx, addr)
+	c, err := p.acquire(ctx, addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
