--- a/engines/upstream/left_test.go
+++ b/engines/upstream/left_test.go
@@ -22,7 +22,8 @@
 // be reset, which could take the engine's last bytes away.
 func TestConnectionOfAGivenUpExchangeIsReset(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n%s: left\r\n"
-	large := bytes.Repeat([]byte("x"), 1<<20)
+	// The buffers of the connection hold less.
+	large := bytes.Repeat([]byte("x"), 32<<20)
 	cases := map[string]struct {
 		// response is what the engine sends, body the body of the request. readsBody is false if
 		// the engine responds before it has read the body.
@@ -39,7 +40,9 @@
 		"part of a body":         {response: head + "Content-Length: 4\r\n\r\nab", readsBody: true, use: readSome, want: upstream.ConnReset},
 		"no bytes of the body":   {response: head + "Content-Length: 4\r\n\r\nabcd", readsBody: true, want: upstream.ConnReset},
 		"body that is not taken": {body: large, want: upstream.ConnReset},
+		"whole, body not taken":  {response: head + "Content-Length: 4\r\n\r\nabcd", body: large, use: readAll, want: upstream.ConnReset},
 		"another ID":             {response: "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 0\r\n\r\n", readsBody: true, want: upstream.ConnReset},
+		"another ID, then none":  {response: "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", readsBody: true, use: readAll, want: upstream.ConnReset},
 		"whole":                  {response: head + "Content-Length: 4\r\n\r\nabcd", readsBody: true, use: readAll, want: upstream.ConnKept},
 		"whole, then close":      {response: head + "Connection: close\r\nContent-Length: 4\r\n\r\nabcd", readsBody: true, use: readAll, want: upstream.ConnClosed},
 		"whole, no keep-alive":   {response: head + "Keep-Alive: timeout=0\r\nContent-Length: 4\r\n\r\nabcd", readsBody: true, use: readAll, want: upstream.ConnClosed},
