--- a/gate/table.go
+++ b/gate/table.go
@@ -16,7 +16,7 @@
 		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "epoch", a.Epoch, "cause", "older than the one in force")
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if a.Epoch > g.tableEpoch {
+		if !a.Unconfirmed && a.Epoch > g.tableEpoch {
 			g.confirm(a.Epoch, a.ConfirmedAt)
 		}
 		return
@@ -25,7 +25,9 @@
 	g.table.Store(t)
 	g.mu.Lock()
 	g.tableEpoch = a.Epoch
-	g.confirm(a.Epoch, a.ConfirmedAt)
+	if !a.Unconfirmed {
+		g.confirm(a.Epoch, a.ConfirmedAt)
+	}
 	if newer {
 		g.announcedAt = 0
 	}
@@ -101,7 +103,13 @@
 // logTable logs and counts how the version in force arrived.
 func (g *Gate) logTable(t *table.Table, a table.Arrival) {
 	now := g.clk.Now()
-	g.log.Info("table_in_force", "version", t.Version(), "age_ms", now-a.ConfirmedAt, "bytes", a.Bytes, "heard_ms", now-a.ResponseStartedAt,
+	g.mu.Lock()
+	age := clock.Millis(-1)
+	if g.tableFreshness.Known() {
+		age = g.tableFreshness.Age(now)
+	}
+	g.mu.Unlock()
+	g.log.Info("table_in_force", "version", t.Version(), "age_ms", age, "confirmed", !a.Unconfirmed, "bytes", a.Bytes, "heard_ms", now-a.ResponseStartedAt,
 		"transfer_ms", a.Transfer, "decode_us", a.DecodeMicros, "build_us", a.BuildMicros)
 	g.counts.table.bytes.Update(float64(a.Bytes))
 	g.counts.table.transfer.Update(inSeconds(a.Transfer))
--- a/table/table.go
+++ b/table/table.go
@@ -133,6 +133,9 @@
 type Arrival struct {
 	// ConfirmedAt is the latest time at which the version is known to have been the newest.
 	ConfirmedAt clock.Millis
+	// Unconfirmed is true if its arrival does not show that it ever was the newest. ConfirmedAt
+	// means nothing then.
+	Unconfirmed bool
 	// Epoch is the epoch of the source in the response, zero if the source reports none.
 	Epoch int64
 	// ResponseStartedAt is when the response began, zero if not known.
