engines/events, gate/relay: Count an event as passed on when it was, not when it was read

What callers saw: a stream with one to three pieces missing that ends as complete. Cause: the splitter took the ID of an event for the last one that the caller has when it had read it. If the events were then dropped, as the list has another version of their engine, the next engine was asked for what follows them. Why it works: one place records what the caller has. Last-Event-Id, whether a stream may go on, and the end ask it; what is dropped is forgotten as well.

--- a/engines/events/events.go
+++ b/engines/events/events.go
@@ -15,14 +15,21 @@
 	// limit is the maximum size in bytes of an incomplete event; 0 means maxPending.
 	limit   int
 	pending []byte
-	// lastID is the ID of the latest whole event that had one.
+	// read describes the whole events that Split returned, passed those of them for which
+	// MarkPassed was called.
+	read, passed progress
+	// scanned is the number of pending bytes that are known not to end an event.
+	scanned int
+}
+
+// progress describes the whole events of a part of a stream.
+type progress struct {
+	// lastID is the ID of the latest one that had one.
 	lastID string
-	// unnumbered is true if the latest whole event with an ID or data had no ID.
+	// unnumbered is true if the latest one with an ID or data had no ID.
 	unnumbered bool
-	// count is the number of whole events, content of those that had an ID or data.
+	// count is their number, content that of those that had an ID or data.
 	count, content int
-	// scanned is the number of pending bytes that are known not to end an event.
-	scanned int
 }
 
 // Split adds the next bytes of the stream and returns all whole events that have not been
@@ -77,36 +84,46 @@
 // byteOrderMark may precede a stream.
 var byteOrderMark = []byte("\ufeff")
 
-// Resumable reports whether the stream can be resumed after its latest whole event: the
-// event has an ID, or there is none yet.
-func (s *Splitter) Resumable() bool { return !s.unnumbered }
+// MarkPassed records that all events that Split has returned were passed on.
+func (s *Splitter) MarkPassed() { s.passed = s.read }
+
+// Resumable reports whether the stream can be resumed after the latest event that was passed
+// on: the event has an ID, or there is none yet.
+func (s *Splitter) Resumable() bool { return !s.passed.unnumbered }
 
 // DropPending discards the pending bytes, as after an engine was interrupted.
 func (s *Splitter) DropPending() { s.pending, s.scanned = s.pending[:0], 0 }
 
-// LastID returns the ID of the latest whole event that had one, or "".
-func (s *Splitter) LastID() string { return s.lastID }
+// DropUnpassed discards the pending bytes and the events that were not passed on.
+func (s *Splitter) DropUnpassed() {
+	s.DropPending()
+	s.read = s.passed
+}
+
+// LastID returns the ID of the latest event passed on that had one, or "".
+func (s *Splitter) LastID() string { return s.passed.lastID }
 
-// Count returns the number of whole events.
-func (s *Splitter) Count() int { return s.count }
+// Count returns the number of whole events that Split has returned.
+func (s *Splitter) Count() int { return s.read.count }
 
-// ContentCount returns the number of whole events that had an ID or data.
-func (s *Splitter) ContentCount() int { return s.content }
+// ContentCount returns the number of whole events that Split has returned and that had an ID or
+// data.
+func (s *Splitter) ContentCount() int { return s.read.content }
 
 // record updates the state with a whole event.
 func (s *Splitter) record(event []byte) {
-	s.count++
+	s.read.count++
 	id, data := false, false
 	for line := range bytes.Lines(event) {
 		rest, ok := bytes.CutPrefix(line, []byte("id:"))
 		if ok {
-			s.lastID, id = string(bytes.TrimSpace(rest)), true
+			s.read.lastID, id = string(bytes.TrimSpace(rest)), true
 		}
 		data = data || bytes.HasPrefix(line, []byte("data"))
 	}
 	if id || data {
-		s.content++
-		s.unnumbered = !id
+		s.read.content++
+		s.read.unnumbered = !id
 	}
 }
 
--- a/engines/events/events_test.go
+++ b/engines/events/events_test.go
@@ -38,6 +38,10 @@
 func TestLastID(t *testing.T) {
 	var s events.Splitter
 	whole, _ := s.Split([]byte("id: 7\ndata: a\n\nid:8\ndata: b\n\nid: 9\nda"))
+	if got := s.LastID(); got != "" {
+		t.Errorf("got id %q before an event was passed on, want none", got)
+	}
+	s.MarkPassed()
 	if got, want := s.LastID(), "8"; got != want {
 		t.Errorf("got id %q, want %q", got, want)
 	}
@@ -51,6 +55,10 @@
 	if whole, _ = s.Split([]byte("id: 9\ndata: c\n\n")); string(whole) != "id: 9\ndata: c\n\n" {
 		t.Errorf("got %q after DropPending, want the event from its start", whole)
 	}
+	s.DropUnpassed()
+	if got, want := s.LastID(), "8"; got != want || s.Count() != 2 || !s.Resumable() {
+		t.Errorf("got id %q and %d events after those not passed on were dropped, want %q and 2", got, s.Count(), want)
+	}
 }
 
 func TestMidEvent(t *testing.T) {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -181,11 +181,13 @@
 		}
 		if len(complete) > 0 || ended {
 			if err := x.BeforeEvents(ctx); err != nil {
+				p.splitter.DropUnpassed()
 				return attempt.Broken{Err: err}
 			}
 			if !p.passEvents(x, resp, complete) {
 				return attempt.CallerGone{}
 			}
+			p.splitter.MarkPassed()
 		}
 		if (err != nil || body.Buffered() == 0) && !p.flush() {
 			return attempt.CallerGone{}
