--- a/engines/quarantine/loss_simulation_test.go
+++ b/engines/quarantine/loss_simulation_test.go
@@ -55,6 +55,7 @@
 // No sound request is held back after many engines ended in one moment, and at most one in 500 if
 // messages between entries are late under the load.
 func TestLossOfManyEnginesHoldsNothingBack(t *testing.T) {
+	t.Parallel()
 	for _, entries := range []int{3, 9} {
 		for _, delay := range []clock.Millis{0, 500} {
 			refused, sound := 0, 0
@@ -76,6 +77,7 @@
 
 // A part that crashes engines while many others end is found nearly as soon as without the loss.
 func TestPartThatCrashesEnginesBesideALossIsFound(t *testing.T) {
+	t.Parallel()
 	for _, every := range []clock.Millis{50, 100, 300, 1000} {
 		for _, lost := range []int{0, 18} {
 			sum, most, late := 0, 0, 0
--- a/engines/quarantine/parts_simulation_test.go
+++ b/engines/quarantine/parts_simulation_test.go
@@ -227,6 +227,7 @@
 // isolated. A culprit reaches few engines once all entries must know it, and a sound part is soon
 // served again.
 func TestDrawnPartsThatCrashEngines(t *testing.T) {
+	t.Parallel()
 	const maxHold = 15_000
 	var held []string
 	worstLate, worstCrashes, sound, refused := 0, 0, 0, 0
--- a/engines/quarantine/simulation_test.go
+++ b/engines/quarantine/simulation_test.go
@@ -15,6 +15,7 @@
 // crashes few of them, even if some entries start, are disconnected for a while, or cannot be
 // reached.
 func TestRequestCrashesFewEnginesInFleet(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name    string
 		entries int
@@ -65,6 +66,7 @@
 // Checks that the request crashes few engines once all entries must know it, whether clients send
 // it many times at once or rarely.
 func TestSubmissionPatternMattersLittle(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		every clock.Millis
 		times int
@@ -101,6 +103,7 @@
 // Checks that a frequent request is served while engines crash all the time for another reason.
 // The simulation crashes them directly, without a request that could be held back.
 func TestFrequentRequestIsServedDuringOtherCrashes(t *testing.T) {
+	t.Parallel()
 	for _, entries := range []int{3, 27, 103} {
 		for seed := range uint64(4) {
 			f := newFleet(seed, entries, 12)
@@ -122,6 +125,7 @@
 // Checks that the requests on a rack, on two thirds of a service or on a whole service that
 // crashes three times in a row are served again within a second of their first success.
 func TestRequestIsServedAgainAfterMassCrashes(t *testing.T) {
+	t.Parallel()
 	for name, share := range map[string]int{"rack": 4, "two thirds": 8, "service": 12} {
 		for _, entries := range []int{3, 27, 103} {
 			for seed := range uint64(10) {
@@ -151,6 +155,7 @@
 // Like TestRequestIsServedAgainAfterMassCrashes for a long request, among short ones that show
 // which engines crashed.
 func TestLongRequestSucceedsAfterThreeMassCrashes(t *testing.T) {
+	t.Parallel()
 	for _, entries := range []int{3, 27, 103} {
 		for seed := range uint64(10) {
 			f := newFleet(seed, entries, 12)
@@ -182,6 +187,7 @@
 // Checks that few of the requests that run at the same time as one that crashes engines get more
 // than one strike by coincidence, although clients retry all of them at once.
 func TestCoincidentStrikesAreFew(t *testing.T) {
+	t.Parallel()
 	const simulations, engines = 100, 12
 	for _, tc := range []struct {
 		n          int
