gate: Log on whose word the engine list counts as complete

A request that reaches a draining engine too late can have three causes: the entry believed a peer whose list was older than it said, its own call came late, or a change took long to reach it. The lines of the list told none of them apart.

The line "engine" has list_age_ms, confirmed_by and read_ms now: what was believed of the list before the change, on whose word, and when the store last confirmed it to this process.

--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -51,6 +51,8 @@
 	sum uint32
 	// readAt is when the store last confirmed the list to this entry.
 	readAt clock.Millis
+	// confirmedBy names the source of the latest confirmation: byStore or the ID of a peer.
+	confirmedBy string
 	// unverifiedSince is when peers first reported changes that have not been verified with
 	// the store, zero if there are none.
 	unverifiedSince clock.Millis
@@ -85,7 +87,7 @@
 		g.versionsKnownSince = at
 	}
 	g.list.readAt, g.list.unverifiedSince = at, 0
-	g.setList(sum, at)
+	g.setList(sum, at, byStore)
 	return first
 }
 
@@ -97,17 +99,59 @@
 	if g.list.unverifiedSince == 0 {
 		g.list.unverifiedSince = max(1, g.clk.Now())
 	}
-	g.setList(sum, at)
+	g.setList(sum, at, byPeers)
 }
 
-// setList records that the list with checksum sum was complete at the given time. The
-// caller holds mu.
-func (g *Gate) setList(sum uint32, at clock.Millis) {
-	g.listFreshness.Confirm(at)
+// Sources of confirmations of the list, other than the ID of a peer.
+const (
+	byStore = "store"
+	byPeers = "peers"
+)
+
+// setList records that the list with checksum sum was complete at the given time, according
+// to a source. The caller holds mu.
+func (g *Gate) setList(sum uint32, at clock.Millis, source string) {
+	g.confirmList(at, source)
 	g.list.sum = max(1, sum)
 	g.list.behind = false
 }
 
+// confirmList records that the known list was complete at the given time, according to a
+// source. The caller holds mu.
+func (g *Gate) confirmList(at clock.Millis, source string) {
+	now := g.clk.Now()
+	if !g.listFreshness.Known() || now-at < g.listFreshness.Age(now) {
+		g.list.confirmedBy = source
+	}
+	g.listFreshness.Confirm(at)
+}
+
+// listAge returns the time since the list was last known to be complete, in seconds, or -1
+// if it is not known.
+func (g *Gate) listAge() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.listFreshness.Known() {
+		return -1
+	}
+	return inSeconds(g.listFreshness.Age(g.clk.Now()))
+}
+
+// listOrigin returns the log attributes that say since when and by whom the list counts as
+// complete, and when the store last confirmed it to this entry. Unknown ages are -1. The
+// caller holds mu.
+func (g *Gate) listOrigin() []any {
+	age, read := clock.Millis(-1), clock.Millis(-1)
+	now := g.clk.Now()
+	if g.listFreshness.Known() {
+		age = g.listFreshness.Age(now)
+	}
+	if g.list.readAt > 0 {
+		read = now - g.list.readAt
+	}
+	return []any{"list_age_ms", age, "confirmed_by", g.list.confirmedBy, "read_ms", read}
+}
+
 // Changes returns the log of recent changes of the list.
 func (g *Gate) Changes() *changes.Log { return &g.changes }
 
@@ -195,14 +239,15 @@
 	return g.list.sum, age
 }
 
-// receiveList records the report of a peer that the list had the given checksum at the given
-// time. The peer must have read the list in the same epoch of the store. The caller holds mu.
-func (g *Gate) receiveList(sum uint32, at, now clock.Millis) {
+// receiveList records the report of the peer named from that the list had the given checksum
+// at the given time. The peer must have read the list in the same epoch of the store. The
+// caller holds mu.
+func (g *Gate) receiveList(from string, sum uint32, at, now clock.Millis) {
 	if sum == 0 || at > now || !g.listShared(now) {
 		return
 	}
 	if sum == g.list.sum {
-		g.listFreshness.Confirm(at)
+		g.confirmList(at, from)
 		return
 	}
 	if at > now-g.listFreshness.Age(now) && sum != g.list.peerSum {
--- a/gate/engines.go
+++ b/gate/engines.go
@@ -13,7 +13,9 @@
 		listedBefore = prev.Info()
 	}
 	change := g.registry.Put(in, g.clk.Now())
+	var origin []any
 	if change != engines.Same {
+		origin = g.listOrigin()
 		g.recordVersions(in.Service, "")
 		if listedBefore.Service != "" {
 			g.recordVersions(listedBefore.Service, listedBefore.Version)
@@ -33,7 +35,7 @@
 		g.pool.Forget(prev.Info().Addr)
 		g.recordEnd(prev.Info())
 	}
-	g.log.Info("engine", "change", string(change), "engine", in.ID, "born", in.StartedAt, "version", in.Version, "service", in.Service, "addr", in.Addr, "hall", in.Hall)
+	g.log.Info("engine", append([]any{"change", string(change), "engine", in.ID, "born", in.StartedAt, "version", in.Version, "service", in.Service, "addr", in.Addr, "hall", in.Hall}, origin...)...)
 	for _, o := range conflicts {
 		g.log.Warn("engine_address_shared", "addr", in.Addr, "engine", in.ID, "born", in.StartedAt, "other", o.ID, "other_born", o.StartedAt)
 	}
@@ -47,13 +49,14 @@
 		g.recordVersions(in.Service, in.Version)
 	}
 	delete(g.warmupParts, id)
+	origin := g.listOrigin()
 	g.mu.Unlock()
 	if !ok {
 		return
 	}
 	g.pool.Forget(in.Addr)
 	g.recordEnd(in)
-	g.log.Info("engine", "change", string(engines.Removed), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause)
+	g.log.Info("engine", append([]any{"change", string(engines.Removed), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause}, origin...)...)
 }
 
 // recordEnd records that an incarnation of an engine has ended by the list. If it had
--- a/gate/status.go
+++ b/gate/status.go
@@ -126,14 +126,14 @@
 	if s.SuspectsComplete {
 		g.receiveHistory(from)
 	}
-	g.receiveAges(s, at)
+	g.receiveAges(from, s, at)
 	g.ReceiveLoads(s.Loads, at)
 	g.ReceiveSuspects(from, s.Suspects)
 	g.ReceiveUsage(from, s.Usage, at)
 }
 
-// receiveAges records the epoch, the revision and the ages that a peer reported.
-func (g *Gate) receiveAges(s peers.Status, at clock.Millis) {
+// receiveAges records the epoch, the revision and the ages that the peer named from reported.
+func (g *Gate) receiveAges(from string, s peers.Status, at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	sameEpoch := s.EpochAge >= 0 && g.receiveEpoch(s.Epoch, at-s.EpochAge, at)
@@ -141,7 +141,7 @@
 		g.receiveRevision(s.Epoch, s.Revision)
 	}
 	if sameEpoch && s.ListAge >= 0 {
-		g.receiveList(s.ListSum, at-s.ListAge, g.clk.Now())
+		g.receiveList(from, s.ListSum, at-s.ListAge, g.clk.Now())
 	}
 	t := g.table.Load()
 	if t == nil || s.TableAge < 0 {
