gate, platform: Confirm the engine list by responses of the store alone

Cause: an entry reported its list as at most a second old while it had a watch open. If the store was silent to it, nothing could arrive on the watch, which stayed open for 3.5 s and 0.7 s more, and its peers took each report for a confirmation. A list that others had read meanwhile seemed older than the false one, so it was not fetched either.

Change: what is reported is the time since the last response that confirmed the list. An open watch confirms nothing, so a watch of a shared list does not wait; otherwise the confirmations of a list without changes would expire at all others at once. Engines renew their entries all the time on the users' platform, and such watches returned at once there before. SetEngineWatchActive is gone.

--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -44,7 +44,8 @@
 //
 // This saves calls because engines renew their items in the list all the time: a watch of
 // the list returns almost at once, so an entry that asks the store itself does so as often
-// as its timing allows.
+// as its timing allows. If they do not, an entry that shares the list watches it for no
+// longer than that, since a watch confirms nothing while it is open.
 type listState struct {
 	// sum is the checksum of the list as last read from the store or updated with changes
 	// from a peer, zero if it is not known yet.
@@ -56,8 +57,6 @@
 	// unverifiedSince is when peers first reported changes that have not been verified with
 	// the store, zero if there are none.
 	unverifiedSince clock.Millis
-	// watched is true while a watch is open. It reports changes within WatchLag.
-	watched bool
 	// behind is true from when a peer reports a later list until this entry reads the list
 	// from the store or applies changes from a peer.
 	behind bool
@@ -155,13 +154,6 @@
 // Changes returns the log of recent changes of the list.
 func (g *Gate) Changes() *changes.Log { return &g.changes }
 
-// SetEngineWatchActive records whether a watch of the list is open.
-func (g *Gate) SetEngineWatchActive(active bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.list.watched = active
-}
-
 // ListShared reports whether peers can confirm that the list is unchanged. There must be
 // more than fewEntries entries, their reports must arrive in time, and the store must be
 // known to have what it had before its present epoch.
@@ -227,16 +219,13 @@
 }
 
 // reportList returns the checksum of the list and its age, or zero if it must not be
-// reported. The caller holds mu.
+// reported. Only a response confirms the list: a watch that nothing arrives on is the same
+// whether there are no changes or the store no longer responds. The caller holds mu.
 func (g *Gate) reportList(now clock.Millis) (sum uint32, age clock.Millis) {
 	if !g.listShared(now) {
 		return 0, 0
 	}
-	age = g.listFreshness.Age(now)
-	if g.list.watched {
-		age = min(age, WatchLag)
-	}
-	return g.list.sum, age
+	return g.list.sum, g.listFreshness.Age(now)
 }
 
 // receiveList records the report of the peer named from that the list had the given checksum
--- a/gate/enginelist_test.go
+++ b/gate/enginelist_test.go
@@ -321,6 +321,9 @@
 	members []*peers.Members
 	byAddr  map[string]int
 	stopped map[int]bool
+	// silenced has the gates that the store does not respond to, with the time of their next
+	// call.
+	silenced map[int]clock.Millis
 	// known holds the list that each gate read last.
 	known []uint32
 	// list is the list in the store. changed is when each version of it began.
@@ -334,7 +337,7 @@
 }
 
 func newListFleet(n int, draining clock.Millis) *listFleet {
-	f := &listFleet{byAddr: map[string]int{}, stopped: map[int]bool{}, changed: map[uint32]clock.Millis{}, known: make([]uint32, n), list: 1, clk: clock.System(), rng: rand.New(rand.NewPCG(1, uint64(n)))}
+	f := &listFleet{byAddr: map[string]int{}, stopped: map[int]bool{}, silenced: map[int]clock.Millis{}, changed: map[uint32]clock.Millis{}, known: make([]uint32, n), list: 1, clk: clock.System(), rng: rand.New(rand.NewPCG(1, uint64(n)))}
 	for i := range n {
 		addr := fmt.Sprintf("10.%d.%d.%d:8605", i%5, i/250, i%250)
 		f.byAddr[addr] = i
@@ -353,7 +356,18 @@
 	return f
 }
 
+// silencedCallPeriod is the time between two calls of a gate that the store does not respond
+// to: the timeout and a pause.
+const silencedCallPeriod clock.Millis = 1000
+
 func (f *listFleet) read(i int) {
+	if next, silenced := f.silenced[i]; silenced {
+		if now := f.clk.Now(); now >= next {
+			f.reads++
+			f.silenced[i] = now + silencedCallPeriod
+		}
+		return
+	}
 	f.reads++
 	f.known[i] = f.list
 	f.gates[i].ConfirmEngines(f.list, f.clk.Now())
@@ -381,7 +395,7 @@
 			if f.gates[i].ListReadDue() {
 				f.read(i)
 			}
-			if f.known[i] != f.list {
+			if _, silenced := f.silenced[i]; !silenced && f.known[i] != f.list {
 				f.maxLag = max(f.maxLag, now-f.changed[f.known[i]+1])
 			}
 		}
@@ -509,12 +523,47 @@
 	}
 }
 
-// stopFirst stops a gate that considers itself the first entry.
-func (f *listFleet) stopFirst() {
+// first returns a running gate that considers itself the first entry, or -1.
+func (f *listFleet) first() int {
 	for i, m := range f.members {
 		if !f.stopped[i] && m.RanksFirst(f.clk.Now()) {
-			f.stopped[i] = true
-			return
+			return i
 		}
 	}
+	return -1
+}
+
+// stopFirst stops a gate that considers itself the first entry.
+func (f *listFleet) stopFirst() {
+	if i := f.first(); i >= 0 {
+		f.stopped[i] = true
+	}
+}
+
+// While the store responds to all entries but the first, which usually reads for them, each
+// change still reaches the others within the bound for draining engines.
+func TestChangesReachAllWhileTheStoreIsSilentToTheFirst(t *testing.T) {
+	for n, draining := range map[int]clock.Millis{9: 2000, 10: 3000, 27: 3000, 103: drainingBound} {
+		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newListFleet(n, draining)
+				f.run(5000, 0)
+				if !f.gates[0].ListShared() {
+					t.Fatal("got a list that is not shared, want it shared")
+				}
+				f.reads, f.maxLag = 0, 0
+				for range 5 {
+					first := f.first()
+					f.silenced[first] = 0
+					f.run(6000, draining+300)
+					delete(f.silenced, first)
+					f.run(2000, 0)
+				}
+				t.Logf("%d entries: %.1f calls a second, a change is known to the others after %d ms", n, float64(f.reads)/40, f.maxLag)
+				if f.maxLag > draining {
+					t.Errorf("got a change known to the others after %d ms, want %d at most", f.maxLag, draining)
+				}
+			})
+		})
+	}
 }
