link: Refuse frames that are nested too deeply

The MessagePack library recurses without a limit, 128 bytes of stack a level, also for fields that no version of a frame has.

Change: a frame of more than 10,000 bytes is walked first, without recursion, and refused above 10,000 levels with the connection. Smaller frames, which nearly all are, cost nothing more. JSON messages of the same port are decoded with encoding/json, which has that limit.

TestDeeplyNestedFramesAreRefused ended the test's process before (fatal error: stack overflow) and passes now, as do all tests of link.

--- a/link/codec.go
+++ b/link/codec.go
@@ -152,6 +152,9 @@
 			}
 			return nil
 		case formatFrame:
+			if err := checkNesting(data); err != nil {
+				return fmt.Errorf("decode frame: %w", err)
+			}
 			var fr wire.Frame
 			if err := msgpack.Unmarshal(data, &fr); err != nil {
 				return fmt.Errorf("decode frame: %w", err)
