link: Go on accepting after an accept failed

What operators could see: a process that once had no free file descriptor was out of the reach of the other processes for the rest of its life, so that it learned nothing from them and each confirmation was a call of its own.

Cause: link.Serve returned at the first error of accept.

Change: it logs accept_failed, once for each series, and tries again after 0.1 s. Serve returns no error any more, since only the end of its context or of the listener ends it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,7 +108,8 @@
 		wg.Go(func() { e.poll(ctx, func() float64 { return d.settings().Fairness.ReserveRatio }) })
 	}
 	defer d.links.Close()
-	return link.Serve(ctx, ln, d.clk, d, 0)
+	link.Serve(ctx, ln, d.clk, d.log, d, 0)
+	return nil
 }
 
 func (d *Daemon) sweep() {
--- a/engines/offer/offer_test.go
+++ b/engines/offer/offer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -131,9 +132,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := link.Serve(ctx, ln, clk, d, 0); err != nil {
-			t.Errorf("serve: %v", err)
-		}
+		link.Serve(ctx, ln, clk, slog.New(slog.DiscardHandler), d, 0)
 	}()
 	s := &sender{}
 	links := link.NewPool(clk, s)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -184,11 +184,7 @@
 	wg.Go(func() { e.gossip.Run(nodeCtx) })
 	wg.Go(func() { e.gossip.Compare(nodeCtx, suspectSource{e.guard}, fleet.ExchangePeriod) })
 	wg.Go(func() { clock.Every(nodeCtx, fleet.ExchangePeriod, e.guard.Sweep) })
-	wg.Go(func() {
-		if err := link.Serve(nodeCtx, peers, e.clk, e, 0); err != nil {
-			e.log.Error("peers", "error", err)
-		}
-	})
+	wg.Go(func() { link.Serve(nodeCtx, peers, e.clk, e.log, e, 0) })
 	srv := callers.New(callers.Config{
 		Handler: e.handler(), MaxHeaderBytes: maxHeaderBytes, Clock: e.clk, Log: e.log,
 		Limits: func() callers.Limits { return callers.Limits{Idle: idleTimeout, Header: headerTimeout} },
--- a/link/cut_test.go
+++ b/link/cut_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	p := &peer{}
-	go func() { _ = link.Serve(ctx, ln, clock.System(), p, 0) }()
+	go link.Serve(ctx, ln, clock.System(), slog.New(slog.DiscardHandler), p, 0)
 	for name, msg := range map[string][]byte{
 		"frame":   message('f', frame.Bytes()),
 		"message": message('j', []byte(`{"jsonrpc":"2.0","method":"push","params":{}}`)),
--- a/link/link.go
+++ b/link/link.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -330,10 +331,14 @@
 	}
 }
 
+// acceptPause is the pause after a failed accept.
+const acceptPause clock.Millis = 100
+
 // Serve accepts connections on ln until ctx is done, and then closes them. A connection
 // without received data for idleTimeout is closed, since the end of a silent connection is not
-// reported. Zero keeps idle connections open.
-func Serve(ctx context.Context, ln net.Listener, clk *clock.Clock, h Handler, idleTimeout clock.Millis) error {
+// reported. Zero keeps idle connections open. If accepting fails, as without a free file
+// descriptor, it is tried again after a pause.
+func Serve(ctx context.Context, ln net.Listener, clk *clock.Clock, log *slog.Logger, h Handler, idleTimeout clock.Millis) {
 	open := &acceptedConns{conns: map[*Conn]bool{}}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
@@ -346,14 +351,24 @@
 			open.closeIf(func(c *Conn) bool { return c.silentSince(since) })
 		})
 	}
+	failing := false
 	for {
 		nc, err := ln.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				_ = nc.Close()
+			}
+			return
+		}
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+			if !failing {
+				log.Error("accept_failed", "addr", ln.Addr(), "error", err)
 			}
-			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
+			failing = true
+			clock.Sleep(ctx, acceptPause)
+			continue
 		}
+		failing = false
 		go func() {
 			class, err := readClass(nc)
 			if err != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -63,7 +64,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	clk := clock.System()
-	go func() { _ = link.Serve(ctx, ln, clk, &peer{}, 0) }()
+	go link.Serve(ctx, ln, clk, slog.New(slog.DiscardHandler), &peer{}, 0)
 	pool := link.NewPool(clk, p)
 	t.Cleanup(func() {
 		cancel()
--- a/link/nesting_test.go
+++ b/link/nesting_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"slices"
 	"testing"
@@ -37,7 +38,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			p := &peer{}
-			go func() { _ = link.Serve(ctx, ln, clock.System(), p, 0) }()
+			go link.Serve(ctx, ln, clock.System(), slog.New(slog.DiscardHandler), p, 0)
 			nc, err := net.Dial("tcp", ln.Addr().String())
 			if err != nil {
 				t.Fatal(err)
--- a/link/silent_test.go
+++ b/link/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() { _ = link.Serve(ctx, ln, clock.System(), &peer{}, 500) }()
+	go link.Serve(ctx, ln, clock.System(), slog.New(slog.DiscardHandler), &peer{}, 500)
 	return ln.Addr().String()
 }
 
--- a/peers/changes_test.go
+++ b/peers/changes_test.go
@@ -116,7 +116,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = link.Serve(ctx, counted, clock.System(), old, 6000)
+		link.Serve(ctx, counted, clock.System(), slog.New(slog.DiscardHandler), old, 6000)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	late := &laggingHost{}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -192,11 +192,7 @@
 // Run calls peers and serves their calls on ln until ctx is done.
 func (p *Peers) Run(ctx context.Context, ln net.Listener) {
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		if err := link.Serve(ctx, ln, p.clk, p, idleTimeout); err != nil {
-			p.log.Error("peers_not_served", "error", err)
-		}
-	})
+	wg.Go(func() { link.Serve(ctx, ln, p.clk, p.log, p, idleTimeout) })
 	wg.Go(func() { p.gossip.Run(ctx) })
 	wg.Go(func() { p.retryFailed(ctx) })
 	for n := 0; ctx.Err() == nil; n++ {
