platform, commands: Apply reloaded bounds to the reader of the store

Cause: the pause after a change of the engine list, the waits of watches and the longest pauses between retries are derived from the bounds at the start, and a reload passed the new bounds to the gate alone. It reads them at each use, so no other copy was found.

Change: Reader.SetTiming replaces the timing, which is read at each use. The line "reloaded" has the wait and the pause in force.

--- a/commands/gate.go
+++ b/commands/gate.go
@@ -86,7 +86,7 @@
 		ID: cfg.ID, Addr: ls[3].Addr().String(), Seeds: cfg.Peers, Host: g, Clock: clk, Log: log,
 	})
 	wg.Go(func() { node.Run(readCtx, ls[3]) })
-	wg.Go(func() { reloadOnHangup(readCtx, g, log, hup) })
+	wg.Go(func() { reloadOnHangup(readCtx, g, reader, log, hup) })
 	wg.Go(func() { reader.Run(readCtx) })
 	stopReadiness := startServer(ls[1], readinessHandler(g))
 	defer stopReadiness()
@@ -95,9 +95,9 @@
 	return g.Run(ctx, ls[0])
 }
 
-// reloadOnHangup applies the bounds of the settings file at each SIGHUP. If the
-// file is invalid, the previous bounds stay in force.
-func reloadOnHangup(ctx context.Context, g *gate.Gate, log *slog.Logger, hup <-chan os.Signal) {
+// reloadOnHangup applies the bounds of the settings file, and the timing that follows from
+// them, at each SIGHUP. If the file is invalid, the previous ones stay in force.
+func reloadOnHangup(ctx context.Context, g *gate.Gate, reader *platform.Reader, log *slog.Logger, hup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -109,8 +109,9 @@
 			log.Error("reload_refused", "error", err)
 			continue
 		}
+		reader.SetTiming(cfg.Timing)
 		g.SetBounds(cfg.Bounds)
-		log.Info("reloaded")
+		log.Info("reloaded", "watch_ms", cfg.Timing.EngineWatch, "pause_ms", cfg.Timing.EngineWatchPause)
 	}
 }
 
