gate: Count an old version's time from the first one that it lacks

Cause: outdated counted from the newest version that a peer had reported, and each still newer one began the time anew.

A read of the store that shows the version in force to be the newest drops the reports before it, as a confirmation did already.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -216,11 +216,9 @@
 	pastVersions       engines.VersionHistory
 	versionsKnownSince clock.Millis
 	severalVersions    map[string]bool
-	// newestVersion is the newest version that a peer reported, at newestVersionAt. It is
-	// zero if no peer reported one, or if the store has since shown that the version in force
-	// is the newest.
-	newestVersion   int64
-	newestVersionAt clock.Millis
+	// newer are the versions that peers reported, but for those of which the store has since
+	// shown that the version in force is newer.
+	newer newerVersions
 	// transferring is true while the store sends a large version. announcedAt is when it
 	// first began to send one newer than the version in force, zero if it did not.
 	transferring bool
--- a/gate/status.go
+++ b/gate/status.go
@@ -68,7 +68,7 @@
 	older := func(part float64) bool { return !g.tableFreshness.Within(lag+clock.Millis(part*due), now) }
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.newestVersion > t.Version() && now-g.newestVersionAt > clock.Millis(watchDuePart*float64(b.Change)) {
+	if since, ok := g.newer.since(t.Version()); ok && now-since > clock.Millis(watchDuePart*float64(b.Change)) {
 		return true
 	}
 	return g.confirmationDue(older)
@@ -158,8 +158,8 @@
 	case s.Table == t.Version() && same && sameEpoch:
 		g.receiveConfirmation(at - s.TableAge)
 	case s.Table == t.Version():
-	case s.Table > max(g.newestVersion, t.Version()):
-		g.newestVersion, g.newestVersionAt = s.Table, at
+	default:
+		g.newer.add(s.Table, t.Version(), at)
 	}
 	newer := s.Table > t.Version() || (s.Table == t.Version() && !same && s.TableAge < g.tableFreshness.Age(at))
 	if newer && s.TableAge <= maxDenialAge {
--- a/gate/table.go
+++ b/gate/table.go
@@ -27,6 +27,7 @@
 	g.tableEpoch = a.Epoch
 	if !a.Unconfirmed {
 		g.confirm(a.Epoch, a.ConfirmedAt)
+		g.newer.refute(a.ConfirmedAt)
 	}
 	if newer {
 		g.announcedAt = 0
@@ -45,9 +46,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.confirm(epoch, at)
-	if at > g.newestVersionAt {
-		g.newestVersion = 0
-	}
+	g.newer.refute(at)
 	if at > g.announcedAt {
 		g.announcedAt = 0
 	}
@@ -91,8 +90,8 @@
 	if g.announcedAt > 0 {
 		age = now - g.announcedAt
 	}
-	if g.newestVersion > t.Version() {
-		age = max(age, now-g.newestVersionAt)
+	if since, ok := g.newer.since(t.Version()); ok {
+		age = max(age, now-since)
 	}
 	if age <= g.bounds().Change-outdatedMargin {
 		return 0
