--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -52,7 +52,8 @@
 	sum uint32
 	// readAt is when the store last confirmed the list to this entry.
 	readAt clock.Millis
-	// confirmedBy names the source of the latest confirmation: byStore or the ID of a peer.
+	// confirmedBy names the source of the latest confirmation: byStore, byPeers or the ID of a
+	// peer.
 	confirmedBy string
 	// unverifiedSince is when peers first reported changes that have not been verified with
 	// the store, zero if there are none.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -216,8 +216,8 @@
 	pastVersions       engines.VersionHistory
 	versionsKnownSince clock.Millis
 	severalVersions    map[string]bool
-	// newer are the versions that peers reported, but for those of which the store has since
-	// shown that the version in force is newer.
+	// newer are the versions that peers reported, until the store shows that the version in
+	// force is the newest.
 	newer newerVersions
 	// transferring is true while the store sends a large version. announcedAt is when it
 	// first began to send one newer than the version in force, zero if it did not.
--- a/gate/newer.go
+++ b/gate/newer.go
@@ -12,7 +12,7 @@
 
 // newerVersions are versions of the table that peers reported and that were not in force then.
 type newerVersions struct {
-	// reports is sorted by version and by time.
+	// reports is sorted by version. It may have versions that are no longer newer.
 	reports []versionReport
 }
 
