gate: Test that a read refutes reports of newer versions

A mutant of the fix survived: without the line in SetTable that drops the reports before a read, all tests passed. TestReadOfTheNewestVersionRefutesReports fails without it.

--- a/gate/newer_test.go
+++ b/gate/newer_test.go
@@ -57,3 +57,28 @@
 		})
 	}
 }
+
+// A read of the store that shows the version in force to be the newest refutes the reports of
+// newer ones before it.
+func TestReadOfTheNewestVersionRefutesReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clk := clock.System()
+		g := gate.New(gate.Config{Clock: clk, Log: slog.New(slog.DiscardHandler), Bounds: gate.Bounds{Revocation: 5000, Change: 2000, Draining: drainingBound}})
+		g.SetStoreEpoch(1, clk.Now())
+		g.ConfirmEngines(7, clk.Now())
+		read := func() {
+			g.SetTable(table.New(table.Config{Version: 5}), table.Arrival{ConfirmedAt: clk.Now(), Epoch: 1})
+		}
+		read()
+		g.BeginTableTransfer(false)
+		g.ReceiveStatus("edge-2", peers.Status{Epoch: 1, Table: 9}, clk.Now())
+		time.Sleep(2 * time.Second)
+		if g.Ready() {
+			t.Fatal("got an entry ready that lacks a version for as long as the bound, want it not ready")
+		}
+		read()
+		if !g.Ready() {
+			t.Error("got an entry that is not ready with the newest version, want it ready")
+		}
+	})
+}
