gate: Say on what a resumed stream's version rests

The lines of a request tell the last event passed on, so that a gap can be told from a short stream, and for a stream that no record tells of: why its version is unknown, how many other entries are known, which ones responded, and how old the list is by the store. The counter of streams that are not continued has the doubt as a label. A search returns the number of entries known with its findings. No decision changes.

--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -65,9 +65,9 @@
 	Host  origin.Host
 	Links *link.Pool
 	// Holders returns the addresses of up to n other entries, in the order that a hash
-	// gives them, with those whose last call failed at the end, and how many of them have
-	// not failed.
-	Holders func(hash uint64, n int) (addrs []string, reachable int)
+	// gives them, with those whose last call failed at the end, how many of all have not
+	// failed, and how many are known.
+	Holders func(hash uint64, n int) (addrs []string, reachable, known int)
 	Clock   *clock.Clock
 	Log     *slog.Logger
 }
@@ -96,7 +96,7 @@
 // Store implements origin.Peers. A record that an entry does not take goes to the next
 // one.
 func (x *Exchange) Store(r origin.Record) <-chan struct{} {
-	addrs, reachable := x.cfg.Holders(r.Key.Hash(), asked)
+	addrs, reachable, _ := x.cfg.Holders(r.Key.Hash(), asked)
 	s := &store{x: x, record: r, rest: addrs, done: make(chan struct{})}
 	if reachable == 0 {
 		// A caller does not wait for entries that have not responded lately.
@@ -136,8 +136,9 @@
 
 // Find implements origin.Peers. It returns when all entries have responded, a little
 // after the first record was found, or at findTimeout.
-func (x *Exchange) Find(ctx context.Context, q origin.Query) (findings []origin.Finding, known bool) {
-	addrs, _ := x.cfg.Holders(q.Key.Hash(), asked)
+func (x *Exchange) Find(ctx context.Context, q origin.Query) origin.Search {
+	addrs, _, known := x.cfg.Holders(q.Key.Hash(), asked)
+	s := origin.Search{Others: known}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout.Duration())
 	defer cancel()
 	results := make(chan *origin.Finding, len(addrs))
@@ -150,15 +151,15 @@
 			if f == nil {
 				continue
 			}
-			findings = append(findings, *f)
+			s.Findings = append(s.Findings, *f)
 			if f.Record != nil || f.Ambiguous {
 				clock.AfterFunc(laterFindings, cancel)
 			}
 		case <-ctx.Done():
-			return findings, true
+			return s
 		}
 	}
-	return findings, len(addrs) > 0
+	return s
 }
 
 // ask returns the finding of the entry at addr, nil if it does not respond.
@@ -172,7 +173,7 @@
 		x.cfg.Log.Debug("origin_not_asked", "peer", addr, "error", err)
 		return nil
 	}
-	f := origin.Finding{Ambiguous: a.Ambiguous, Sole: a.Sole, SoleFor: a.SoleFor, Several: a.Several}
+	f := origin.Finding{From: addr, Ambiguous: a.Ambiguous, Sole: a.Sole, SoleFor: a.SoleFor, Several: a.Several}
 	if records, err := origin.Unpack(a.Record); err == nil && len(records) == 1 && records[0].Key == q.Key {
 		f.Record = &records[0]
 	}
--- a/engines/origin/exchange/exchange_test.go
+++ b/engines/origin/exchange/exchange_test.go
@@ -31,7 +31,7 @@
 	clk := clock.System()
 	x := exchange.New(exchange.Config{
 		Links: link.NewPool(clk, nil), Clock: clk, Log: slog.New(slog.DiscardHandler),
-		Holders: func(uint64, int) ([]string, int) { return addrs, entries },
+		Holders: func(uint64, int) ([]string, int, int) { return addrs, entries, entries },
 	})
 	var stored []<-chan struct{}
 	for i := range records {
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -132,6 +132,8 @@
 
 // Finding is what one entry knows of the origin of a stream.
 type Finding struct {
+	// From is the address of the entry, for logs.
+	From string
 	// Record is what it knows of the stream, nil if nothing.
 	Record *Record
 	// Ambiguous is true if its records of the stream contradict each other.
@@ -146,14 +148,32 @@
 	Several bool
 }
 
+// Search is the result of a search for the origin of a stream.
+type Search struct {
+	// Findings are those of the entries that responded.
+	Findings []Finding
+	// Others is the number of other entries that are known, whether they were asked or not.
+	Others int
+	// Skipped is true if no entry was asked because there were too many searches.
+	Skipped bool
+}
+
+// Responders returns the addresses of the entries that responded.
+func (s Search) Responders() []string {
+	addrs := make([]string, 0, len(s.Findings))
+	for _, f := range s.Findings {
+		addrs = append(addrs, f.From)
+	}
+	return addrs
+}
+
 // Peers are the other entries.
 type Peers interface {
 	// Store sends a record to other entries. The channel is closed once one of them has
 	// it or none can.
 	Store(r Record) <-chan struct{}
-	// Find returns the findings of the other entries that responded, and whether any
-	// others are known.
-	Find(ctx context.Context, q Query) (findings []Finding, known bool)
+	// Find asks other entries.
+	Find(ctx context.Context, q Query) Search
 }
 
 // Host is an entry that holds records for others.
--- a/gate/account.go
+++ b/gate/account.go
@@ -94,10 +94,13 @@
 		attrs = append(attrs, "told", c.reply.EndForCaller())
 	}
 	if c.version != "" {
-		attrs = append(attrs, "events", c.events, "engine_version", c.version)
+		attrs = append(attrs, "events", c.events, "last_event", loggedID(c.reply.LastEventID()), "engine_version", c.version)
 	}
 	if r := c.resumed; r.resumes() {
 		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after), "origin", c.versionBasis)
+		if c.versionBasis == bySoleVersion || c.doubt != "" {
+			attrs = append(attrs, "doubt", c.doubt, "others", c.originSearch.Others, "responders", c.originSearch.Responders(), "list_read_ms", c.originListAge)
+		}
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "table", c.table.Version(), "priority", priority(c))
--- a/gate/call.go
+++ b/gate/call.go
@@ -12,6 +12,7 @@
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/engines/locality"
+	"github.com/weldfall/weldfall/engines/origin"
 	"github.com/weldfall/weldfall/engines/quarantine"
 	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/engines/upstream"
@@ -122,6 +123,12 @@
 	// how it is known. Both are "" while an engine of any version may begin it.
 	version      string
 	versionBasis basis
+	// originSearch is what other entries know of the origin of the stream, the zero value if
+	// they were not asked. originListAge is the time since the store had last confirmed the
+	// list of engines when the origin was decided by it. doubt is why the origin is not known.
+	originSearch  origin.Search
+	originListAge clock.Millis
+	doubt         doubt
 	// sentVersion is the version in the record that other entries were sent, "" if none was.
 	sentVersion string
 	// recordedVersion is the version in the latest record of the stream's origin, ""
--- a/gate/continue.go
+++ b/gate/continue.go
@@ -55,7 +55,7 @@
 // recordNotContinued logs and counts a stream that no engine of its version can continue.
 // The caller holds mu.
 func (g *Gate) recordNotContinued(c *call) {
-	countNotContinued(verdict.VersionGone)
+	countNotContinued(verdict.VersionGone, "")
 	g.log.Info("stream_not_continued", "request", c.id, "service", c.service, "version", c.requiredVersion(), "basis", c.versionBasis,
 		"listed", g.registry.Versions(c.service), "tried", len(c.tried))
 }
--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -141,15 +141,21 @@
 // complete, and when the store last confirmed it to this entry. Unknown ages are -1. The
 // caller holds mu.
 func (g *Gate) listOrigin() []any {
-	age, read := clock.Millis(-1), clock.Millis(-1)
+	age := clock.Millis(-1)
 	now := g.clk.Now()
 	if g.listFreshness.Known() {
 		age = g.listFreshness.Age(now)
 	}
-	if g.list.readAt > 0 {
-		read = now - g.list.readAt
+	return []any{"list_age_ms", age, "confirmed_by", g.list.confirmedBy, "read_ms", g.listReadAge(now)}
+}
+
+// listReadAge returns the time since the store last confirmed the list to this entry, or -1 if
+// it has not. The caller holds mu.
+func (g *Gate) listReadAge(now clock.Millis) clock.Millis {
+	if g.list.readAt <= 0 {
+		return -1
 	}
-	return []any{"list_age_ms", age, "confirmed_by", g.list.confirmedBy, "read_ms", read}
+	return now - g.list.readAt
 }
 
 // Changes returns the log of recent changes of the list.
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -73,9 +73,10 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_streams_continued_total{basis=%q}`, b)).Inc()
 }
 
-// countNotContinued counts a stream that is not continued.
-func countNotContinued(r verdict.Reason) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_streams_not_continued_total{reason=%q}`, r)).Inc()
+// countNotContinued counts a stream that is not continued. d says why its origin is not known,
+// "" if it is.
+func countNotContinued(r verdict.Reason, d doubt) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_streams_not_continued_total{reason=%q,doubt=%q}`, r, d)).Inc()
 }
 
 // resolveOrigin finds the version that began the stream that a request resumes. The
@@ -86,7 +87,8 @@
 	}
 	version, by, err := g.originVersion(ctx, c)
 	if err != nil {
-		countNotContinued(verdict.UnknownOrigin)
+		c.doubt = doubtOf(err)
+		countNotContinued(verdict.UnknownOrigin, c.doubt)
 		return verdict.New(verdict.NotRun, verdict.UnknownOrigin, "the stream cannot be resumed: %w", err).WithRetryAfter(retryOrigin)
 	}
 	c.version, c.versionBasis = version, by
@@ -100,6 +102,29 @@
 	errVersionsUnknown = errors.New("no entry knows which software version began it, nor whether the service has had only one")
 )
 
+// doubt is why the version that began a stream is not known.
+type doubt string
+
+const (
+	// ambiguous means that the records of the stream contradict each other.
+	ambiguous doubt = "ambiguous"
+	// severalVersions means that the service has, or had lately, several versions.
+	severalVersions doubt = "several_versions"
+	// unproven means that nothing proves that the service has had only one version.
+	unproven doubt = "unproven"
+)
+
+// doubtOf returns the doubt that an error of originVersion stands for.
+func doubtOf(err error) doubt {
+	switch {
+	case errors.Is(err, errAmbiguousOrigin):
+		return ambiguous
+	case errors.Is(err, errSeveralVersions):
+		return severalVersions
+	}
+	return unproven
+}
+
 // originVersion returns the version that began the stream that a call resumes.
 func (g *Gate) originVersion(ctx context.Context, c *call) (version string, by basis, err error) {
 	q := origin.Query{Key: c.originKey(c.resumed.origin), Workspace: c.workspaceHash(), Service: c.service}
@@ -112,8 +137,8 @@
 			return r.Version, byRecord, nil
 		}
 	}
-	findings, known := g.askOrigin(ctx, q)
-	r, err := agreedRecord(findings)
+	c.originSearch = g.askOrigin(ctx, q)
+	r, err := agreedRecord(c.originSearch.Findings)
 	if err != nil {
 		return "", "", err
 	}
@@ -121,20 +146,20 @@
 		g.origins.Hold(*r, g.clk.Now())
 		return r.Version, byRecord, nil
 	}
-	version, err = g.soleVersion(c, findings, known)
+	version, err = g.soleVersion(c)
 	return version, bySoleVersion, err
 }
 
 // askOrigin asks other entries for the origin of a stream.
-func (g *Gate) askOrigin(ctx context.Context, q origin.Query) (findings []origin.Finding, known bool) {
+func (g *Gate) askOrigin(ctx context.Context, q origin.Query) origin.Search {
 	g.mu.Lock()
 	peers := g.originPeers
 	g.mu.Unlock()
 	if peers == nil {
-		return nil, false
+		return origin.Search{}
 	}
 	if !g.originSearches.allow(q.Workspace) {
-		return nil, true
+		return origin.Search{Skipped: true}
 	}
 	return peers.Find(ctx, q)
 }
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
-	"github.com/weldfall/weldfall/engines/origin"
 )
 
 // maxSoleListAge is the maximum age of the list at which this entry alone decides that a
@@ -12,11 +11,13 @@
 const maxSoleListAge clock.Millis = 5000
 
 // soleVersion returns the only version that the service of a call can have begun a stream at
-// that its caller may still resume. known is whether other entries are known.
-func (g *Gate) soleVersion(c *call, findings []origin.Finding, known bool) (string, error) {
+// that its caller may still resume.
+func (g *Gate) soleVersion(c *call) (string, error) {
 	now := g.clk.Now()
+	findings, known := c.originSearch.Findings, c.originSearch.Others > 0 || c.originSearch.Skipped
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.originListAge = g.listReadAge(now)
 	usual, window := g.resumeWindow(c.service), g.resumeWindowOf(c, now)
 	own := g.versions(c.service, window, now)
 	sole := own.sole
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -115,21 +115,21 @@
 	f.stop[1]()
 	for i := range streams {
 		r := originRecord(i)
-		findings, known := f.hosts[2+i%(entries-2)].others.Find(t.Context(), origin.Query{Key: r.Key, Workspace: r.Workspace, Service: "llm"})
+		search := f.hosts[2+i%(entries-2)].others.Find(t.Context(), origin.Query{Key: r.Key, Workspace: r.Workspace, Service: "llm"})
 		found := false
-		for _, o := range findings {
+		for _, o := range search.Findings {
 			found = found || (o.Record != nil && o.Record.Version == r.Version && o.Record.Call == r.Call)
 		}
 		held, _ := f.hosts[2+i%(entries-2)].book.Find(r.Workspace, r.Key, 0)
-		if !known || (!found && held == nil) {
-			t.Errorf("stream %d: got the findings %v, known %t, want its record", i, findings, known)
+		if search.Others == 0 || (!found && held == nil) {
+			t.Errorf("stream %d: got %+v, want its record", i, search)
 		}
 	}
-	findings, known := f.hosts[3].others.Find(t.Context(), origin.Query{Key: origin.NewKey("ws", "llm", "unknown"), Workspace: 1, Service: "several"})
-	if !known || len(findings) < 3 {
-		t.Fatalf("got the findings %v, known %t, want one of each entry that runs", findings, known)
+	search := f.hosts[3].others.Find(t.Context(), origin.Query{Key: origin.NewKey("ws", "llm", "unknown"), Workspace: 1, Service: "several"})
+	if search.Others == 0 || len(search.Findings) < 3 {
+		t.Fatalf("got %+v, want a finding of each entry that runs", search)
 	}
-	for _, o := range findings {
+	for _, o := range search.Findings {
 		if o.Record != nil || !o.Several || o.Sole != "v1" {
 			t.Errorf("got the finding %+v, want no record, several versions and the sole version", o)
 		}
@@ -141,7 +141,7 @@
 	t.Parallel()
 	alone := newOriginFleet(t, 1)
 	<-alone.hosts[0].others.Store(originRecord(0))
-	if _, known := alone.hosts[0].others.Find(t.Context(), origin.Query{}); known {
+	if alone.hosts[0].others.Find(t.Context(), origin.Query{}).Others > 0 {
 		t.Error("got other entries, want none")
 	}
 	f := newOriginFleet(t, 4)
@@ -191,7 +191,7 @@
 	f := newOriginFleet(t, 2)
 	f.hosts[1].lies = true
 	q := origin.Query{Key: originRecord(1).Key, Workspace: 1, Service: "llm"}
-	findings, _ := f.hosts[0].others.Find(t.Context(), q)
+	findings := f.hosts[0].others.Find(t.Context(), q).Findings
 	if len(findings) != 1 || findings[0].Record != nil {
 		t.Errorf("got the findings %+v, want one without a record", findings)
 	}
