gate: Continue streams of unknown origin only by a proof of a single version

Callers saw events of two software versions in one stream: it began at an engine of a version that had just joined, broke, and was resumed at an entry that was cut off, which continued it at the version that it knew.

Cause: nobody objected, and that counted as proof. An entry took its own list, up to 5 s old, as proof that a service has had one version if no other entry answered, and any entry that answered and knew of no second version as proof whatever the age of its list. But engines are used as soon as they are listed, so a list proves nothing about streams that began after it was confirmed.

One function without I/O decides now, from what the entries that responded know and as of when. A version is the sole one if what they know of the list, without a gap and without another version, reaches from when the stream can have begun until after the request arrived; the list is confirmed on demand for that, by one call for all requests that wait. Or, if the store does not respond, if every entry that can have begun the stream says that it has begun streams at one version alone. Anything else is refused, not run. A list that was read without the store's history proves nothing about the time before, and the time in which an entry out of step may begin streams at a version that is no longer listed counts too. Responses that lie ready at the end of a search count, also after a standstill.

TestNoOrderOfStepsJoinsTwoVersions walks all orders of five steps of three entries, a store and two versions (319,444 states), and TestNoDrawnOrderOfStepsJoinsTwoVersions 6,000 orders of 60 steps: no decision joins two versions, and an entry in step refuses none while one version alone was ever listed.

Tests that asserted the old rule are replaced: TestStreamOfUnknownOriginIsRefusedByACutOffEntry asked that a stream goes on while another entry responds and knows nothing, which is the fault; TestStreamOfUnknownOriginAtAnEntryWithAnOldList has that case as a refusal, six more, and two that go on. The others wait for the lag too, or state what an entry knows as of when.

--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -50,14 +51,53 @@
 	Service   string `json:"s"`
 }
 
-// Answer is a Finding as a message.
+// Answer is a Finding as a message. Times are in milliseconds before the answer.
 type Answer struct {
 	Record    string `json:"r,omitempty"`
 	Ambiguous bool   `json:"a,omitempty"`
 	Sole      string `json:"v,omitempty"`
-	// SoleFor is in milliseconds.
+	Several   bool   `json:"m,omitempty"`
+	// SoleFor is the time since Knowledge.Since, zero if the entry knows nothing.
 	SoleFor clock.Millis `json:"t,omitempty"`
-	Several bool         `json:"m,omitempty"`
+	// ListAge is the time since Knowledge.AsOf and BelievedFor that since
+	// Knowledge.BelievedSince, zero if the entry, of an earlier build, does not tell.
+	ListAge     clock.Millis `json:"g,omitempty"`
+	BelievedFor clock.Millis `json:"b,omitempty"`
+	// Others is the number of other entries that the entry knows.
+	Others int `json:"n,omitempty"`
+}
+
+// answer encodes a finding.
+func answer(f origin.Finding, now clock.Millis) Answer {
+	k := f.Knowledge
+	a := Answer{Ambiguous: f.Ambiguous, Sole: k.Sole, Several: k.Several, Others: f.Others}
+	if k.AsOf >= k.Since {
+		a.SoleFor, a.ListAge = now-k.Since, max(1, now-k.AsOf)
+	}
+	if k.BelievedSince < now {
+		a.BelievedFor = now - k.BelievedSince
+	}
+	if f.Record != nil {
+		a.Record = origin.Pack([]origin.Record{*f.Record})
+	}
+	return a
+}
+
+// finding decodes the answer of the entry at addr to a question of the given key that was
+// asked at a time of this entry's clock.
+func (a Answer) finding(addr string, key origin.Key, askedAt, now clock.Millis) origin.Finding {
+	k := origin.Knowledge{Sole: a.Sole, Several: a.Several, Since: math.MaxInt64, AsOf: math.MinInt64, BelievedSince: math.MaxInt64}
+	if a.ListAge > 0 && a.SoleFor > 0 {
+		k.Since, k.AsOf = now-a.SoleFor, askedAt-a.ListAge
+	}
+	if a.BelievedFor > 0 {
+		k.BelievedSince = now - a.BelievedFor
+	}
+	f := origin.Finding{From: addr, Ambiguous: a.Ambiguous, Others: a.Others, Knowledge: k}
+	if records, err := origin.Unpack(a.Record); err == nil && len(records) == 1 && records[0].Key == key {
+		f.Record = &records[0]
+	}
+	return f
 }
 
 // Config configures an Exchange.
@@ -145,17 +185,25 @@
 	for _, addr := range addrs {
 		go func() { results <- x.ask(ctx, addr, q) }()
 	}
+	add := func(f *origin.Finding) {
+		if f == nil {
+			return
+		}
+		s.Findings = append(s.Findings, *f)
+		if f.Record != nil || f.Ambiguous {
+			clock.AfterFunc(laterFindings, cancel)
+		}
+	}
 	for range addrs {
 		select {
 		case f := <-results:
-			if f == nil {
-				continue
-			}
-			s.Findings = append(s.Findings, *f)
-			if f.Record != nil || f.Ambiguous {
-				clock.AfterFunc(laterFindings, cancel)
-			}
+			add(f)
 		case <-ctx.Done():
+			// After a standstill of this process, responses may be ready though the time
+			// is over.
+			for range len(results) {
+				add(<-results)
+			}
 			return s
 		}
 	}
@@ -164,6 +212,7 @@
 
 // ask returns the finding of the entry at addr, nil if it does not respond.
 func (x *Exchange) ask(ctx context.Context, addr string, q origin.Query) *origin.Finding {
+	askedAt := x.cfg.Clock.Now()
 	c, err := x.cfg.Links.Get(addr, link.Control)
 	var a Answer
 	if err == nil {
@@ -173,10 +222,7 @@
 		x.cfg.Log.Debug("origin_not_asked", "peer", addr, "error", err)
 		return nil
 	}
-	f := origin.Finding{From: addr, Ambiguous: a.Ambiguous, Sole: a.Sole, SoleFor: a.SoleFor, Several: a.Several}
-	if records, err := origin.Unpack(a.Record); err == nil && len(records) == 1 && records[0].Key == q.Key {
-		f.Record = &records[0]
-	}
+	f := a.finding(addr, q.Key, askedAt, x.cfg.Clock.Now())
 	return &f
 }
 
@@ -191,9 +237,5 @@
 		return Answer{}, fmt.Errorf("%s: key %q is not %d bytes in base64", MethodFind, question.Key, len(origin.Key{}))
 	}
 	f := x.cfg.Host.FindOrigin(origin.Query{Key: origin.Key(b), Workspace: question.Workspace, Service: question.Service})
-	a := Answer{Ambiguous: f.Ambiguous, Sole: f.Sole, SoleFor: f.SoleFor, Several: f.Several}
-	if f.Record != nil {
-		a.Record = origin.Pack([]origin.Record{*f.Record})
-	}
-	return a, nil
+	return answer(f, x.cfg.Clock.Now()), nil
 }
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -138,14 +138,10 @@
 	Record *Record
 	// Ambiguous is true if its records of the stream contradict each other.
 	Ambiguous bool
-	// Sole is the only version that the service has had for longer than a stream lives,
-	// "" if there is none or the entry does not know.
-	Sole string
-	// SoleFor is for how long Sole has been the only one, zero if the entry, of an earlier
-	// build, does not tell.
-	SoleFor clock.Millis
-	// Several is true if the service has, or had lately, engines of several versions.
-	Several bool
+	// Others is the number of other entries that it knows, negative if it does not tell.
+	Others int
+	// Knowledge is what it knows of the versions of the service.
+	Knowledge Knowledge
 }
 
 // Search is the result of a search for the origin of a stream.
--- a/gate/account.go
+++ b/gate/account.go
@@ -98,7 +98,7 @@
 	}
 	if r := c.resumed; r.resumes() {
 		attrs = append(attrs, "resumes", loggedID(r.origin), "after", loggedID(r.after), "origin", c.versionBasis)
-		if c.versionBasis == bySoleVersion || c.doubt != "" {
+		if c.versionBasis == bySoleVersion || c.versionBasis == byEntries || c.doubt != "" {
 			attrs = append(attrs, "doubt", c.doubt, "others", c.originSearch.Others, "responders", c.originSearch.Responders(), "list_read_ms", c.originListAge)
 		}
 	}
--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -68,6 +68,10 @@
 	// changesRequestedAt is when the changes were last requested from the peer that reported
 	// peerSum, zero if they were not.
 	changesRequestedAt clock.Millis
+	// confirmed is closed, and replaced, when the store confirms the list to this entry.
+	confirmed chan struct{}
+	// demandedAt is when a confirmation was last demanded.
+	demandedAt clock.Millis
 }
 
 // ConfirmEngines records that the list of engines with checksum sum was complete at the
@@ -84,13 +88,23 @@
 	defer g.mu.Unlock()
 	if first = !g.listFreshness.Known(); first {
 		g.registry.MarkSynced(at)
-		g.versionsKnownSince = at
+		g.versionsBelievedSince = at
 	}
 	g.list.readAt, g.list.unverifiedSince = at, 0
 	g.setList(sum, at, byStore)
+	close(g.list.confirmed)
+	g.list.confirmed = make(chan struct{})
 	return first
 }
 
+// MarkListReplaced records that the list is read anew as of the given time, and that changes
+// before may have been missed.
+func (g *Gate) MarkListReplaced(at clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.versionsKnownSince = at
+}
+
 // ConfirmEnginesByPeer records that, by a report of a peer, the list with checksum sum was
 // complete at the given time.
 func (g *Gate) ConfirmEnginesByPeer(sum uint32, at clock.Millis) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -211,11 +211,15 @@
 	// none.
 	originPeers origin.Peers
 	// pastVersions holds the software versions that are no longer listed. The versions of
-	// each service are known since versionsKnownSince. severalVersions has the services
-	// that list more than one.
-	pastVersions       engines.VersionHistory
-	versionsKnownSince clock.Millis
-	severalVersions    map[string]bool
+	// each service are known since versionsBelievedSince, and this entry has missed no change
+	// of them since versionsKnownSince. severalVersions has the services that list more than
+	// one.
+	pastVersions          engines.VersionHistory
+	versionsBelievedSince clock.Millis
+	versionsKnownSince    clock.Millis
+	severalVersions       map[string]bool
+	// listSource confirms the list of engines on demand. It may be nil.
+	listSource ListSource
 	// newer are the versions that peers reported, until the store shows that the version in
 	// force is the newest.
 	newer newerVersions
@@ -242,8 +246,9 @@
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
 		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
 		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
-		origins: origin.NewBook(), originSearches: newSearches(), resumeLimits: origin.NewLimits(maxRequestTime), versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
+		origins: origin.NewBook(), originSearches: newSearches(), resumeLimits: origin.NewLimits(maxRequestTime), versionsBelievedSince: math.MaxInt64, versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
 	}
+	g.list.confirmed = make(chan struct{})
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
 	metrics.GetOrCreateGauge("weldfall_list_age_seconds", g.listAge)
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -62,8 +62,11 @@
 	// byRecord means that an entry holds the origin of the stream.
 	byRecord basis = "record"
 	// bySoleVersion means that the service has had one version for longer than a stream
-	// lives.
+	// lives, by the list of engines as of after the request arrived.
 	bySoleVersion basis = "sole_version"
+	// byEntries means that the store confirmed no list, and that no entry has begun a stream
+	// at another version.
+	byEntries basis = "entries"
 	// byReply means that this entry passed on the first event in the same response.
 	byReply basis = "reply"
 )
@@ -146,8 +149,7 @@
 		g.origins.Hold(*r, g.clk.Now())
 		return r.Version, byRecord, nil
 	}
-	version, err = g.soleVersion(c)
-	return version, bySoleVersion, err
+	return g.soleVersion(ctx, c)
 }
 
 // askOrigin asks other entries for the origin of a stream.
@@ -220,9 +222,9 @@
 	}
 	g.origins.Begin(r, c.service, now)
 	g.mu.Lock()
-	peers, several := g.originPeers, g.versions(c.service, g.resumeWindowOf(c, now), now).sole == ""
+	peers, sole := g.originPeers, g.servesOneVersion(c.service, g.resumeWindowOf(c, now), now)
 	g.mu.Unlock()
-	if several && peers != nil {
+	if !sole && peers != nil {
 		c.sentVersion, c.originHeld = version, peers.Store(r)
 	}
 }
@@ -271,7 +273,7 @@
 // one, unless their services have had a single version. The caller holds mu.
 func (g *Gate) sendBegunOrigins() {
 	now := g.clk.Now()
-	records := g.origins.Begun(func(service string) bool { return g.versions(service, g.resumeWindow(service), now).sole == "" }, now)
+	records := g.origins.Begun(func(service string) bool { return !g.servesOneVersion(service, g.resumeWindow(service), now) }, now)
 	if g.originPeers != nil && len(records) > 0 {
 		go g.sendOrigins(g.originPeers, records)
 	}
@@ -305,6 +307,8 @@
 	r, ambiguous := g.origins.Find(q.Workspace, q.Key, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v := g.versions(q.Service, g.resumeWindow(q.Service), now)
-	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: v.sole, SoleFor: v.soleFor, Several: v.several}
+	return origin.Finding{
+		Record: r, Ambiguous: ambiguous, Others: len(g.others),
+		Knowledge: g.versionKnowledge(q.Service, g.resumeWindow(q.Service), now),
+	}
 }
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -1,72 +1,93 @@
 package gate
 
 import (
+	"context"
+	"math"
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines/origin"
 )
 
-// maxSoleListAge is the maximum age of the list at which this entry alone decides that a
-// service has one version.
-const maxSoleListAge clock.Millis = 5000
-
 // soleVersion returns the only version that the service of a call can have begun a stream at
-// that its caller may still resume.
-func (g *Gate) soleVersion(c *call) (string, error) {
+// that its caller may still resume. Unless the store has confirmed the list since the request
+// arrived, it waits for that.
+func (g *Gate) soleVersion(ctx context.Context, c *call) (version string, by basis, err error) {
+	version, proof := g.versionEvidence(c, false).SoleVersion()
+	if proof == origin.Unproven && g.hasListed(c.service) {
+		confirmed := g.awaitListConfirmation(ctx, c)
+		version, proof = g.versionEvidence(c, !confirmed).SoleVersion()
+	}
+	switch proof {
+	case origin.ByList:
+		return version, bySoleVersion, nil
+	case origin.ByEntries:
+		return version, byEntries, nil
+	case origin.Conflict:
+		return "", "", errSeveralVersions
+	}
+	return "", "", errVersionsUnknown
+}
+
+// versionEvidence returns what is known of the versions of a call's service. unconfirmed is
+// true if the store did not confirm the list after the request arrived.
+func (g *Gate) versionEvidence(c *call, unconfirmed bool) origin.Evidence {
 	now := g.clk.Now()
-	findings, known := c.originSearch.Findings, c.originSearch.Others > 0 || c.originSearch.Skipped
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.originListAge = g.listReadAge(now)
-	usual, window := g.resumeWindow(c.service), g.resumeWindowOf(c, now)
-	own := g.versions(c.service, window, now)
-	sole := own.sole
-	for _, f := range findings {
-		if f.Several || (sole != "" && f.Sole != "" && f.Sole != sole) {
-			return "", errSeveralVersions
-		}
-		covers := f.SoleFor >= window || (f.SoleFor == 0 && window <= usual)
-		if sole == "" && covers {
-			sole = f.Sole
-		}
+	window := g.resumeWindowOf(c, now)
+	e := origin.Evidence{
+		ArrivedAt: c.start, Window: window, Lag: g.staleEntryLag(), Own: g.versionKnowledge(c.service, window, now),
+		AllResponded: g.allResponded(c.originSearch), Unconfirmed: unconfirmed,
 	}
-	switch {
-	case own.several || (len(own.listed) > 0 && sole != "" && !slices.Equal(own.listed, []string{sole})):
-		return "", errSeveralVersions
-	case sole == "", known && len(findings) == 0 && !g.listFreshness.Within(maxSoleListAge, now):
-		return "", errVersionsUnknown
+	for _, f := range c.originSearch.Findings {
+		e.Others = append(e.Others, f.Knowledge)
 	}
-	return sole, nil
+	c.originListAge = g.listReadAge(now)
+	return e
 }
 
-// serviceVersions is what this entry knows of the versions of a service.
-type serviceVersions struct {
-	// listed are the versions of its engines, sorted.
-	listed []string
-	// several is true if streams that may still be resumed can have begun at several
-	// versions.
-	several bool
-	// sole is the only version at which such streams can have begun, "" if there are
-	// several or if the entry has not known the list for long enough.
-	sole string
-	// soleFor is for how long sole has been the only one.
-	soleFor clock.Millis
+// allResponded reports whether a search had findings of every other entry, and all of them
+// know equally many others. An entry that lost sight of others cannot tell whether they ended.
+// The caller holds mu.
+func (g *Gate) allResponded(s origin.Search) bool {
+	missing := slices.ContainsFunc(s.Findings, func(f origin.Finding) bool { return f.Others != s.Others })
+	return s.Others > 0 && len(s.Findings) == s.Others && s.Others+1 >= g.maxEntries && !missing
 }
 
-// versions returns what this entry knows of the versions of a service whose streams may be
-// resumed for the given time. The caller holds mu.
-func (g *Gate) versions(service string, window, now clock.Millis) serviceVersions {
-	v := serviceVersions{listed: g.registry.Versions(service)}
-	if len(v.listed) != 1 {
-		v.several = len(v.listed) > 1
-		return v
+// staleEntryLag returns for how long an entry that is out of step may go on beginning streams
+// at a version that is no longer listed: until it refuses keys.
+func (g *Gate) staleEntryLag() clock.Millis { return g.bounds().Revocation }
+
+// hasListed reports whether engines of a service are listed.
+func (g *Gate) hasListed(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.registry.Versions(service)) > 0
+}
+
+// versionKnowledge returns what this entry knows of the versions of a service whose streams may
+// be resumed for the given time. The caller holds mu.
+func (g *Gate) versionKnowledge(service string, window, now clock.Millis) origin.Knowledge {
+	listed := g.registry.Versions(service)
+	if len(listed) != 1 {
+		return origin.Knowledge{Several: len(listed) > 1, Since: math.MaxInt64, AsOf: math.MinInt64, BelievedSince: math.MaxInt64}
 	}
-	other := g.pastVersions.LastOther(service, v.listed[0])
-	v.several = other > 0 && now-other <= window
-	if soleFor := now - max(g.versionsKnownSince, other); !v.several && soleFor >= window {
-		v.sole, v.soleFor = v.listed[0], soleFor
+	other := g.pastVersions.LastOther(service, listed[0])
+	return origin.Knowledge{
+		Sole: listed[0], Several: other > 0 && now-other <= window+g.staleEntryLag(),
+		Since: max(g.versionsKnownSince, other), BelievedSince: max(g.versionsBelievedSince, other),
+		// A call that was sent in the same millisecond may have been sent before.
+		AsOf: g.list.readAt - 1,
 	}
-	return v
+}
+
+// servesOneVersion reports whether no stream of a service that may be resumed for the given
+// time can have begun at a second version, as far as this entry knows, and the list is not
+// older than other entries allow for. The caller holds mu.
+func (g *Gate) servesOneVersion(service string, window, now clock.Millis) bool {
+	k := g.versionKnowledge(service, window, now)
+	return k.Sole != "" && !k.Several && k.BelievedSince <= now-window && g.listFreshness.Within(g.staleEntryLag(), now)
 }
 
 // resumeWindowOf returns how long after its first event a caller may resume a stream of the
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -37,7 +37,7 @@
 		other := originRecord(0)
 		r = &other
 	}
-	return origin.Finding{Record: r, Ambiguous: ambiguous, Sole: "v1", Several: q.Service == "several"}
+	return origin.Finding{Record: r, Ambiguous: ambiguous, Knowledge: origin.Knowledge{Sole: "v1", Several: q.Service == "several"}}
 }
 
 // originFleet is a fleet of entries that know each other.
@@ -130,7 +130,7 @@
 		t.Fatalf("got %+v, want a finding of each entry that runs", search)
 	}
 	for _, o := range search.Findings {
-		if o.Record != nil || !o.Several || o.Sole != "v1" {
+		if o.Record != nil || !o.Knowledge.Several || o.Knowledge.Sole != "v1" {
 			t.Errorf("got the finding %+v, want no record, several versions and the sole version", o)
 		}
 	}
