gate: Refuse streams of unknown origin at once while the store does not respond

A request that resumes a stream of unknown origin waits until the store has confirmed the list of engines. It does not wait while a follower of the store knows that it does not respond: what other entries know decides at once.

--- a/gate/listdemand.go
+++ b/gate/listdemand.go
@@ -8,9 +8,10 @@
 
 // ListSource reads the list of engines.
 type ListSource interface {
-	// ConfirmList makes the source ask the store at once whether the list is unchanged,
-	// unless it has done so after the given time.
-	ConfirmList(after clock.Millis)
+	// ConfirmList makes the source ask the store at once whether the list is unchanged, by a
+	// call that it sends after the given time. It returns false if the store does not respond
+	// at present.
+	ConfirmList(after clock.Millis) bool
 }
 
 const (
@@ -46,11 +47,11 @@
 	ctx, cancel := context.WithTimeout(ctx, min(listDemandTimeout, left).Duration())
 	defer cancel()
 	for {
-		again, confirmed, ok := g.demandList(c.start)
-		if ok {
-			return true
+		d := g.demandList(c.start)
+		if d.confirmed || d.failed {
+			return d.confirmed
 		}
-		if !await(ctx, confirmed, again) {
+		if !await(ctx, d.next, d.again) {
 			return false
 		}
 	}
@@ -67,29 +68,38 @@
 	return ctx.Err() == nil
 }
 
-// demandList reports whether the store has confirmed the list as of a time after the given one.
-// If not, it demands that, unless another demand since then is under way or a demand was made
-// too recently, and returns a channel that is closed at the next confirmation and the time after
-// which to call again.
-func (g *Gate) demandList(after clock.Millis) (again clock.Millis, confirmed <-chan struct{}, ok bool) {
+// demand is the state of a demand that the store confirms the list.
+type demand struct {
+	// confirmed is true if it has, and failed if it does not respond.
+	confirmed, failed bool
+	// Otherwise next is closed at the next confirmation, and the state may change after the
+	// time again.
+	next  <-chan struct{}
+	again clock.Millis
+}
+
+// demandList demands that the store confirms the list as of a time after the given one, unless
+// it has, another demand since then is under way or one was made too recently.
+func (g *Gate) demandList(after clock.Millis) demand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.listSource == nil {
-		return listDemandTimeout, nil, false
-	}
-	if g.list.readAt > after {
-		return 0, nil, true
-	}
 	now := g.clk.Now()
-	switch wait := g.list.demandedAt + g.listDemandPause() - now; {
+	wait := g.list.demandedAt + g.listDemandPause() - now
+	switch {
+	case g.listSource == nil:
+		return demand{failed: true}
+	case g.list.readAt > after:
+		return demand{confirmed: true}
 	case g.list.demandedAt > after:
-		return listDemandTimeout, g.list.confirmed, false
+		return demand{next: g.list.confirmed, again: listDemandTimeout}
 	case g.list.demandedAt > 0 && wait > 0:
-		return wait, g.list.confirmed, false
+		return demand{next: g.list.confirmed, again: wait}
+	}
+	if !g.listSource.ConfirmList(now) {
+		return demand{failed: true}
 	}
 	g.list.demandedAt = now
-	g.listSource.ConfirmList(now)
-	return listDemandTimeout, g.list.confirmed, false
+	return demand{next: g.list.confirmed, again: listDemandTimeout}
 }
 
 // listDemandPause returns the least time between two demands. The caller holds mu.
