engines, gate: Count an engine that said that it leaves as ended by plan

Callers whose requests broke off at an engine at its planned end could be held back as if they crash engines: an engine that says in its responses that it leaves, and whose entry goes or is superseded before the list has it as draining, counted as crashed, and what had broken off there became a strike.

The cause: Remove and Put of the registry and recordEnd of the gate went by the listing entry alone. What an engine says is kept for each incarnation, so all of them now ask it too, and so does Crashed, for a response that says it after the entry is gone. The gate asks the registry in the same step in which the entry ends, so that a later entry does not change the result. A rest, and what another incarnation says, excuse nothing.

--- a/engines/registry.go
+++ b/engines/registry.go
@@ -27,7 +27,7 @@
 	// firstListed maps the latest incarnations that are no longer listed to the time
 	// of their first listing.
 	firstListed *simplelru.LRU[Incarnation, clock.Millis]
-	// crashed holds the latest incarnations that ended without draining.
+	// crashed holds the latest incarnations that ended without leaving.
 	crashed *simplelru.LRU[Incarnation, struct{}]
 	// evacuated maps each data hall under evacuation, whose engines get no new
 	// requests, to the start of the evacuation.
@@ -117,9 +117,7 @@
 		if e.info.StartedAt != 0 {
 			r.ended.Add(e.info.Incarnation(), struct{}{})
 		}
-		if !e.info.Draining {
-			r.crashed.Add(e.info.Incarnation(), struct{}{})
-		}
+		r.recordEnd(e)
 		r.create(in, warmupUntil, now)
 		return Restarted
 	}
@@ -239,9 +237,7 @@
 	}
 	r.unregister(e)
 	r.firstListed.Add(e.info.Incarnation(), e.firstListedAt)
-	if !e.info.Draining {
-		r.crashed.Add(e.info.Incarnation(), struct{}{})
-	}
+	r.recordEnd(e)
 	if e.info.Draining && e.info.StartedAt != 0 {
 		// A drained incarnation does not come back: later entries for it are stale.
 		r.ended.Add(e.info.Incarnation(), struct{}{})
@@ -249,6 +245,13 @@
 	return e.info, true
 }
 
+// recordEnd records that the incarnation of an engine ended.
+func (r *Registry) recordEnd(e *Engine) {
+	if !e.info.Draining && !e.said.Leaving() {
+		r.crashed.Add(e.info.Incarnation(), struct{}{})
+	}
+}
+
 // Forget drops an engine and the state of all its incarnations, which came from wrong
 // reports. Only the time of the first listing and what they said in responses are kept.
 func (r *Registry) Forget(id string) {
@@ -271,8 +274,11 @@
 	return r.Find(n) == nil && r.firstListed.Contains(n)
 }
 
-// Crashed reports whether, by the listing, an incarnation ended without draining.
-func (r *Registry) Crashed(n Incarnation) bool { return r.crashed.Contains(n) }
+// Crashed reports whether, by the listing, an incarnation ended although neither the listing nor
+// its responses said that it leaves. A response may arrive after the end of the entry.
+func (r *Registry) Crashed(n Incarnation) bool {
+	return r.crashed.Contains(n) && !r.statements.Of(n).Leaving()
+}
 
 // MarkSynced records that the listing is complete for the first time. The engines on it
 // count as long known, not as just joined.
--- a/engines/statements_test.go
+++ b/engines/statements_test.go
@@ -224,3 +224,29 @@
 		t.Error("got a crash, want a planned end")
 	}
 }
+
+// Guards against the same where another incarnation follows, or a response that was under way
+// is the first to say it; a rest or what another incarnation said excuses nothing.
+func TestOnlyALeavingIncarnationEndsAsPlanned(t *testing.T) {
+	in := engines.Info{ID: "i-1", Service: "llm", Addr: "10.0.0.1:80", Slots: 8, StartedAt: 1000}
+	next := in
+	next.StartedAt = 2000
+	leaves, rests := statement.Said{Leaving: true}, statement.Said{Rest: 60_000}
+	for name, tc := range map[string]struct {
+		change func(r *engines.Registry)
+		want   bool
+	}{
+		"superseded":            {func(r *engines.Registry) { r.RecordStatement(in.Incarnation(), leaves, 0); r.Put(next, 0) }, false},
+		"removed, then told":    {func(r *engines.Registry) { r.Remove(in.ID); r.RecordStatement(in.Incarnation(), leaves, 0) }, false},
+		"superseded, then told": {func(r *engines.Registry) { r.Put(next, 0); r.RecordStatement(in.Incarnation(), leaves, 0) }, false},
+		"rests":                 {func(r *engines.Registry) { r.RecordStatement(in.Incarnation(), rests, 0); r.Remove(in.ID) }, true},
+		"the next one leaves":   {func(r *engines.Registry) { r.Put(next, 0); r.RecordStatement(next.Incarnation(), leaves, 0) }, true},
+	} {
+		r := engines.NewRegistry()
+		r.Put(in, 0)
+		tc.change(r)
+		if got := r.Crashed(in.Incarnation()); got != tc.want {
+			t.Errorf("%s: got crashed %v, want %v", name, got, tc.want)
+		}
+	}
+}
--- a/gate/engines.go
+++ b/gate/engines.go
@@ -22,6 +22,7 @@
 		}
 	}
 	g.limitConns(g.table.Load(), in)
+	crashed := change == engines.Restarted && g.registry.Crashed(listedBefore.Incarnation())
 	conflicts := g.registry.AddrConflicts(in.ID)
 	g.mu.Unlock()
 	switch change {
@@ -32,8 +33,8 @@
 		return
 	case engines.Restarted:
 		// Connections to the earlier incarnation are of no more use.
-		g.pool.Forget(prev.Info().Addr)
-		g.recordEnd(prev.Info())
+		g.pool.Forget(listedBefore.Addr)
+		g.recordEnd(listedBefore, crashed)
 	}
 	g.log.Info("engine", append([]any{"change", string(change), "engine", in.ID, "born", in.StartedAt, "version", in.Version, "service", in.Service, "addr", in.Addr, "hall", in.Hall}, origin...)...)
 	for _, o := range conflicts {
@@ -50,21 +51,22 @@
 	}
 	delete(g.warmupParts, id)
 	origin := g.listOrigin()
+	crashed := g.registry.Crashed(in.Incarnation())
 	g.mu.Unlock()
 	if !ok {
 		return
 	}
 	g.pool.Forget(in.Addr)
-	g.recordEnd(in)
+	g.recordEnd(in, crashed)
 	g.log.Info("engine", append([]any{"change", string(engines.Removed), "engine", id, "service", in.Service, "addr", in.Addr, "cause", cause}, origin...)...)
 }
 
-// recordEnd records that an incarnation of an engine has ended by the list. If it had
-// reported that it was draining, it ended as planned, whatever ran there.
-func (g *Gate) recordEnd(in engines.Info) {
+// recordEnd records that an incarnation of an engine has ended by the list. If it had not
+// crashed, it ended as planned, whatever ran there.
+func (g *Gate) recordEnd(in engines.Info, crashed bool) {
 	hash := in.Incarnation().Hash()
 	g.guard.ConfirmCrash(hash)
-	if !in.Draining {
+	if crashed {
 		g.guard.RecordIncarnationEnd(hash, in.ID, endedByList)
 	}
 }
--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/statement"
 	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
@@ -98,6 +99,15 @@
 	return outcomeName(o), g.isLost(p.Incarnation().Hash())
 }
 
+// BreakOff chooses an engine for a request, records what the engine says then and that it broke
+// off the request, and returns its listing entry.
+func (g *Gate) BreakOff(r *http.Request, said statement.Said) engines.Info {
+	c := g.prepare(r)
+	p := g.chooseAndHear(c, said)
+	g.guard.RecordBrokenAttempt(c.suspect(), p.Incarnation().Hash(), p.ID, false)
+	return p.Info
+}
+
 func (g *Gate) chooseAndHear(c *call, said statement.Said) pick {
 	p, err := g.choose(c, false)
 	if err != nil {
--- a/gate/room_test.go
+++ b/gate/room_test.go
@@ -23,9 +23,15 @@
 // The returned function reports the loads again: reports are recent for a second only, which a
 // busy machine may take for a few requests.
 func newLoadedGate(t *testing.T, requests int, priorities ...int) (*gate.Gate, func()) {
+	t.Helper()
+	return newLoggingGate(t, slog.New(slog.DiscardHandler), requests, priorities...)
+}
+
+// newLoggingGate is like newLoadedGate, with a log.
+func newLoggingGate(t *testing.T, log *slog.Logger, requests int, priorities ...int) (*gate.Gate, func()) {
 	t.Helper()
 	clk := clock.System()
-	g := gate.New(gate.Config{Clock: clk, Log: slog.New(slog.DiscardHandler), Dialect: gate.Dialect{RequestID: "Id", Deadline: "Deadline", Prompt: "Prompt", Tokens: "Tokens", Tenant: "Tenant", Priority: "Priority", FetchFrom: "Fetch", ExpectEngine: "Expect", NotRun: "Not-Run", Load: "Load", LastEventID: "Last", Resumes: "Resumes"}})
+	g := gate.New(gate.Config{Clock: clk, Log: log, Dialect: gate.Dialect{RequestID: "Id", Deadline: "Deadline", Prompt: "Prompt", Tokens: "Tokens", Tenant: "Tenant", Priority: "Priority", FetchFrom: "Fetch", ExpectEngine: "Expect", NotRun: "Not-Run", Load: "Load", LastEventID: "Last", Resumes: "Resumes"}})
 	cfg := table.Config{Version: 1}
 	for i, p := range priorities {
 		cfg.Routes = append(cfg.Routes, &table.Route{
