callers: Tell the header of a request of HTTP/1.0 from bodies before it

A caller of HTTP/1.0 that keeps its connection got 400 for a valid request if a line of an earlier body on the connection began with "Transfer-Encoding". net/http drops that field of a request of HTTP/1.0 and its body with it, so such requests are refused, and what was looked for was a line anywhere in the data read so far.

Where requests begin and end is now followed on each connection: headers end at an empty line, and the lengths of bodies are those that net/http found, so nothing is parsed twice. Only lines of the request's own header count. What cannot be followed counts as before, by any line on the connection: everything behind a chunked request, and behind a request that net/http answers without a handler (OPTIONS *), which the first line of the header shows. A request is never passed on where it was refused before, but for lines that are not in its header.

TestChunkedHTTP10RequestIsRejectedBehindOthers (5 forms of the field behind 16 kinds of data, by 1, 7 and all bytes a write) guards the refusal; without the look at the first line it fails behind OPTIONS *.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -194,6 +194,7 @@
 	end     connEnd
 	closed  bool
 	framing framingDetector
+	heads   headTracker
 	// resetOnClose is set while closing the connection sends a reset. It is used only by the
 	// goroutine of the request's handler.
 	resetOnClose bool
@@ -223,6 +224,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.framing.scan(p[:n])
+	c.heads.scan(p[:n])
 	c.markActive()
 	c.request.recordRead(n, c.server.cfg.Clock.Now())
 	// A read of one byte is the one by which net/http detects a disconnect.
--- a/callers/lengths.go
+++ b/callers/lengths.go
@@ -22,7 +22,8 @@
 
 // framingDetector detects which framing header fields occurred on a connection. It cannot tell
 // which of several requests had them, since net/http may have read ahead, and a line of a body
-// may look like a header field. In both cases a valid request can lose its connection.
+// may look like a header field. In both cases a valid request can lose its connection, but one of
+// HTTP/1.0 is rejected for it only if headTracker has given up.
 type framingDetector struct{ contentLength, transferEncoding fieldDetector }
 
 // scan processes data that net/http reads from the connection.
@@ -68,7 +69,7 @@
 // a request that may have both Content-Length and Transfer-Encoding.
 func checkFraming(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		contentLength, transferEncoding := connFromContext(r.Context()).framingFields()
+		contentLength, transferEncoding := connFromContext(r.Context()).framingFields(r)
 		if transferEncoding && r.ContentLength == 0 && !r.ProtoAtLeast(1, 1) {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "HTTP/1.0 does not support Transfer-Encoding", http.StatusBadRequest)
@@ -81,13 +82,17 @@
 	})
 }
 
-// framingFields reports whether a request on the connection may have had Content-Length, or
-// Transfer-Encoding.
-func (c *conn) framingFields() (contentLength, transferEncoding bool) {
+// framingFields reports whether a request on the connection may have had Content-Length, and
+// whether the one that begins has, or may have, Transfer-Encoding.
+func (c *conn) framingFields(r *http.Request) (contentLength, transferEncoding bool) {
 	if c == nil {
 		return false, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.framing.contentLength.found, c.framing.transferEncoding.found
+	transferEncoding, known := c.heads.begin(r)
+	if !known {
+		transferEncoding = c.framing.transferEncoding.found
+	}
+	return c.framing.contentLength.found, transferEncoding
 }
