callers: Log the end of a connection whose next request is being read ahead

Operators saw no line connection_ended, and no count, for a request that a caller sent before a response that closes the connection. The goroutine that reads ahead had just read it, and Close looked before it had the lock: what was sent was neither unread nor buffered. Close now stops the reading ahead first, as the next read of net/http does.

TestEndIsLoggedWhileTheNextRequestIsBeingReadAhead forces that order by a connection that returns late what it reads, and failed before with no line in 20 s.

--- a/callers/ahead.go
+++ b/callers/ahead.go
@@ -99,20 +99,34 @@
 	return false
 }
 
-// drainReadAhead stops the reading ahead and copies buffered data to p. If it returns 0 and nil,
-// nothing is buffered and the connection must be read.
-func (c *conn) drainReadAhead(p []byte) (int, error) {
+// stopReadAhead stops the reading ahead and reports whether there was any. Whatever was read is
+// then buffered. The read deadline is in the past afterwards.
+func (c *conn) stopReadAhead() bool {
 	c.mu.Lock()
 	done := c.pipelined.done
-	c.pipelined.done = nil
 	c.mu.Unlock()
-	if done != nil {
-		// Both calls fail only if the connection is closed, which the next read reports.
-		_ = c.Conn.SetReadDeadline(clock.Deadline(0))
-		<-done
+	if done == nil {
+		return false
+	}
+	// Fails only if the connection is closed, which ends the read.
+	_ = c.Conn.SetReadDeadline(clock.Deadline(0))
+	<-done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pipelined.done == done {
+		c.pipelined.done = nil
+	}
+	return true
+}
+
+// drainReadAhead stops the reading ahead and copies buffered data to p. If it returns 0 and nil,
+// nothing is buffered and the connection must be read.
+func (c *conn) drainReadAhead(p []byte) (int, error) {
+	if c.stopReadAhead() {
 		c.mu.Lock()
 		deadline := c.pipelined.deadline
 		c.mu.Unlock()
+		// Fails only if the connection is closed, which the next read reports.
 		_ = c.Conn.SetReadDeadline(deadline)
 	}
 	c.mu.Lock()
--- a/callers/conns.go
+++ b/callers/conns.go
@@ -253,6 +253,8 @@
 	c.server.mu.Lock()
 	closing := c.server.closing
 	c.server.mu.Unlock()
+	// What is being read ahead is neither unread nor buffered.
+	c.stopReadAhead()
 	answered := c.reportEnd()
 	if (answered || c.lingerOnClose.Load()) && !closing {
 		c.closeLingering()
--- a/callers/progress_test.go
+++ b/callers/progress_test.go
@@ -152,3 +152,63 @@
 		})
 	}
 }
+
+// slowReads is a listener whose connections return what they read behind the first request late.
+type slowReads struct {
+	net.Listener
+	delay time.Duration
+	// began is closed when the late data has been read.
+	began chan struct{}
+}
+
+func (l slowReads) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowReadConn{TCPConn: nc.(*net.TCPConn), l: l}, nil
+}
+
+type slowReadConn struct {
+	*net.TCPConn
+	l     slowReads
+	first bool
+}
+
+// Read is called by one goroutine at a time. The first read is that of the first request, and
+// net/http reads one byte of the next to detect a disconnect.
+func (c *slowReadConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 1 && c.first {
+		close(c.l.began)
+		time.Sleep(c.l.delay)
+	}
+	c.first = c.first || n > 1
+	return n, err
+}
+
+// Guards against an end that is not logged because the next request is neither unread nor
+// buffered at that moment: the goroutine that reads ahead has just read it.
+func TestEndIsLoggedWhileTheNextRequestIsBeingReadAhead(t *testing.T) {
+	began := make(chan struct{})
+	started := make(chan struct{})
+	wrap := func(ln net.Listener) net.Listener { return slowReads{ln, 300 * time.Millisecond, began} }
+	s := serveWithOptions(t, serverOptions{limits: func() callers.Limits { return callers.Limits{Idle: 60_000, Header: 60_000} }, wrapListener: wrap}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		close(started)
+		<-began
+	})
+	nc, r := s.dial()
+	send(t, nc, request)
+	<-started
+	send(t, nc, request)
+	if !readResponse(r) {
+		t.Fatal("got no response to the first request")
+	}
+	line := s.logs.waitForLine(t, "connection_ended")
+	for _, want := range []string{"cause=after_response", "response=whole", fmt.Sprint("ahead=", len(request)-1)} {
+		if !strings.Contains(line, " "+want) {
+			t.Errorf("got %q, want %s in it", line, want)
+		}
+	}
+}
