callers: Close the connection after a request of HTTP/1.0 with both lengths

A request of HTTP/1.0 with Content-Length and Transfer-Encoding kept its connection, and what followed its body was served as the next request. net/http removes Transfer-Encoding from it and goes by the length; an intermediary that goes by the other takes the same data for another request. RFC 9112, section 6.1, requires that the connection is closed after such a request, as is done for one of HTTP/1.1 with both.

--- a/callers/lengths.go
+++ b/callers/lengths.go
@@ -10,8 +10,9 @@
 // response to such a request. An intermediary that used the other length would take the data
 // after it for another request (request smuggling).
 //
-// For a chunked request of HTTP/1.0, net/http drops the body and passes the request on without
-// one. According to the same section the framing of such a request is faulty.
+// For a request of HTTP/1.0, net/http removes Transfer-Encoding and goes by Content-Length, or
+// takes the request for one without a body. According to the same section the framing of such a
+// request is faulty.
 
 // Beginnings of the header lines that define the length of a body, with the end of the
 // preceding line.
@@ -75,7 +76,7 @@
 			http.Error(w, "HTTP/1.0 does not support Transfer-Encoding", http.StatusBadRequest)
 			return
 		}
-		if contentLength && len(r.TransferEncoding) > 0 {
+		if contentLength && len(r.TransferEncoding) > 0 || transferEncoding && !r.ProtoAtLeast(1, 1) {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
--- a/callers/lengths_test.go
+++ b/callers/lengths_test.go
@@ -64,6 +64,53 @@
 	}
 }
 
+// Guards against request smuggling by a request of HTTP/1.0: net/http goes by its length, and an
+// intermediary may go by its Transfer-Encoding.
+func TestHTTP10RequestWithBothLengthsClosesConnection(t *testing.T) {
+	t.Parallel()
+	quoted := fmt.Sprintf("POST / HTTP/1.0\r\n%sContent-Length: 23\r\n\r\n\nTransfer-Encoding: none", kept)
+	for name, before := range map[string]string{"alone": "", "after a body like a header": quoted, "after a chunked request": fmt.Sprintf(chunked, "one", "")} {
+		for _, fields := range []string{"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "transfer-encoding: x\r\nContent-Length: 5\r\n"} {
+			for _, piece := range []int{1, 7, 4096} {
+				t.Run(fmt.Sprintf("%s, %q, %d bytes per write", name, fields, piece), func(t *testing.T) {
+					t.Parallel()
+					var after atomic.Bool
+					s := serve(t, 60_000, 60_000, func(_ http.ResponseWriter, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body)
+						if r.URL.Path == "/after" {
+							after.Store(true)
+						}
+					})
+					nc, r := s.dial()
+					if err := nc.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+						t.Fatal(err)
+					}
+					go writePieces(nc, before+"POST /both HTTP/1.0\r\n"+kept+fields+"\r\n0\r\n\r\nGET /after HTTP/1.0\r\n"+kept+"\r\n", piece)
+					if _, err := io.ReadAll(r); errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("got %v, want the connection closed", err)
+					}
+					if after.Load() {
+						t.Error("got a request served after one with both lengths")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a connection of HTTP/1.0 that is closed for what a body says.
+func TestHTTP10RequestWithOneLengthKeepsConnection(t *testing.T) {
+	t.Parallel()
+	s := serve(t, 60_000, 60_000, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	nc, r := s.dial()
+	for i := range 3 {
+		send(t, nc, fmt.Sprintf("POST / HTTP/1.0\r\n%sContent-Length: 23\r\n\r\n\nTransfer-Encoding: none", kept))
+		if !keepsConn(r) {
+			t.Fatalf("request %d: got the connection closed, want it kept open", i)
+		}
+	}
+}
+
 // Checks that a request with only one kind of length keeps its connection open.
 func TestRequestWithOneLengthKeepsConnection(t *testing.T) {
 	t.Parallel()
