--- a/callers/lengths.go
+++ b/callers/lengths.go
@@ -10,8 +10,9 @@
 // response to such a request. An intermediary that used the other length would take the data
 // after it for another request (request smuggling).
 //
-// For a chunked request of HTTP/1.0, net/http drops the body and passes the request on without
-// one. According to the same section the framing of such a request is faulty.
+// For a request of HTTP/1.0, net/http removes Transfer-Encoding and goes by Content-Length, or
+// takes the request for one without a body. According to the same section the framing of such a
+// request is faulty.
 
 // Beginnings of the header lines that define the length of a body, with the end of the
 // preceding line.
@@ -22,7 +23,8 @@
 
 // framingDetector detects which framing header fields occurred on a connection. It cannot tell
 // which of several requests had them, since net/http may have read ahead, and a line of a body
-// may look like a header field. In both cases a valid request can lose its connection.
+// may look like a header field. In both cases a valid request can lose its connection, but one of
+// HTTP/1.0 is rejected for it only if headTracker has given up.
 type framingDetector struct{ contentLength, transferEncoding fieldDetector }
 
 // scan processes data that net/http reads from the connection.
@@ -68,26 +70,30 @@
 // a request that may have both Content-Length and Transfer-Encoding.
 func checkFraming(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		contentLength, transferEncoding := connFromContext(r.Context()).framingFields()
+		contentLength, transferEncoding := connFromContext(r.Context()).framingFields(r)
 		if transferEncoding && r.ContentLength == 0 && !r.ProtoAtLeast(1, 1) {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "HTTP/1.0 does not support Transfer-Encoding", http.StatusBadRequest)
 			return
 		}
-		if contentLength && len(r.TransferEncoding) > 0 {
+		if contentLength && len(r.TransferEncoding) > 0 || transferEncoding && !r.ProtoAtLeast(1, 1) {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
-// framingFields reports whether a request on the connection may have had Content-Length, or
-// Transfer-Encoding.
-func (c *conn) framingFields() (contentLength, transferEncoding bool) {
+// framingFields reports whether a request on the connection may have had Content-Length, and
+// whether the one that begins has, or may have, Transfer-Encoding.
+func (c *conn) framingFields(r *http.Request) (contentLength, transferEncoding bool) {
 	if c == nil {
 		return false, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.framing.contentLength.found, c.framing.transferEncoding.found
+	transferEncoding, known := c.heads.begin(r)
+	if !known {
+		transferEncoding = c.framing.transferEncoding.found
+	}
+	return c.framing.contentLength.found, transferEncoding
 }
