gate: Send callers of a stream of unknown origin to another entry at once if this one is out of step

An entry that nobody answers, or one of whose peers has a list that is 2 s fresher, is out of step, and a retry reaches another entry: Retry-After is 10 ms in place of 500.

--- a/gate/origin.go
+++ b/gate/origin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/xxh3"
@@ -25,9 +26,12 @@
 	// origin of the stream. The record is sent with the request, so that an entry usually
 	// holds it long before the event.
 	originHeldTimeout clock.Millis = 100
-	// retryOrigin is sent in Retry-After if the origin of a stream is unknown. An entry
-	// that did not respond may know it.
+	// retryOrigin is sent in Retry-After if the origin of a stream is unknown, unless another
+	// entry is likely to know it. An entry that did not respond may do so later.
 	retryOrigin clock.Millis = 500
+	// fresherBy is how much later the list of another entry is than that of this one if this one
+	// is out of step rather than between two reads.
+	fresherBy clock.Millis = 2000
 )
 
 // resumption is what a request says about the stream that it resumes. The zero value is
@@ -92,12 +96,27 @@
 	if err != nil {
 		c.doubt = doubtOf(err)
 		countNotContinued(verdict.UnknownOrigin, c.doubt)
-		return verdict.New(verdict.NotRun, verdict.UnknownOrigin, "the stream cannot be resumed: %w", err).WithRetryAfter(retryOrigin)
+		return verdict.New(verdict.NotRun, verdict.UnknownOrigin, "the stream cannot be resumed: %w", err).WithRetryAfter(g.retryUnknownOrigin(c))
 	}
 	c.version, c.versionBasis = version, by
 	return nil
 }
 
+// retryUnknownOrigin returns when a request that resumes a stream of unknown origin may be
+// retried: at once if this entry is out of step, since a retry reaches another one.
+func (g *Gate) retryUnknownOrigin(c *call) clock.Millis {
+	s := c.originSearch
+	if c.doubt != unproven || s.Others == 0 {
+		return retryOrigin
+	}
+	asOf := g.clk.Now() - c.originListAge
+	fresher := slices.ContainsFunc(s.Findings, func(f origin.Finding) bool { return f.Knowledge.AsOf >= asOf+fresherBy })
+	if len(s.Findings) == 0 || fresher {
+		return retryAtOnce
+	}
+	return retryOrigin
+}
+
 // Reasons why the version that began a stream is not known.
 var (
 	errAmbiguousOrigin = errors.New("several streams began with the request ID that it names, at different software versions")
