fleet: Take no peer that is behind as proof of being complete

What callers saw, on the own path: an entry that started beside another one served with a part of the settings and of the list of instances. It claimed keys at the few daemons that it knew (3 of 3 in the test, 5 of 7 at the other entries), so that two attempts with one key could both run; entries that knew nothing at all rejected valid keys with 401.

Cause: an exchange compared the own revisions with those of the peer that it went to. A peer that has less, as it started at the same time, objects to nothing, and one such answer made the process caught up, its list complete and its branches complete for good.

Now the newest revision that any peer had in the last 15 s counts (as long as stale data makes others than the readers ask the platform), and a topic of which nothing is known is not complete. A revision that nobody has any more is forgotten, so that a fleet that lost it serves again. A process that reads the platform is ready as before.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -113,10 +113,11 @@
 	leaving := n.markLeaving(res.Leaving)
 	n.observeLoads(res.Loads)
 	n.respondedPeers[id] = true
-	n.caughtUp = n.upToDate(res.Revs)
-	n.listComplete = n.store.Upto(wire.TopicInstances) >= res.Revs[wire.TopicInstances]
-	if rev, ok := res.Revs[wire.TopicBranches]; ok {
-		n.branchesComplete = n.store.Upto(wire.TopicBranches) >= rev
+	n.newest.record(res.Revs, n.clk.Now())
+	n.caughtUp = n.upToDate()
+	n.listComplete = n.isComplete(wire.TopicInstances)
+	if _, ok := res.Revs[wire.TopicBranches]; ok {
+		n.branchesComplete = n.isComplete(wire.TopicBranches)
 	}
 	n.mu.Unlock()
 	metrics.GetOrCreateCounter("weldfall_exchange_total").Inc()
@@ -128,22 +129,29 @@
 	n.updateReady(listed)
 }
 
-// upToDate reports whether this process has all that a peer with the revisions revs has of
-// the topics that this process needs before it serves. A daemon can serve without the whole
-// list of instances, which takes minutes to receive in a large fleet. The caller holds mu.
-func (n *Node) upToDate(revs map[wire.Topic]int64) bool {
+// upToDate reports whether this process has all of the topics that it needs before it serves.
+// A daemon can serve without the whole list of instances, which takes minutes to receive in a
+// large fleet. The caller holds mu.
+func (n *Node) upToDate() bool {
 	needed := []wire.Topic{wire.TopicCore}
 	if n.cfg.Role == member.Entry {
 		needed = append(needed, wire.TopicInstances)
 	}
 	for _, t := range needed {
-		if n.store.Upto(t) < revs[t] {
+		if !n.isComplete(t) {
 			return false
 		}
 	}
 	return true
 }
 
+// isComplete reports whether this process has something of a topic, and all that peers lately
+// had. The caller holds mu.
+func (n *Node) isComplete(t wire.Topic) bool {
+	upto := n.store.Upto(t)
+	return upto > 0 && upto >= n.newest.of(t, n.clk.Now())
+}
+
 // maxPushedItems is the largest number of new items in one exchange that are pushed to other
 // peers. If there are more, none are pushed.
 const maxPushedItems = 3
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -75,13 +75,14 @@
 	targets map[string]*poolTargets
 	// respondedPeers holds the peers that responded since the start or the latest pause.
 	respondedPeers map[string]bool
-	caughtUp       bool
-	// listComplete is true once a peer had nothing newer in the list of instances.
-	listComplete bool
-	// branchesComplete is true once a peer had no branch that is missing here.
-	branchesComplete bool
-	fetchLimit       *rate.Limiter
-	platformRead     bool
+	// newest holds the newest revision of each topic that peers lately had.
+	newest newestRevisions
+	// caughtUp, listComplete and branchesComplete are true if, at the latest exchange, nothing
+	// that peers lately had was missing here of what this process needs, of the list of
+	// instances and of the branches.
+	caughtUp, listComplete, branchesComplete bool
+	fetchLimit                               *rate.Limiter
+	platformRead                             bool
 	// renewing is true after a pause: the local data is old but complete.
 	renewing bool
 
@@ -109,7 +110,7 @@
 		cfg: cfg, clk: cfg.Clock, startedAt: now,
 		store: spread.NewStore(TopicsOf(cfg.Role), cfg.ChunkBytes), tree: settings.NewTree(),
 		view: member.NewView(cfg.ID, now), loads: route.NewLoads(), targets: map[string]*poolTargets{},
-		respondedPeers: map[string]bool{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
+		respondedPeers: map[string]bool{}, newest: newestRevisions{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
 	}
 }
 
