gate: Report a version with its own confirmation

What callers saw: an entry that is cut off from the store, and not from the other entries, accepts a key for up to five seconds longer than it may, if one of them reports just while a new version comes into force there.

Cause: LocalStatus read the version in force before it took the lock and its age after it. If a version and its confirmation came in between, the report confirmed the earlier version as of the time at which the later one was read, and who had the earlier one believed it. SetTable stored the version outside the lock as well, between a comparison with the one before and the confirmation.

A version is now compared, stored and confirmed in one step, and taken together with its age. By the same step two reads that end at once can't put the older version back; that was found by reading and not shown.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -171,7 +171,8 @@
 	// evacuated lists the data halls under evacuation, sorted.
 	evacuated []string
 	// tableFreshness is when the table and the evacuations, which are read together, were
-	// last known to be current; listFreshness is the same for the list of engines.
+	// last known to be current; listFreshness is the same for the list of engines. table is
+	// stored under mu, so that it can be taken together with its freshness.
 	tableFreshness fresh.Tracker
 	listFreshness  fresh.Tracker
 	list           listState
--- a/gate/status.go
+++ b/gate/status.go
@@ -100,9 +100,9 @@
 	now := g.clk.Now()
 	s := peers.Status{Usage: g.fair.Report(now)}
 	s.SuspectSum, s.Suspects = g.guard.Summarize(suspects)
-	t := g.table.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	t := g.table.Load()
 	if s.Epoch = g.epoch.Number(); s.Epoch > 0 {
 		s.EpochAge = g.epoch.Age(now)
 	}
--- a/gate/table.go
+++ b/gate/table.go
@@ -11,19 +11,18 @@
 // version older than the one in force is ignored. If it is of a later epoch, it confirms the
 // one in force, as long as the store cannot lack what was written before that epoch.
 func (g *Gate) SetTable(t *table.Table, a table.Arrival) {
+	g.mu.Lock()
 	old := g.table.Load()
 	if old != nil && t.Version() < old.Version() {
-		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "epoch", a.Epoch, "cause", "older than the one in force")
-		g.mu.Lock()
-		defer g.mu.Unlock()
 		if !a.Unconfirmed && a.Epoch > g.tableEpoch {
 			g.confirm(a.Epoch, a.ConfirmedAt)
 		}
+		g.mu.Unlock()
+		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "epoch", a.Epoch, "cause", "older than the one in force")
 		return
 	}
 	newer := old == nil || old.Version() != t.Version()
 	g.table.Store(t)
-	g.mu.Lock()
 	g.tableEpoch = a.Epoch
 	if !a.Unconfirmed {
 		g.confirm(a.Epoch, a.ConfirmedAt)
