gate: Judge a key by the age of its own version

Cause: a request found its route and its key in the version that was in force when it arrived, and read the age afterwards. If the next version came into force in between, that version's confirmation vouched for the earlier one's keys, which it may just have revoked.

A request now takes the version together with its freshness, and every check of an age that rests on what the version has or lacks uses these. Confirmations that come later don't count for it: they may be of the next version. The time in between is short, but a process that stands still or gets little processor time lies in it for as long as that lasts.

--- a/gate/call.go
+++ b/gate/call.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/engines/locality"
@@ -43,10 +44,13 @@
 	giveUpAt clock.Millis
 	// callerTimeout is how long the caller waits, zero if it does not say.
 	callerTimeout clock.Millis
-	table         *table.Table
-	route         *table.Route
-	service       string
-	workspace     *table.Workspace
+	// table is the version that was in force when the route was found, and tableFreshness its
+	// freshness then: later confirmations may be of the next version.
+	table          *table.Table
+	tableFreshness fresh.Tracker
+	route          *table.Route
+	service        string
+	workspace      *table.Workspace
 	// pressure is how full the engines of the service were when their room was checked: 1
 	// if all slots were taken. It is zero if it was not checked.
 	pressure float64
--- a/gate/confirmed_test.go
+++ b/gate/confirmed_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"log/slog"
+	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/gate"
 	"github.com/weldfall/weldfall/table"
+	"github.com/weldfall/weldfall/verdict"
 )
 
 // withKeys returns a version of the table with a route and the keys of one workspace.
@@ -18,6 +22,49 @@
 	})
 }
 
+// Guards against a revoked key that is accepted: a request that found its route in an outdated
+// version took the confirmation of the version that followed as one of its own.
+func TestConfirmationOfTheNextVersionVouchesForNoKey(t *testing.T) {
+	for name, tc := range map[string]struct {
+		key  string
+		age  time.Duration
+		next bool
+		want verdict.Reason
+	}{
+		"revoked by the next version":        {"revoked", 6 * time.Second, true, verdict.NotReady},
+		"in both versions, the first is old": {"kept", 6 * time.Second, true, verdict.NotReady},
+		"added by the next version":          {"added", 6 * time.Second, true, verdict.NotReady},
+		"in both versions":                   {"kept", time.Second, true, ""},
+		"no next version":                    {"kept", time.Second, false, ""},
+		"no next version, old":               {"kept", 6 * time.Second, false, verdict.NotReady},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clk := clock.System()
+				g := gate.New(gate.Config{Clock: clk, Log: slog.New(slog.DiscardHandler), Dialect: gate.Dialect{RequestID: "X-Id"}, Bounds: gate.Bounds{Revocation: 5000, Change: 2000}})
+				g.SetTable(withKeys(5, "kept", "revoked"), table.Arrival{ConfirmedAt: clk.Now()})
+				time.Sleep(tc.age)
+				r := httptest.NewRequest("GET", "/x", nil)
+				r.Host = "h"
+				r.Header.Set("X-Id", "1")
+				r.Header.Set("Authorization", "Bearer "+tc.key)
+				err := g.AuthoriseAfter(r, func() {
+					if tc.next {
+						g.SetTable(withKeys(6, "kept", "added"), table.Arrival{ConfirmedAt: clk.Now()})
+					}
+				})
+				var got verdict.Reason
+				if err != nil {
+					got = err.Reason()
+				}
+				if got != tc.want {
+					t.Errorf("got reason %q, want %q", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a report that confirms a version as of the time at which the next one was
 // confirmed: peers with the earlier one would go on accepting the keys that it still has.
 func TestReportedConfirmationIsOfTheReportedVersion(t *testing.T) {
--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -109,3 +109,15 @@
 	g.registry.RecordStatement(p.Incarnation(), said, g.clk.Now())
 	return p
 }
+
+// AuthoriseAfter runs the steps up to authorise for a request, and between before the last one.
+func (g *Gate) AuthoriseAfter(r *http.Request, between func()) *verdict.Error {
+	c := g.newCall(httptest.NewRecorder(), r)
+	for _, step := range []func(context.Context, *call) *verdict.Error{g.validateHeaders, g.resolve} {
+		if err := step(r.Context(), c); err != nil {
+			panic(err)
+		}
+	}
+	between()
+	return g.authorise(r.Context(), c)
+}
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -10,9 +10,11 @@
 
 	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/engines/duration"
 	"github.com/weldfall/weldfall/gate/prompt"
+	"github.com/weldfall/weldfall/table"
 	"github.com/weldfall/weldfall/verdict"
 )
 
@@ -59,7 +61,7 @@
 
 // resolve finds the route and the service of the request.
 func (g *Gate) resolve(_ context.Context, c *call) *verdict.Error {
-	c.table = g.table.Load()
+	c.table, c.tableFreshness = g.currentTable()
 	if c.table == nil {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry does not know the routes yet").WithRetryAfter(retryStale)
 	}
@@ -72,7 +74,7 @@
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.table.Route(c.r.Host, path)
 	if !ok {
-		return g.denied(verdict.NoRoute, "no route for host %q and this path", c.r.Host)
+		return g.denied(c, verdict.NoRoute, "no route for host %q and this path", c.r.Host)
 	}
 	c.route = route
 	limit := maxRequestTime
@@ -127,19 +129,31 @@
 // headerLineOverhead is the size of a header line apart from its name and value, in bytes.
 const headerLineOverhead = 4
 
-// denied returns the error for a key or path that is not in the table. If the table is older
+// currentTable returns the table in force, nil if there is none, and its freshness.
+func (g *Gate) currentTable() (*table.Table, fresh.Tracker) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Load(), g.tableFreshness
+}
+
+// denied returns the error for a key or path that is not in the call's table. If that is older
 // than maxDenialAge and may lack a recent addition, it returns a NotReady error instead.
-func (g *Gate) denied(reason verdict.Reason, format string, args ...any) *verdict.Error {
+func (g *Gate) denied(c *call, reason verdict.Reason, format string, args ...any) *verdict.Error {
 	now := g.clk.Now()
-	g.mu.Lock()
-	age, current, retryAfter := g.tableFreshness.Age(now), g.tableFreshness.Within(maxDenialAge, now), g.retryElsewhere(now)
-	g.mu.Unlock()
-	if !current {
-		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's routes and keys are %d ms old and may be out of date", age).WithRetryAfter(retryAfter)
+	if !c.tableFreshness.Within(maxDenialAge, now) {
+		return g.outOfDate(c, now, "this entry's routes and keys are %d ms old and may be out of date")
 	}
 	return verdict.New(verdict.NotRun, reason, format, args...)
 }
 
+// outOfDate returns the error for a call whose table is too old; format has its age.
+func (g *Gate) outOfDate(c *call, now clock.Millis, format string) *verdict.Error {
+	g.mu.Lock()
+	retryAfter := g.retryElsewhere(now)
+	g.mu.Unlock()
+	return verdict.New(verdict.NotRun, verdict.NotReady, format, c.tableFreshness.Age(now)).WithRetryAfter(retryAfter)
+}
+
 // authorise finds the workspace of the key. Keys are accepted only while the age of the
 // table is below the bound for revoked keys.
 func (g *Gate) authorise(_ context.Context, c *call) *verdict.Error {
@@ -147,18 +161,15 @@
 		return nil
 	}
 	now := g.clk.Now()
-	g.mu.Lock()
-	age, current, retryAfter := g.tableFreshness.Age(now), g.tableFreshness.Within(g.maxKeyAge(), now), g.retryElsewhere(now)
-	g.mu.Unlock()
-	if !current {
-		return verdict.New(verdict.NotRun, verdict.NotReady, "this entry's keys are %d ms old and may have been revoked", age).WithRetryAfter(retryAfter)
+	if !c.tableFreshness.Within(g.maxKeyAge(), now) {
+		return g.outOfDate(c, now, "this entry's keys are %d ms old and may have been revoked")
 	}
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		return g.denied(verdict.Unauthorized, "no bearer key: send Authorization: Bearer KEY")
+		return g.denied(c, verdict.Unauthorized, "no bearer key: send Authorization: Bearer KEY")
 	}
 	if c.workspace, ok = c.table.Workspace(strings.TrimSpace(key)); !ok {
-		return g.denied(verdict.Unauthorized, "unknown key")
+		return g.denied(c, verdict.Unauthorized, "unknown key")
 	}
 	return nil
 }
