fleet: Count a platform as read by the topics that a process needs

What callers saw, on the own path: an entry that started while the platform answered for the settings and not for the list of instances served three seconds later with what its peers had sent of the list by then.

Cause: one answer of the platform, of either topic, counted as having read it, also if the answer said that there is more.

A topic counts once it was read to its end; an entry needs the settings and the list of instances, a daemon the settings. An entry that starts goes on reading a topic until then, where it stopped after the first answer.

--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +21,7 @@
 	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
+	"github.com/weldfall/weldfall/standin/platform"
 )
 
 // cannedPeer answers each exchange with what its topics hold.
@@ -87,11 +91,17 @@
 
 // startEntry starts an entry that can't reach the platform.
 func startEntry(t *testing.T, bootstrap string) *fleet.Node {
+	t.Helper()
+	return startEntryAt(t, source.New("http://"+unreachable(t), clock.System()), bootstrap)
+}
+
+// startEntryAt starts an entry that reads a platform.
+func startEntryAt(t *testing.T, p *source.Client, bootstrap string) *fleet.Node {
 	t.Helper()
 	clk := clock.System()
 	n := fleet.New(fleet.Config{
 		ID: "entry-1", Role: member.Entry, Hall: "hall-a", Bootstrap: []string{bootstrap}, Clock: clk, Log: slog.New(slog.DiscardHandler),
-		Platform: source.New("http://"+unreachable(t), clk), Pool: link.NewPool(clk, &cannedPeer{}),
+		Platform: p, Pool: link.NewPool(clk, &cannedPeer{}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -183,3 +193,41 @@
 		t.Errorf("got a ready entry after %d exchanges with a peer that knows nothing, want one that is not ready", empty.count())
 	}
 }
+
+// Guards against a started entry that serves with a part of the list of instances, because the
+// platform answered for the settings alone: it would claim keys at the few daemons that it knows.
+func TestSettingsOfThePlatformDoNotMakeAnEntryReady(t *testing.T) {
+	t.Parallel()
+	clk := clock.System()
+	p := platform.New(platform.Config{Clock: clk})
+	p.Put("config", "root", "{}")
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, string(source.Instances)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		p.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	partial := &cannedPeer{}
+	partial.setAnswer(func(wire.Exchange) wire.Exchanged {
+		value := `{"id":"daemon-1","role":"daemon","addr":"127.0.0.1:1","hall":"hall-a","pool":"chat","state":"leaving"}`
+		upto := allTopics(12)
+		upto[wire.TopicInstances] = 1
+		return wire.Exchanged{
+			Items: []wire.Item{{Topic: wire.TopicInstances, Key: "daemon-1", Rev: 1, Prev: wire.PrevUnknown, Value: value}},
+			Upto:  upto, Revs: allTopics(12), PlatformAge: 10,
+		}
+	})
+	n := startEntryAt(t, source.New(srv.URL, clk), partial.serve(t))
+	await(t, n, 1, 10*time.Second)
+	// An entry that waits for its peers gives up after three seconds.
+	time.Sleep(4 * time.Second)
+	if n.Ready() {
+		ws, _, _ := n.Witnesses(once.KeyHash("planning/ws0", "k"), 60_000)
+		t.Errorf("got a ready entry that claims keys at %d of %d witnesses, want one that is not ready", len(ws), once.Witnesses)
+	}
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -9,6 +9,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
 )
@@ -37,7 +38,8 @@
 	n.cfg.Log.Warn("pause_noticed", "gap_ms", int64(gap))
 	n.mu.Lock()
 	n.view.ResetExchanges()
-	n.caughtUp, n.platformRead, n.renewing = false, false, true
+	n.caughtUp, n.renewing = false, true
+	clear(n.platformRead)
 	clear(n.respondedPeers)
 	n.startedAt = n.clk.Now()
 	n.ready.Store(false)
@@ -133,16 +135,13 @@
 // A daemon can serve without the whole list of instances, which takes minutes to receive in a
 // large fleet. The caller holds mu.
 func (n *Node) upToDate() bool {
-	needed := []wire.Topic{wire.TopicCore}
-	if n.cfg.Role == member.Entry {
-		needed = append(needed, wire.TopicInstances)
-	}
-	for _, t := range needed {
-		if !n.isComplete(t) {
-			return false
-		}
-	}
-	return true
+	return n.isComplete(wire.TopicCore) && (n.cfg.Role != member.Entry || n.isComplete(wire.TopicInstances))
+}
+
+// hasReadPlatform reports whether this process has read all that the platform has of the topics
+// that it needs before it serves. The caller holds mu.
+func (n *Node) hasReadPlatform() bool {
+	return n.platformRead[source.Config] && (n.cfg.Role != member.Entry || n.platformRead[source.Instances])
 }
 
 // isComplete reports whether this process has something of a topic, and all that peers lately
@@ -178,9 +177,10 @@
 	alone := listed == 0 && len(n.cfg.Bootstrap) == 0
 	waited := n.clk.Now()-n.startedAt > startTimeout
 	fresh := n.store.PlatformAge(n.clk.Now()) < maxStartPlatformAge
-	if (n.platformRead && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing || fresh)) {
+	fromPlatform := n.hasReadPlatform()
+	if (fromPlatform && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing || fresh)) {
 		n.ready.Store(true)
-		n.cfg.Log.Info("ready", "from_platform", n.platformRead, "peers_heard", len(n.respondedPeers))
+		n.cfg.Log.Info("ready", "from_platform", fromPlatform, "peers_heard", len(n.respondedPeers))
 	}
 }
 
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -82,7 +82,9 @@
 	// instances and of the branches.
 	caughtUp, listComplete, branchesComplete bool
 	fetchLimit                               *rate.Limiter
-	platformRead                             bool
+	// platformRead holds the topics of the platform that were read to their end since the start
+	// or the latest pause.
+	platformRead map[source.Topic]bool
 	// renewing is true after a pause: the local data is old but complete.
 	renewing bool
 
@@ -110,7 +112,7 @@
 		cfg: cfg, clk: cfg.Clock, startedAt: now,
 		store: spread.NewStore(TopicsOf(cfg.Role), cfg.ChunkBytes), tree: settings.NewTree(),
 		view: member.NewView(cfg.ID, now), loads: route.NewLoads(), targets: map[string]*poolTargets{},
-		respondedPeers: map[string]bool{}, newest: newestRevisions{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
+		respondedPeers: map[string]bool{}, newest: newestRevisions{}, platformRead: map[source.Topic]bool{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
 	}
 }
 
--- a/fleet/read.go
+++ b/fleet/read.go
@@ -77,7 +77,7 @@
 				wait = 0
 			}
 			ok := n.read(ctx, t, wait)
-			first = first && !ok && !n.Ready()
+			first = first && !n.Ready() && !n.hasRead(t)
 			if !ok {
 				clock.Sleep(ctx, jitter(readBackoff))
 			}
@@ -85,6 +85,13 @@
 	}
 }
 
+// hasRead reports whether this process has read a topic of the platform to its end.
+func (n *Node) hasRead(t source.Topic) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.platformRead[t]
+}
+
 // mayRead reports whether this process may read the platform now. A reader always may. Another
 // process may from startTimeout after its start if it is not ready or its data is stale. Such
 // reads are random, so that the whole fleet makes about fallbackReadsPerSecond.
@@ -127,7 +134,9 @@
 	if b.Rev >= after {
 		n.store.RecordPlatformAnswer(0, n.clk.Now())
 	}
-	n.platformRead = true
+	if !b.More {
+		n.platformRead[t] = true
+	}
 	n.mu.Unlock()
 	if after > 0 {
 		// After a full read, this process is catching up and its items are not new to
