gate: Resume no stream that another service may have begun

No entry is out of step and nothing is cut; the operators move and divide routes.

Cause: the record of the origin is found by the service that the route leads to now. Under the new one there is none, and that the new service has had a single version was taken as proof of the version that began the stream.

A route remembers when its requests last followed other services: it was changed, removed with a shorter one behind it, or a longer one was added. A resumed stream that no record tells of is rejected (unknown_origin, not run, Retry-After; doubt route_moved) for as long as it can have begun before, which is the window of the route of before and the bound for changes. Streams that began after the move at the entries asked are found by their record as before, where there is one. Not covered: an entry that started after the move, and one that has not read the new version yet.

--- a/gate/export_test.go
+++ b/gate/export_test.go
@@ -121,3 +121,14 @@
 	between()
 	return g.authorise(r.Context(), c)
 }
+
+// Resume runs the steps up to checkMoved for a request that resumes a stream.
+func (g *Gate) Resume(r *http.Request) *verdict.Error {
+	c := g.newCall(httptest.NewRecorder(), r)
+	for _, step := range []func(context.Context, *call) *verdict.Error{g.validateHeaders, g.resolve, g.resolveOrigin, g.checkMoved} {
+		if err := step(r.Context(), c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/gate/filters.go
+++ b/gate/filters.go
@@ -14,6 +14,7 @@
 		{Name: "stay", Run: g.admit},            // a stopping process accepts only what it can finish
 		{Name: "authorise", Run: g.authorise},   // find the workspace of the key
 		{Name: "origin", Run: g.resolveOrigin},  // find the version that began a resumed stream
+		{Name: "moved", Run: g.checkMoved},      // reject a resumed stream that another service may have begun
 		{Name: "read", Run: g.readBody},         // read the body within its limits
 		{Name: "room", Run: g.checkRoom},        // reject what the engines have no room for, the least urgent first
 		{Name: "turn", Run: g.awaitTurn},        // wait briefly for a place at engines that report no load
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -162,6 +162,11 @@
 	// turns holds the requests to services whose engines report no load.
 	turns turns
 
+	// setTableMu is held while a version is put in force. moves holds the routes that lately led
+	// to other services.
+	setTableMu sync.Mutex
+	moves      routeMoves
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	registry *engines.Registry
--- a/gate/table.go
+++ b/gate/table.go
@@ -11,6 +11,12 @@
 // version older than the one in force is ignored. If it is of a later epoch, it confirms the
 // one in force, as long as the store cannot lack what was written before that epoch.
 func (g *Gate) SetTable(t *table.Table, a table.Arrival) {
+	g.setTableMu.Lock()
+	defer g.setTableMu.Unlock()
+	if old := g.table.Load(); old != nil && t.Version() >= old.Version() {
+		// Requests find the moves as soon as the version is in force.
+		g.moves.update(old, t, g.clk.Now())
+	}
 	g.mu.Lock()
 	old := g.table.Load()
 	if old != nil && t.Version() < old.Version() {
--- a/table/table.go
+++ b/table/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strings"
 
@@ -295,6 +296,24 @@
 	return s, ok
 }
 
+// ResumableStreams returns the routes of streams that may be resumed.
+func (t *Table) ResumableStreams() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, r := range t.slashRoutes {
+			if r.Kind == Stream && r.Resumable && !yield(r) {
+				return
+			}
+		}
+		for _, routes := range t.otherRoutes {
+			for _, r := range routes {
+				if r.Kind == Stream && r.Resumable && !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // StreamTimeout returns the longest timeout of the resumable streams of a service, zero if
 // it has none.
 func (t *Table) StreamTimeout(service string) clock.Millis { return t.streamTimeouts[service] }
