fleet: Reject no key whose branch may exist

What callers saw, on the own path: an entry that started lately answers 401 to a valid key, which callers don't repeat, if more than some 20 workspaces that it doesn't know yet come in a second, or if the peers that it asked had not read the branch either, or none answered.

Cause: an entry asks its peers for a branch that it lacks, within a limit, and then took what it knew as all there is: also when it had asked nobody, and whatever the peers that answered had.

A key is rejected once its branch is known, or is known not to exist: by an entry that has all branches that its peers lately had, by a platform read to its end, or by a peer that has all of them. Otherwise the answer is 503, not_ready, not run, with Retry-After.

--- a/entry/identify.go
+++ b/entry/identify.go
@@ -10,12 +10,17 @@
 
 	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/fleet"
 	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/link/wire"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/verdict"
 )
 
+// retryBranch is sent in Retry-After if the workspace of a key is not known yet. Another entry
+// may know it, and this one asks its peers once a second.
+const retryBranch clock.Millis = 1000
+
 // identify finds the workspace that the bearer key belongs to. It fails if there is none.
 func (e *Entry) identify(ctx context.Context, c *call) *verdict.Error {
 	key, failure := chats.BearerKey(c.r.Header)
@@ -23,6 +28,9 @@
 		return failure
 	}
 	path, err := e.node.Authenticate(ctx, key)
+	if errors.Is(err, fleet.ErrBranchUnknown) {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "%w", err).WithRetryAfter(retryBranch)
+	}
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.Unauthorized, "%w", err)
 	}
--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -21,18 +21,30 @@
 	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
+	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/standin/platform"
 )
 
 // cannedPeer answers each exchange with what its topics hold.
 type cannedPeer struct {
 	mu sync.Mutex
-	// answer is returned to an exchange, exchanges counts them.
+	// answer is returned to an exchange, exchanges counts them. fetched is returned to the fetch
+	// of a branch.
 	answer    func(e wire.Exchange) wire.Exchanged
+	fetched   func(path string) wire.Fetched
 	exchanges int
 }
 
 func (p *cannedPeer) Call(_ context.Context, _ *link.Conn, method string, params json.RawMessage) (any, error) {
+	if method == wire.MethodFetch {
+		var f wire.Fetch
+		if err := json.Unmarshal(params, &f); err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.fetched(f.Keys[0]), nil
+	}
 	if method != wire.MethodExchange {
 		return nil, errors.New("unknown method")
 	}
@@ -61,6 +73,12 @@
 	p.answer = f
 }
 
+func (p *cannedPeer) setFetched(f func(path string) wire.Fetched) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetched = f
+}
+
 // serve returns the address of a peer.
 func (p *cannedPeer) serve(t *testing.T) string {
 	t.Helper()
@@ -231,3 +249,71 @@
 		t.Errorf("got a ready entry that claims keys at %d of %d witnesses, want one that is not ready", len(ws), once.Witnesses)
 	}
 }
+
+// Guards against a valid key that is rejected for good by an entry that started lately, because
+// it may ask for no more branches at present, or because nobody who has them answered.
+func TestKeyOfABranchThatMayExistIsNotRejected(t *testing.T) {
+	t.Parallel()
+	const branches = 30
+	key := func(i int) string { return fmt.Sprintf("planning.ws%d.secret", i) }
+	for name, tc := range map[string]struct {
+		// upto is the revision up to which the peers have the branches, of which the newest has
+		// the revision branches. has is whether they have any.
+		upto int64
+		has  bool
+		// known is the least number of keys that are known to be valid, rejected is whether
+		// others are rejected.
+		known    int
+		rejected bool
+	}{
+		"more than may be asked for":    {branches, true, 1, false},
+		"the peers are behind, too":     {1, false, 0, false},
+		"the peers have no such branch": {branches, false, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peer := &cannedPeer{}
+			addr := peer.serve(t)
+			var items []wire.Item
+			for i := range 2 {
+				id := fmt.Sprintf("entry-%d", i+2)
+				value, err := json.Marshal(member.Instance{ID: id, Role: member.Entry, Addr: addr, Hall: "hall-a", State: member.Live})
+				if err != nil {
+					t.Fatal(err)
+				}
+				items = append(items, wire.Item{Topic: wire.TopicInstances, Key: id, Rev: int64(i + 1), Prev: wire.PrevUnknown, Value: string(value)})
+			}
+			peer.setAnswer(func(wire.Exchange) wire.Exchanged {
+				upto := allTopics(branches)
+				delete(upto, wire.TopicBranches)
+				return wire.Exchanged{Items: items, Upto: upto, Revs: allTopics(branches), PlatformAge: 10}
+			})
+			peer.setFetched(func(path string) wire.Fetched {
+				res := wire.Fetched{Upto: tc.upto}
+				if tc.has {
+					value := fmt.Sprintf("[access]\nkey_sha256 = [%q]\n", settings.HashKey(strings.Replace(path, "/", ".", 1)+".secret"))
+					res.Items = []wire.Item{{Topic: wire.TopicBranches, Key: path, Rev: 1, Prev: wire.PrevUnknown, Value: value}}
+				}
+				return res
+			})
+			n := startEntry(t, addr)
+			eventually(t, "ready entry", n.Ready)
+			known, rejected := 0, 0
+			for i := range branches {
+				path, err := n.Authenticate(t.Context(), key(i))
+				switch {
+				case err == nil && path == fmt.Sprintf("planning/ws%d", i):
+					known++
+				case errors.Is(err, settings.ErrInvalidKey):
+					rejected++
+				case !errors.Is(err, fleet.ErrBranchUnknown):
+					t.Fatalf("got %q and error %v for key %d", path, err, i)
+				}
+			}
+			t.Logf("%d keys known, %d rejected, %d left open", known, rejected, branches-known-rejected)
+			if known < tc.known || (rejected > 0) != tc.rejected {
+				t.Errorf("got %d keys known and %d rejected, want at least %d known and any rejected: %t", known, rejected, tc.known, tc.rejected)
+			}
+		})
+	}
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -289,8 +289,9 @@
 }
 
 // fetchBranch requests the branch of the settings at path from peers until two entries have
-// responded, as many as a starting process needs (minStartPeers).
-func (n *Node) fetchBranch(ctx context.Context, path string) {
+// responded, as many as a starting process needs (minStartPeers). It reports whether one of them
+// has all branches that are known to exist: if the branch is not known then, there is none.
+func (n *Node) fetchBranch(ctx context.Context, path string) (complete bool) {
 	n.mu.Lock()
 	peers := n.view.Peers()
 	n.mu.Unlock()
@@ -309,8 +310,10 @@
 		responses++
 		n.mu.Lock()
 		n.applyItems(res.Items)
+		complete = complete || (res.Upto > 0 && res.Upto >= n.newest.of(wire.TopicBranches, n.clk.Now()))
 		n.mu.Unlock()
 	}
+	return complete
 }
 
 func (n *Node) handleFetch(f wire.Fetch) wire.Fetched {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -136,24 +137,41 @@
 	return n.tree.Effective(path)
 }
 
+// ErrBranchUnknown is returned for a key whose workspace may have settings that this process does
+// not know yet.
+var ErrBranchUnknown = errors.New("this entry does not know the settings of the workspace yet")
+
 // Authenticate returns the workspace of a bearer key. If its branch is not known yet, it
-// is fetched from peers first.
+// is fetched from peers first. The error is ErrBranchUnknown if that shows neither the branch
+// nor that there is none.
 func (n *Node) Authenticate(ctx context.Context, key string) (string, error) {
 	path, err := settings.WorkspaceOfKey(key)
 	if err != nil {
 		return "", err
 	}
 	n.mu.Lock()
-	known := n.tree.Seen(path) || n.branchesComplete
+	known := n.tree.Seen(path) || n.hasBranches()
 	n.mu.Unlock()
-	if !known && n.fetchLimit.Allow() {
-		n.fetchBranch(ctx, path)
+	if !known {
+		known = n.fetchLimit.Allow() && n.fetchBranch(ctx, path)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !known && !n.tree.Seen(path) {
+		return "", ErrBranchUnknown
+	}
 	return n.tree.Authenticate(key)
 }
 
+// hasBranches reports whether this process has all branches that it knows to exist: those of its
+// peers, or those of the platform. The caller holds mu.
+func (n *Node) hasBranches() bool {
+	if n.branchesComplete {
+		return true
+	}
+	return n.platformRead[source.Config] && n.store.Upto(wire.TopicBranches) >= n.newest.of(wire.TopicBranches, n.clk.Now())
+}
+
 // Explain returns the effective settings at path with their sources.
 func (n *Node) Explain(path, key string) ([]settings.Source, error) {
 	n.mu.Lock()
