--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -9,6 +9,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/member"
+	"github.com/weldfall/weldfall/fleet/source"
 	"github.com/weldfall/weldfall/link"
 	"github.com/weldfall/weldfall/link/wire"
 )
@@ -37,7 +38,8 @@
 	n.cfg.Log.Warn("pause_noticed", "gap_ms", int64(gap))
 	n.mu.Lock()
 	n.view.ResetExchanges()
-	n.caughtUp, n.platformRead, n.renewing = false, false, true
+	n.caughtUp, n.renewing = false, true
+	clear(n.platformRead)
 	clear(n.respondedPeers)
 	n.startedAt = n.clk.Now()
 	n.ready.Store(false)
@@ -113,10 +115,11 @@
 	leaving := n.markLeaving(res.Leaving)
 	n.observeLoads(res.Loads)
 	n.respondedPeers[id] = true
-	n.caughtUp = n.upToDate(res.Revs)
-	n.listComplete = n.store.Upto(wire.TopicInstances) >= res.Revs[wire.TopicInstances]
-	if rev, ok := res.Revs[wire.TopicBranches]; ok {
-		n.branchesComplete = n.store.Upto(wire.TopicBranches) >= rev
+	n.newest.record(res.Revs, n.clk.Now())
+	n.caughtUp = n.upToDate()
+	n.listComplete = n.isComplete(wire.TopicInstances)
+	if _, ok := res.Revs[wire.TopicBranches]; ok {
+		n.branchesComplete = n.isComplete(wire.TopicBranches)
 	}
 	n.mu.Unlock()
 	metrics.GetOrCreateCounter("weldfall_exchange_total").Inc()
@@ -128,20 +131,24 @@
 	n.updateReady(listed)
 }
 
-// upToDate reports whether this process has all that a peer with the revisions revs has of
-// the topics that this process needs before it serves. A daemon can serve without the whole
-// list of instances, which takes minutes to receive in a large fleet. The caller holds mu.
-func (n *Node) upToDate(revs map[wire.Topic]int64) bool {
-	needed := []wire.Topic{wire.TopicCore}
-	if n.cfg.Role == member.Entry {
-		needed = append(needed, wire.TopicInstances)
-	}
-	for _, t := range needed {
-		if n.store.Upto(t) < revs[t] {
-			return false
-		}
-	}
-	return true
+// upToDate reports whether this process has all of the topics that it needs before it serves.
+// A daemon can serve without the whole list of instances, which takes minutes to receive in a
+// large fleet. The caller holds mu.
+func (n *Node) upToDate() bool {
+	return n.isComplete(wire.TopicCore) && (n.cfg.Role != member.Entry || n.isComplete(wire.TopicInstances))
+}
+
+// hasReadPlatform reports whether this process has read all that the platform has of the topics
+// that it needs before it serves. The caller holds mu.
+func (n *Node) hasReadPlatform() bool {
+	return n.platformRead[source.Config] && (n.cfg.Role != member.Entry || n.platformRead[source.Instances])
+}
+
+// isComplete reports whether this process has something of a topic, and all that peers lately
+// had. The caller holds mu.
+func (n *Node) isComplete(t wire.Topic) bool {
+	upto := n.store.Upto(t)
+	return upto > 0 && upto >= n.newest.of(t, n.clk.Now())
 }
 
 // maxPushedItems is the largest number of new items in one exchange that are pushed to other
@@ -170,9 +177,10 @@
 	alone := listed == 0 && len(n.cfg.Bootstrap) == 0
 	waited := n.clk.Now()-n.startedAt > startTimeout
 	fresh := n.store.PlatformAge(n.clk.Now()) < maxStartPlatformAge
-	if (n.platformRead && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing || fresh)) {
+	fromPlatform := n.hasReadPlatform()
+	if (fromPlatform && (enoughPeers || alone || waited)) || (enoughPeers && (waited || n.renewing || fresh)) {
 		n.ready.Store(true)
-		n.cfg.Log.Info("ready", "from_platform", n.platformRead, "peers_heard", len(n.respondedPeers))
+		n.cfg.Log.Info("ready", "from_platform", fromPlatform, "peers_heard", len(n.respondedPeers))
 	}
 }
 
@@ -281,8 +289,9 @@
 }
 
 // fetchBranch requests the branch of the settings at path from peers until two entries have
-// responded, as many as a starting process needs (minStartPeers).
-func (n *Node) fetchBranch(ctx context.Context, path string) {
+// responded, as many as a starting process needs (minStartPeers). It reports whether one of them
+// has all branches that are known to exist: if the branch is not known then, there is none.
+func (n *Node) fetchBranch(ctx context.Context, path string) (complete bool) {
 	n.mu.Lock()
 	peers := n.view.Peers()
 	n.mu.Unlock()
@@ -301,8 +310,10 @@
 		responses++
 		n.mu.Lock()
 		n.applyItems(res.Items)
+		complete = complete || (res.Upto > 0 && res.Upto >= n.newest.of(wire.TopicBranches, n.clk.Now()))
 		n.mu.Unlock()
 	}
+	return complete
 }
 
 func (n *Node) handleFetch(f wire.Fetch) wire.Fetched {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -75,13 +76,16 @@
 	targets map[string]*poolTargets
 	// respondedPeers holds the peers that responded since the start or the latest pause.
 	respondedPeers map[string]bool
-	caughtUp       bool
-	// listComplete is true once a peer had nothing newer in the list of instances.
-	listComplete bool
-	// branchesComplete is true once a peer had no branch that is missing here.
-	branchesComplete bool
-	fetchLimit       *rate.Limiter
-	platformRead     bool
+	// newest holds the newest revision of each topic that peers lately had.
+	newest newestRevisions
+	// caughtUp, listComplete and branchesComplete are true if, at the latest exchange, nothing
+	// that peers lately had was missing here of what this process needs, of the list of
+	// instances and of the branches.
+	caughtUp, listComplete, branchesComplete bool
+	fetchLimit                               *rate.Limiter
+	// platformRead holds the topics of the platform that were read to their end since the start
+	// or the latest pause.
+	platformRead map[source.Topic]bool
 	// renewing is true after a pause: the local data is old but complete.
 	renewing bool
 
@@ -109,7 +113,7 @@
 		cfg: cfg, clk: cfg.Clock, startedAt: now,
 		store: spread.NewStore(TopicsOf(cfg.Role), cfg.ChunkBytes), tree: settings.NewTree(),
 		view: member.NewView(cfg.ID, now), loads: route.NewLoads(), targets: map[string]*poolTargets{},
-		respondedPeers: map[string]bool{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
+		respondedPeers: map[string]bool{}, newest: newestRevisions{}, platformRead: map[source.Topic]bool{}, fetchLimit: rate.NewLimiter(fetchesPerSecond, fetchesPerSecond), wakeup: make(chan struct{}, 1),
 	}
 }
 
@@ -133,24 +137,41 @@
 	return n.tree.Effective(path)
 }
 
+// ErrBranchUnknown is returned for a key whose workspace may have settings that this process does
+// not know yet.
+var ErrBranchUnknown = errors.New("this entry does not know the settings of the workspace yet")
+
 // Authenticate returns the workspace of a bearer key. If its branch is not known yet, it
-// is fetched from peers first.
+// is fetched from peers first. The error is ErrBranchUnknown if that shows neither the branch
+// nor that there is none.
 func (n *Node) Authenticate(ctx context.Context, key string) (string, error) {
 	path, err := settings.WorkspaceOfKey(key)
 	if err != nil {
 		return "", err
 	}
 	n.mu.Lock()
-	known := n.tree.Seen(path) || n.branchesComplete
+	known := n.tree.Seen(path) || n.hasBranches()
 	n.mu.Unlock()
-	if !known && n.fetchLimit.Allow() {
-		n.fetchBranch(ctx, path)
+	if !known {
+		known = n.fetchLimit.Allow() && n.fetchBranch(ctx, path)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !known && !n.tree.Seen(path) {
+		return "", ErrBranchUnknown
+	}
 	return n.tree.Authenticate(key)
 }
 
+// hasBranches reports whether this process has all branches that it knows to exist: those of its
+// peers, or those of the platform. The caller holds mu.
+func (n *Node) hasBranches() bool {
+	if n.branchesComplete {
+		return true
+	}
+	return n.platformRead[source.Config] && n.store.Upto(wire.TopicBranches) >= n.newest.of(wire.TopicBranches, n.clk.Now())
+}
+
 // Explain returns the effective settings at path with their sources.
 func (n *Node) Explain(path, key string) ([]settings.Source, error) {
 	n.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -162,6 +162,11 @@
 	// turns holds the requests to services whose engines report no load.
 	turns turns
 
+	// setTableMu is held while a version is put in force. moves holds the routes that lately led
+	// to other services.
+	setTableMu sync.Mutex
+	moves      routeMoves
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	registry *engines.Registry
@@ -171,7 +176,8 @@
 	// evacuated lists the data halls under evacuation, sorted.
 	evacuated []string
 	// tableFreshness is when the table and the evacuations, which are read together, were
-	// last known to be current; listFreshness is the same for the list of engines.
+	// last known to be current; listFreshness is the same for the list of engines. table is
+	// stored under mu, so that it can be taken together with its freshness.
 	tableFreshness fresh.Tracker
 	listFreshness  fresh.Tracker
 	list           listState
