gate: Find the origin of a stream whatever service the routes of an entry lead to

Cause: the record of a stream was kept under its service, and an entry asked for it under the service of its own routes, so that others truly had none. A record is found by workspace and request ID now and names the service; an entry whose routes lead to another one refuses, route_moved. An entry whose route moved lately tells others of the streams that it begins, also while their service has one version. The check for moved routes covers streams that go on by the word of all entries as well.

A request ID used for streams of two services at once is ambiguous now, and refused.

--- a/engines/origin/book.go
+++ b/engines/origin/book.go
@@ -79,10 +79,10 @@
 		h.service = service
 	}
 	switch {
-	case r.Call != h.Call && r.Version != h.Version:
+	case r.Call != h.Call && !r.SameOrigin(h.Record):
 		h.ambiguous = true
 	case r.Call == h.Call && r.Attempt > h.Attempt:
-		h.Attempt, h.Version = r.Attempt, r.Version
+		h.Attempt, h.Service, h.Version = r.Attempt, r.Service, r.Version
 	}
 }
 
--- a/engines/origin/book_test.go
+++ b/engines/origin/book_test.go
@@ -13,7 +13,7 @@
 // version returns the version that a book has for a request, "" if it has none and
 // "ambiguous" if its records contradict each other.
 func version(b *origin.Book, request string, now clock.Millis) string {
-	r, ambiguous := b.Find(1, origin.NewKey("ws", "llm", request), now)
+	r, ambiguous := b.Find(1, origin.NewKey("ws", request), now)
 	switch {
 	case ambiguous:
 		return "ambiguous"
@@ -29,6 +29,12 @@
 	return r
 }
 
+// ofService returns the record with another service.
+func ofService(r origin.Record, service uint32) origin.Record {
+	r.Service = service
+	return r
+}
+
 // The latest attempt of a call is right, in whatever order its records arrive. Calls with
 // the same ID that began at different versions cannot be distinguished.
 func TestBookMergesRecords(t *testing.T) {
@@ -46,6 +52,8 @@
 		{"resumed at its version", []origin.Record{first, with(first, 8, 1, "v1")}, "v1"},
 		{"the ID used again", []origin.Record{first, with(first, 8, 1, "v2")}, "ambiguous"},
 		{"the ID used again, and again", []origin.Record{first, with(first, 8, 1, "v2"), first}, "ambiguous"},
+		{"the ID used again at another service", []origin.Record{first, ofService(with(first, 8, 1, "v1"), 4)}, "ambiguous"},
+		{"another attempt at another service", []origin.Record{first, ofService(with(first, 7, 2, "v2"), 4)}, "v2"},
 		{"no version", []origin.Record{with(first, 7, 1, "")}, ""},
 	} {
 		b := origin.NewBook()
@@ -103,7 +111,7 @@
 	if got := version(b, "a", 0); got != "v1" {
 		t.Errorf("got version %q of a workspace with one stream, want v1", got)
 	}
-	if r, _ := b.Find(2, origin.NewKey("ws", "llm", "a"), 0); r != nil {
+	if r, _ := b.Find(2, origin.NewKey("ws", "a"), 0); r != nil {
 		t.Errorf("got the record %v of another workspace, want none", r)
 	}
 	if got := len(b.All(0)); got != b.Len() {
@@ -130,7 +138,7 @@
 		b := origin.NewBook()
 		for i := range workspaces * records {
 			b.Begin(origin.Record{
-				Key: origin.NewKey("ws", "llm", fmt.Sprint(i)), Workspace: uint32(i % workspaces), Call: uint32(i), Attempt: 1,
+				Key: origin.NewKey("ws", fmt.Sprint(i)), Workspace: uint32(i % workspaces), Call: uint32(i), Attempt: 1,
 				Version: strings.Clone("v1.2"), TTL: 60_000,
 			}, "llm", 0)
 		}
--- a/engines/origin/exchange/exchange_test.go
+++ b/engines/origin/exchange/exchange_test.go
@@ -35,7 +35,7 @@
 	})
 	var stored []<-chan struct{}
 	for i := range records {
-		stored = append(stored, x.Store(origin.Record{Key: origin.NewKey("ws", "llm", fmt.Sprint(i)), Version: "v1", TTL: 1000}))
+		stored = append(stored, x.Store(origin.Record{Key: origin.NewKey("ws", fmt.Sprint(i)), Version: "v1", TTL: 1000}))
 	}
 	for _, done := range stored {
 		<-done
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -14,12 +14,15 @@
 	"io"
 	"math"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/weldfall/weldfall/common/clock"
 )
 
-// Key identifies a stream by its workspace, its service and the ID of the caller's attempt
-// that received its first event. Callers choose the IDs, so the key is a truncated
-// cryptographic hash: no caller can craft an ID with the key of another workspace's stream.
+// Key identifies a stream by its workspace and the ID of the caller's attempt that received its
+// first event. Callers choose the IDs, so the key is a truncated cryptographic hash: no caller
+// can craft an ID with the key of another workspace's stream. The service is no part of it:
+// entries with different versions of the routes must find the same record.
 type Key [16]byte
 
 // String returns the key in hexadecimal, for logs.
@@ -29,9 +32,9 @@
 func (k Key) Hash() uint64 { return binary.BigEndian.Uint64(k[:]) }
 
 // NewKey returns the key of a stream.
-func NewKey(workspace, service, request string) Key {
+func NewKey(workspace, request string) Key {
 	h := sha256.New()
-	for _, part := range []string{workspace, service, request} {
+	for _, part := range []string{workspace, request} {
 		var n [8]byte
 		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
 		// Writing to a hash does not fail.
@@ -51,12 +54,20 @@
 	// engine of another version.
 	Call    uint32
 	Attempt uint8
+	// Service is the hash of the name of the service.
+	Service uint32
 	// Version is the software version of the engine, at most MaxVersion bytes.
 	Version string
 	// TTL is how much longer the stream may be resumed.
 	TTL clock.Millis
 }
 
+// ServiceHash returns the hash of a service's name in a Record.
+func ServiceHash(service string) uint32 { return uint32(xxh3.HashString(service)) }
+
+// SameOrigin reports whether two records name the same service and version.
+func (r Record) SameOrigin(o Record) bool { return r.Service == o.Service && r.Version == o.Version }
+
 // MaxVersion is the maximum length of a version in bytes.
 const MaxVersion = 40
 
@@ -66,7 +77,7 @@
 // Sizes and units of packed records.
 const (
 	// fixedSize is the size of a packed record without its version, in bytes.
-	fixedSize = len(Key{}) + 4 + 4 + 1 + 2 + 1
+	fixedSize = len(Key{}) + 4 + 4 + 4 + 1 + 2 + 1
 	// ttlUnit is the unit of packed times; 16 bits hold eleven minutes.
 	ttlUnit clock.Millis = 10
 )
@@ -81,6 +92,7 @@
 		}
 		b = append(b, r.Key[:]...)
 		b = binary.BigEndian.AppendUint32(b, r.Workspace)
+		b = binary.BigEndian.AppendUint32(b, r.Service)
 		b = binary.BigEndian.AppendUint32(b, r.Call)
 		b = append(b, r.Attempt)
 		b = binary.BigEndian.AppendUint16(b, uint16(ttl))
@@ -109,10 +121,10 @@
 		}
 		r := Record{Key: Key(b[:len(Key{})])}
 		b = b[len(Key{}):]
-		r.Workspace, r.Call, r.Attempt = binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:]), b[8]
-		r.TTL = clock.Millis(binary.BigEndian.Uint16(b[9:])) * ttlUnit
-		n := int(b[11])
-		b = b[12:]
+		r.Workspace, r.Service, r.Call, r.Attempt = binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:]), binary.BigEndian.Uint32(b[8:]), b[12]
+		r.TTL = clock.Millis(binary.BigEndian.Uint16(b[13:])) * ttlUnit
+		n := int(b[15])
+		b = b[16:]
 		if n == 0 || n > MaxVersion || n > len(b) {
 			return nil, errPacked
 		}
--- a/engines/origin/origin_test.go
+++ b/engines/origin/origin_test.go
@@ -12,7 +12,7 @@
 )
 
 func record(request, version string) origin.Record {
-	return origin.Record{Key: origin.NewKey("ws", "llm", request), Workspace: 1, Call: 7, Attempt: 1, Version: version, TTL: 1000}
+	return origin.Record{Key: origin.NewKey("ws", request), Workspace: 1, Service: 3, Call: 7, Attempt: 1, Version: version, TTL: 1000}
 }
 
 // Records must survive a message. Times are rounded up, so that a record does not end
@@ -22,9 +22,9 @@
 		var want []origin.Record
 		for range rapid.IntRange(0, origin.MaxPacked).Draw(t, "records") {
 			want = append(want, origin.Record{
-				Key: origin.NewKey("ws", "llm", rapid.String().Draw(t, "request")), Workspace: rapid.Uint32().Draw(t, "workspace"),
+				Key: origin.NewKey("ws", rapid.String().Draw(t, "request")), Workspace: rapid.Uint32().Draw(t, "workspace"),
 				Call: rapid.Uint32().Draw(t, "call"), Attempt: rapid.Byte().Draw(t, "attempt"),
-				Version: rapid.StringMatching(`[a-z0-9.]{1,40}`).Draw(t, "version"), TTL: clock.Millis(rapid.IntRange(1, 60_000).Draw(t, "tens")) * 10,
+				Service: rapid.Uint32().Draw(t, "service"), Version: rapid.StringMatching(`[a-z0-9.]{1,40}`).Draw(t, "version"), TTL: clock.Millis(rapid.IntRange(1, 60_000).Draw(t, "tens")) * 10,
 			})
 		}
 		got, err := origin.Unpack(origin.Pack(want))
@@ -61,12 +61,11 @@
 	rapid.Check(t, func(t *rapid.T) { _, _ = origin.Unpack(rapid.StringMatching(`[A-Za-z0-9+/]{0,200}`).Draw(t, "text")) })
 }
 
-// Another workspace, service or request ID gives another key, also if their texts
-// together are the same.
+// Another workspace or request ID gives another key, also if their texts together are the same.
 func TestKeysAreOfOneStream(t *testing.T) {
 	seen := map[origin.Key]string{}
-	for _, parts := range [][3]string{{"ws", "llm", "a"}, {"ws", "llm", "b"}, {"ws", "llma", ""}, {"wsllm", "", "a"}, {"", "wsllm", "a"}, {"ws2", "llm", "a"}, {"ws", "llm2", "a"}} {
-		k := origin.NewKey(parts[0], parts[1], parts[2])
+	for _, parts := range [][2]string{{"ws", "a"}, {"ws", "b"}, {"wsa", ""}, {"", "wsa"}, {"w", "sa"}, {"ws2", "a"}, {"ws", "2a"}} {
+		k := origin.NewKey(parts[0], parts[1])
 		if other, ok := seen[k]; ok {
 			t.Errorf("got the key of %s for %q, want another one", other, parts)
 		}
--- a/gate/moves.go
+++ b/gate/moves.go
@@ -84,24 +84,31 @@
 // begun.
 const routeMoved doubt = "route_moved"
 
+var errOtherService = errors.New("another service began it than its route leads to at this entry")
+
 var errRouteMoved = errors.New("no entry knows which software version began it, and its route led to another service when it may have begun")
 
 // checkMoved rejects a resumed stream that no record tells of if another service may have begun
-// it. That its present service has had a single version says nothing of such a stream. Entries
-// that are late by the bound for changes begin streams by the version before.
+// it. That its present service has had a single version says nothing of such a stream.
 func (g *Gate) checkMoved(_ context.Context, c *call) *verdict.Error {
-	if c.versionBasis != bySoleVersion {
-		return nil
-	}
-	move, ok := g.moves.of(c.route)
-	if !ok {
-		return nil
-	}
-	now := g.clk.Now()
-	if now-move.at > g.bounds().Change+max(2*move.timeout+resumeMargin, g.resumeWindowOf(c, now)) {
+	if (c.versionBasis != bySoleVersion && c.versionBasis != byEntries) || !g.movedLately(c, g.clk.Now()) {
 		return nil
 	}
 	c.version, c.versionBasis, c.doubt = "", "", routeMoved
 	countNotContinued(verdict.UnknownOrigin, routeMoved)
 	return verdict.New(verdict.NotRun, verdict.UnknownOrigin, "the stream cannot be resumed: %w", errRouteMoved).WithRetryAfter(retryOrigin)
 }
+
+// movedLately reports whether streams that may still be resumed can have begun at other services
+// of a call's route. Entries that are late by the bound for changes begin streams by the version
+// before.
+func (g *Gate) movedLately(c *call, now clock.Millis) bool {
+	move, ok := g.moves.of(c.route)
+	if !ok {
+		return false
+	}
+	g.mu.Lock()
+	window := g.resumeWindowOf(c, now)
+	g.mu.Unlock()
+	return now-move.at <= g.bounds().Change+max(2*move.timeout+resumeMargin, window)
+}
--- a/gate/moves_test.go
+++ b/gate/moves_test.go
@@ -23,6 +23,14 @@
 	return r
 }
 
+// confirmingList is a source of a list that does not change.
+type confirmingList struct{ g *gate.Gate }
+
+func (l confirmingList) ConfirmList(after clock.Millis) bool {
+	time.AfterFunc(time.Millisecond, func() { l.g.ConfirmEngines(7, after+1) })
+	return true
+}
+
 // Guards against a stream of two services, and against refusals of streams whose route did not
 // move: each version of the routes follows the one before after a second.
 func TestStreamOfAMovedRouteIsOfUnknownOrigin(t *testing.T) {
@@ -56,7 +64,9 @@
 				})
 				g.PutEngine(engines.Info{ID: "i-1", Service: "llm", Addr: "127.0.0.1:1", Version: "v1"})
 				g.PutEngine(engines.Info{ID: "j-1", Service: "api", Addr: "127.0.0.1:2", Version: "v2"})
+				g.MarkListReplaced(clk.Now())
 				g.ConfirmEngines(7, clk.Now())
+				g.SetListSource(confirmingList{g})
 				set := func(version int, routes []*table.Route) {
 					g.SetTable(table.New(table.Config{Version: int64(version), Routes: routes}), table.Arrival{ConfirmedAt: clk.Now()})
 				}
@@ -68,7 +78,6 @@
 					set(i+1, routes)
 				}
 				time.Sleep(tc.after)
-				g.ConfirmEngines(7, clk.Now())
 				r := httptest.NewRequest("POST", "/a/x", nil)
 				r.Host = "h"
 				r.Header.Set("X-Id", "second")
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -143,6 +143,8 @@
 		return ambiguous
 	case errors.Is(err, errSeveralVersions):
 		return severalVersions
+	case errors.Is(err, errOtherService):
+		return routeMoved
 	}
 	return unproven
 }
@@ -156,7 +158,7 @@
 		case ambiguous:
 			return "", "", errAmbiguousOrigin
 		case r != nil:
-			return r.Version, byRecord, nil
+			return c.recordedOrigin(r)
 		}
 	}
 	c.originSearch = g.askOrigin(ctx, q)
@@ -166,11 +168,19 @@
 	}
 	if r != nil {
 		g.origins.Hold(*r, g.clk.Now())
-		return r.Version, byRecord, nil
+		return c.recordedOrigin(r)
 	}
 	return g.soleVersion(ctx, c)
 }
 
+// recordedOrigin returns the version that a record of the stream names.
+func (c *call) recordedOrigin(r *origin.Record) (version string, by basis, err error) {
+	if r.Service != origin.ServiceHash(c.service) {
+		return "", "", errOtherService
+	}
+	return r.Version, byRecord, nil
+}
+
 // askOrigin asks other entries for the origin of a stream.
 func (g *Gate) askOrigin(ctx context.Context, q origin.Query) origin.Search {
 	g.mu.Lock()
@@ -196,7 +206,7 @@
 		case r == nil:
 		case best == nil, r.Call == best.Call && r.Attempt > best.Attempt:
 			best = r
-		case r.Call != best.Call && r.Version != best.Version:
+		case r.Call != best.Call && !r.SameOrigin(*best):
 			return nil, errAmbiguousOrigin
 		}
 	}
@@ -205,7 +215,7 @@
 
 // originKey returns the key of the stream that began with the attempt id.
 func (c *call) originKey(id string) origin.Key {
-	return origin.NewKey(c.workspaceName(), c.service, id)
+	return origin.NewKey(c.workspaceName(), id)
 }
 
 // workspaceName returns the name of the workspace, "" on a route that needs no key.
@@ -236,13 +246,14 @@
 	now := g.clk.Now()
 	g.resumeLimits.Record(c.workspaceHash(), c.service, c.callerTimeout, now)
 	r := origin.Record{
-		Key: c.originKey(id), Workspace: c.workspaceHash(), Call: c.originCall, Attempt: c.recordedAttempts,
+		Key: c.originKey(id), Workspace: c.workspaceHash(), Service: origin.ServiceHash(c.service), Call: c.originCall, Attempt: c.recordedAttempts,
 		Version: version, TTL: c.resumableFor(now),
 	}
 	g.origins.Begin(r, c.service, now)
 	g.mu.Lock()
 	peers, sole := g.originPeers, g.servesOneVersion(c.service, g.resumeWindowOf(c, now), now)
 	g.mu.Unlock()
+	sole = sole && !g.movedLately(c, now)
 	if !sole && peers != nil {
 		c.sentVersion, c.originHeld = version, peers.Store(r)
 	}
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -93,7 +93,7 @@
 }
 
 func originRecord(i int) origin.Record {
-	return origin.Record{Key: origin.NewKey("ws", "llm", fmt.Sprint(i)), Workspace: 1, Call: uint32(i), Attempt: 1, Version: "v2", TTL: 60_000}
+	return origin.Record{Key: origin.NewKey("ws", fmt.Sprint(i)), Workspace: 1, Call: uint32(i), Attempt: 1, Version: "v2", TTL: 60_000}
 }
 
 // The record of a stream is at another entry once Store reports so, and any entry finds it
@@ -125,7 +125,7 @@
 			t.Errorf("stream %d: got %+v, want its record", i, search)
 		}
 	}
-	search := f.hosts[3].others.Find(t.Context(), origin.Query{Key: origin.NewKey("ws", "llm", "unknown"), Workspace: 1, Service: "several"})
+	search := f.hosts[3].others.Find(t.Context(), origin.Query{Key: origin.NewKey("ws", "unknown"), Workspace: 1, Service: "several"})
 	if search.Others == 0 || len(search.Findings) < 3 {
 		t.Fatalf("got %+v, want a finding of each entry that runs", search)
 	}
