platform: Show up to which revision the config is known

Callers saw nothing. Whoever asked why a request ran with a removed key had the age of the config (weldfall_table_age_seconds) and not what confirmed it: a response that reaches the removal and lacks it could not be told from one that does not reach it.

No decision changes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -247,6 +247,7 @@
 	g.shutdown.estimate = g.estimate
 	metrics.GetOrCreateGauge("weldfall_table_age_seconds", g.tableAge)
 	metrics.GetOrCreateGauge("weldfall_list_age_seconds", g.listAge)
+	metrics.GetOrCreateGauge("weldfall_store_revision", func() float64 { _, revision := g.StoreRevision(); return float64(revision) })
 	metrics.GetOrCreateGauge("weldfall_origins", func() float64 { return float64(g.origins.Len()) })
 	metrics.GetOrCreateGauge("weldfall_tracked_workspaces", func() float64 { return float64(g.fair.Tracked()) })
 	g.SetOthers(cfg.ID, nil)
--- a/gate/table.go
+++ b/gate/table.go
@@ -108,7 +108,7 @@
 		age = g.tableFreshness.Age(now)
 	}
 	g.mu.Unlock()
-	g.log.Info("table_in_force", "version", t.Version(), "age_ms", age, "confirmed", !a.Unconfirmed, "bytes", a.Bytes, "heard_ms", now-a.ResponseStartedAt,
+	g.log.Info("table_in_force", "version", t.Version(), "age_ms", age, "confirmed", !a.Unconfirmed, "revision", a.Revision, "reach", a.Reach, "bytes", a.Bytes, "heard_ms", now-a.ResponseStartedAt,
 		"transfer_ms", a.Transfer, "decode_us", a.DecodeMicros, "build_us", a.BuildMicros)
 	g.counts.table.bytes.Update(float64(a.Bytes))
 	g.counts.table.transfer.Update(inSeconds(a.Transfer))
--- a/table/table.go
+++ b/table/table.go
@@ -138,6 +138,9 @@
 	Unconfirmed bool
 	// Epoch is the epoch of the source in the response, zero if the source reports none.
 	Epoch int64
+	// Revision is the revision of the source at which the version was published, and Reach the
+	// one up to which the response has everything that was published. They are zero if not known.
+	Revision, Reach int64
 	// ResponseStartedAt is when the response began, zero if not known.
 	ResponseStartedAt clock.Millis
 	// Bytes is the size of the response and Transfer how long it took.
