link, proxy: Let tests put links between processes

A gate tells the others the address on which it listens, so a test of real processes could put no proxy between two gates, and no cut between them was possible.

link.SetDial replaces how a process opens connections of its pools, as clock.SetSystemSource replaces its clock.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/internal/clocktest"
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/standin/engine"
 )
@@ -33,6 +34,7 @@
 func Main(m *testing.M) {
 	if os.Getenv(MainEnv) != "" {
 		clocktest.SimulateSuspensions()
+		proxy.DialLinks()
 		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,6 +63,17 @@
 	return ""
 }
 
+// Reversed returns the fault with the directions exchanged.
+func (f Fault) Reversed() Fault {
+	switch f {
+	case DropToTarget:
+		return DropFromTarget
+	case DropFromTarget:
+		return DropToTarget
+	}
+	return f
+}
+
 const (
 	// delay is added to each chunk by a delayed link.
 	delay = 150 * time.Millisecond
--- a/link/link.go
+++ b/link/link.go
@@ -276,8 +276,17 @@
 	}
 }
 
+// dialAddr opens a connection to another process.
+var dialAddr = func(addr string, timeout clock.Millis) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout.Duration())
+}
+
+// SetDial makes this process open all connections of pools by dial, for tests that put proxies
+// between processes. It must be called before the first pool is used.
+func SetDial(dial func(addr string, timeout clock.Millis) (net.Conn, error)) { dialAddr = dial }
+
 func (p *Pool) dial(addr string, class Class) (*Conn, error) {
-	nc, err := net.DialTimeout("tcp", addr, dialTimeout.Duration())
+	nc, err := dialAddr(addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
