soak: Cut gates off beside releases

The play `releasing` had gates that were killed, stopped and suspended, but none that was out of step while an engine of another version joined: gates reached each other directly. So it could not show that an entry which is cut off joins streams of two versions (TestEntryOutOfStepJoinsNoVersions).

Gates of this play now reach each other over links, one for each ordered pair, and a step `cut_off` begins up to 0.3 s before each release. It cuts one gate or a third of the gates off from the others and from the store: silent, by resets, one way, delayed, or stopped by SIGSTOP for 0.5, 2 and 4 s. Their callers and engines still reach them.

A gate joins two versions only if it has known one version for longer than streams can be resumed, 7 s here, but releases overlapped from the first second on. The streams that came to a gate behind a cut showed why, and the play changed: - A gate decides by its own list only while that is under 5 s old, and the store of the soak was still for up to 3.5 s before a cut. Entries are renewed now, as engines do. - Streams begin at the new version about a second after the release. Cuts of calm runs last 1.5 s at least, and all engines are replaced at once. - Few streams came to a gate behind a cut. While there is one, half of the streams that are resumed are resumed there.

A cut is a disturbance of the gates behind it. A stream that began at a gate which is cut off when it is resumed elsewhere does not count among those that must continue: only that gate may know its version.

--- a/measure/soak/export_test.go
+++ b/measure/soak/export_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/platform/standin"
 )
 
@@ -173,3 +174,26 @@
 	defer b.release()
 	return a.addr, b.addr, nil
 }
+
+// CutOffFault returns the fault of the link by which one gate calls another if a fault cuts the
+// given gates off, "" if it has none.
+func CutOffFault(from, to int, gates []int, f proxy.Fault) proxy.Fault {
+	fault, ok := pair{from, to}.cutOffFault(gates, f)
+	if !ok {
+		return ""
+	}
+	return fault
+}
+
+// CountedResumptions returns how many resumed streams count of one that began at gate 0 from 0 to
+// 1 s, and was resumed at gate 1 from 5 to 6 s, if a gate was cut off for a time.
+func CountedResumptions(cut int, from, until time.Duration) int {
+	at := func(gate int, from time.Duration) streamAttempt {
+		start := time.Unix(0, 0).Add(from)
+		return streamAttempt{request: request{gate: gate, sent: start, ended: start.Add(time.Second)}, events: 1, expected: true}
+	}
+	r := &record{streams: []stream{{events: []event{{id: "1"}, {id: "2"}}, attempts: []streamAttempt{at(0, 0), at(1, 5*time.Second)}}}}
+	r.addDisturbance(disturbance{kind: CutOff, gate: cut, from: time.Unix(0, 0).Add(from), until: time.Unix(0, 0).Add(until)})
+	r.judgeStreams()
+	return r.resumed.total
+}
--- a/measure/soak/parts_test.go
+++ b/measure/soak/parts_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/measure/soak"
 )
 
@@ -49,6 +50,77 @@
 	}
 }
 
+// Guards against releases without gates out of step, and against calm runs in which gates refuse
+// to resume streams since they have not known one version for long.
+func TestGatesAreCutOffBeforeReleases(t *testing.T) {
+	const window = 7 * time.Second
+	variants, counts := map[string]bool{}, map[int]bool{}
+	for seed := range uint64(64) {
+		var last soak.Step
+		calm := (seed+seed/32)%2 == 0
+		for _, s := range soak.Schedule(seed, 40*time.Second, soak.Releasing) {
+			switch s.Kind {
+			case soak.CutOff:
+				variants[s.Variant], counts[s.Count] = true, true
+				if calm && s.Start-last.Start-last.Duration < window {
+					t.Errorf("seed %d: got %v after %v, want a calm time of %v", seed, s, last, window)
+				}
+				last = s
+			case soak.Release:
+				if last.Start == 0 || s.Start-last.Start > 300*time.Millisecond {
+					t.Errorf("seed %d: got %v after %v, want gates cut off at most 300 ms earlier", seed, s, last)
+				}
+			case soak.Kill, soak.Stop, soak.Series, soak.AllGates:
+				if calm {
+					t.Errorf("seed %d: got %v, want no gate restarted in a calm run", seed, s)
+				}
+			}
+		}
+	}
+	if len(variants) != 6 || len(counts) != 2 {
+		t.Errorf("got variants %v and counts %v, want 6 and 2", variants, counts)
+	}
+}
+
+// Guards against cuts that leave one way open, and against gates cut off from each other that are
+// behind the same cut.
+func TestCutOffFaults(t *testing.T) {
+	gates := []int{1, 2}
+	for _, c := range []struct {
+		from, to  int
+		set, want proxy.Fault
+	}{
+		{1, 0, proxy.Cut, proxy.Cut}, {0, 1, proxy.Cut, proxy.Cut},
+		{1, 0, proxy.DropToTarget, proxy.DropToTarget}, {0, 1, proxy.DropToTarget, proxy.DropFromTarget},
+		{1, 0, proxy.DropFromTarget, proxy.DropFromTarget}, {0, 1, proxy.DropFromTarget, proxy.DropToTarget},
+		{1, 2, proxy.Cut, ""}, {2, 1, proxy.Cut, ""}, {0, 3, proxy.Cut, ""},
+	} {
+		if got := soak.CutOffFault(c.from, c.to, gates, c.set); got != c.want {
+			t.Errorf("from %d to %d with %s: got %q, want %q", c.from, c.to, c.set, got, c.want)
+		}
+	}
+}
+
+// Guards against counting streams whose version only a gate behind a cut knows, and against
+// excusing others.
+func TestResumedStreamsThatCount(t *testing.T) {
+	for _, c := range []struct {
+		cut         int
+		from, until time.Duration
+		want        int
+	}{
+		{0, 4 * time.Second, 8 * time.Second, 0},
+		{1, 4 * time.Second, 8 * time.Second, 0},
+		{2, 4 * time.Second, 8 * time.Second, 1},
+		{0, 7 * time.Second, 8 * time.Second, 1},
+		{0, -9 * time.Second, -5 * time.Second, 1},
+	} {
+		if got := soak.CountedResumptions(c.cut, c.from, c.until); got != c.want {
+			t.Errorf("gate %d cut off from %v until %v: got %d counted, want %d", c.cut, c.from, c.until, got, c.want)
+		}
+	}
+}
+
 func TestLongEventsDistribution(t *testing.T) {
 	const n = 2000
 	short, full := 0, 0
--- a/measure/soak/play.go
+++ b/measure/soak/play.go
@@ -23,7 +23,9 @@
 			from := time.Now()
 			w.apply(s)
 			if !s.planned() {
-				w.rec.addDisturbance(disturbance{kind: s.disturbanceKind(), gate: w.affectedGate(s), from: from, until: time.Now()})
+				for _, g := range w.affectedGates(s) {
+					w.rec.addDisturbance(disturbance{kind: s.disturbanceKind(), gate: g, from: from, until: time.Now()})
+				}
 			}
 			if s.disturbs() {
 				w.rec.setLastDisturbance(time.Now())
@@ -41,13 +43,15 @@
 	return s.Kind
 }
 
-// affectedGate returns the number of the only gate that a step can affect, or everyGate.
-func (w *deployment) affectedGate(s Step) int {
+// affectedGates returns the numbers of the only gates that a step can affect, or everyGate.
+func (w *deployment) affectedGates(s Step) []int {
 	switch s.Kind {
 	case Kill, Pause, Suspend, StoreLink, SilentStoreConns, Revoke:
-		return s.Index % len(w.gates)
+		return []int{s.Index % len(w.gates)}
+	case CutOff:
+		return s.gatesCutOff(len(w.gates))
 	}
-	return everyGate
+	return []int{everyGate}
 }
 
 // stopSeries stops consecutive gates, and each again within a second of its return.
@@ -141,6 +145,8 @@
 		w.breakResponses(s, i)
 	case Release:
 		w.release(s)
+	case CutOff:
+		w.cutOff(s)
 	case AllEnginesFault:
 		w.setAll(w.behave(s.Variant))
 		time.Sleep(s.Duration)
--- a/measure/soak/process.go
+++ b/measure/soak/process.go
@@ -24,11 +24,13 @@
 	callersAddr  string
 	peersAddr    string
 	// ports are those of its addresses, reserved until the end of the run.
-	ports  []*reservedPort
-	store  *proxy.Link
-	logs   *os.File
-	number int
-	rec    *record
+	ports []*reservedPort
+	store *proxy.Link
+	// peerLinks is the variable of proxy.LinksEnv.
+	peerLinks string
+	logs      *os.File
+	number    int
+	rec       *record
 
 	// restarting serializes restarts.
 	restarting sync.Mutex
@@ -82,7 +84,7 @@
 		return nil
 	}
 	cmd := exec.Command(g.cfg.Binary, "gate", "--metrics-port", "0")
-	cmd.Env = append(os.Environ(), append(g.cfg.Env, platform.SettingsFileEnv+"="+g.settingsFile, clocktest.SuspensionsEnv+"="+g.suspensionFile())...)
+	cmd.Env = append(os.Environ(), append(g.cfg.Env, platform.SettingsFileEnv+"="+g.settingsFile, clocktest.SuspensionsEnv+"="+g.suspensionFile(), g.peerLinks)...)
 	cmd.Stdout, cmd.Stderr = g.logs, g.logs
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start gate: %w", err)
--- a/measure/soak/release.go
+++ b/measure/soak/release.go
@@ -14,7 +14,7 @@
 
 // Releasing has engines of several software versions, which replace each other one after
 // the other and overlapping, engines that break streams off, gates that are killed and
-// stopped, and callers that resume streams at other gates.
+// stopped or cut off, and callers that resume streams at other gates.
 const Releasing Play = "releasing"
 
 // How an engine ends in a release.
@@ -55,33 +55,51 @@
 	otherStepsPerTenSeconds = 10
 )
 
-// newReleasing draws overlapping releases and some other steps.
-func newReleasing(rng *rand.Rand, length time.Duration) []Step {
+// releases are how releases are drawn.
+type releases struct {
+	// first is the start of the first one, and minGap and maxGap bound the time from the start
+	// of one to that of the next.
+	first, minGap, maxGap time.Duration
+	// minCount is the least number of engines of a release, and maxPause limits the time
+	// between two of them.
+	minCount int
+	maxPause time.Duration
+	variants []string
+	// others are the steps beside releases, and minCutOff the least time of a CutOff step.
+	others    []Kind
+	minCutOff time.Duration
+}
+
+// denseReleases overlap. Before each of calmReleases every gate has known one version for
+// longer than streams can be resumed, and engines that leave serve on at gates that do not know.
+var (
+	denseReleases = releases{
+		first: time.Second, minGap: shortestStep, maxGap: shortestStep + maxReleaseGap, minCount: 1, maxPause: time.Second,
+		variants: releaseVariants, others: releasingKinds, minCutOff: shortestStep,
+	}
+	calmReleases = releases{
+		first: calmFor, minGap: calmFor + servesOn + time.Second, maxGap: calmFor + servesOn + 2*time.Second, minCount: maxReleased, maxPause: shortestStep,
+		variants: []string{announced, unannounced}, others: calmKinds, minCutOff: minCalmCutOff,
+	}
+)
+
+// draw draws releases, a CutOff step around each, and some other steps.
+func (r releases) draw(rng *rand.Rand, length time.Duration) []Step {
 	var steps []Step
-	for at := time.Second; at < length-quiet; at += shortestStep + time.Duration(rng.Int64N(int64(maxReleaseGap))) {
-		s := Step{Start: at, Kind: Release, Variant: releaseVariants[rng.IntN(len(releaseVariants))], Count: 1 + rng.IntN(maxReleased)}
-		s.Duration = time.Duration(rng.Int64N(int64(time.Second)))
+	for at := r.first; at < length-quiet; at += r.minGap + time.Duration(rng.Int64N(int64(r.maxGap-r.minGap))) {
+		s := Step{Start: at, Kind: Release, Variant: r.variants[rng.IntN(len(r.variants))], Count: r.minCount + rng.IntN(maxReleased-r.minCount+1)}
+		s.Duration = time.Duration(rng.Int64N(int64(r.maxPause)))
 		steps = append(steps, s)
 	}
+	drawn := steps
 	for range int(length/time.Second) * otherStepsPerTenSeconds / 10 {
 		at := time.Duration(rng.Int64N(int64(length - quiet)))
-		s := Step{Start: at, Kind: releasingKinds[rng.IntN(len(releasingKinds))], Index: rng.IntN(maxIndex)}
+		s := Step{Start: at, Kind: r.others[rng.IntN(len(r.others))], Index: rng.IntN(maxIndex)}
 		s.Duration = min(shortestStep+time.Duration(rng.Int64N(int64(longestStep))), length-quiet-at)
-		switch s.Kind {
-		case EngineFault:
-			s.Variant = brokenStreams[rng.IntN(len(brokenStreams))]
-		case StoreFault:
-			s.Variant = string(storeFaults[rng.IntN(len(storeFaults))])
-		case StoreLink:
-			s.Variant = string(linkFaults[rng.IntN(len(linkFaults))])
-		case Series:
-			s = newSeries(rng, at)
-		case AllGates:
-			s.Variant = allGatesVariants[rng.IntN(len(allGatesVariants))]
-		case SilentEngineConns:
-			s.Variant, s.Count = string(silences[rng.IntN(len(silences))]), 1+rng.IntN(maxSilentConns)
-		}
-		steps = append(steps, s)
+		steps = append(steps, s.drawVariant(rng, brokenStreams))
+	}
+	for _, s := range drawn {
+		steps = append(steps, newCutOff(rng, s.Start, r.minCutOff))
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.Start - b.Start) })
 	return steps
--- a/measure/soak/resume.go
+++ b/measure/soak/resume.go
@@ -59,7 +59,7 @@
 func (w *deployment) receive(client *http.Client, id string, rng *rand.Rand) stream {
 	s := stream{id: id}
 	for n := range maxAttempts {
-		a := streamAttempt{request: request{gate: rng.IntN(len(w.gates)), id: fmt.Sprintf("%st%d", id, n), path: "/resume/" + id, key: keyValid, sent: time.Now()}}
+		a := streamAttempt{request: request{gate: w.gateFor(s, rng), id: fmt.Sprintf("%st%d", id, n), path: "/resume/" + id, key: keyValid, sent: time.Now()}}
 		if len(s.events) > 0 {
 			a.expected = w.inService(s.events[0].version) >= 2
 		}
@@ -79,6 +79,17 @@
 	return s
 }
 
+// gateFor draws the gate for the next request of a stream. Callers resume half of the streams at
+// gates that are cut off, if there are any.
+func (w *deployment) gateFor(s stream, rng *rand.Rand) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(s.events) > 0 && len(w.outOfStep) > 0 && rng.IntN(2) == 0 {
+		return w.outOfStep[rng.IntN(len(w.outOfStep))]
+	}
+	return rng.IntN(len(w.gates))
+}
+
 // receivePart sends one request for the rest of a stream and returns the events that it
 // brings. The caller leaves after some of them. done is true if the stream is complete.
 func (w *deployment) receivePart(client *http.Client, a *streamAttempt, s stream, leaveAfter int) (got []event, done bool) {
@@ -88,7 +99,7 @@
 	}
 	if len(s.events) > 0 {
 		req.Header.Set("Last-Event-Id", s.events[len(s.events)-1].id)
-		req.Header.Set("Resumes", s.origin())
+		req.Header.Set("Resumes", s.origin().id)
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -123,14 +134,14 @@
 	return got, false
 }
 
-// origin returns the ID of the attempt that brought the first event.
-func (s stream) origin() string {
+// origin returns the attempt that brought the first event, the zero value if none did.
+func (s stream) origin() request {
 	for _, a := range s.attempts {
 		if a.events > 0 {
-			return a.id
+			return a.request
 		}
 	}
-	return ""
+	return request{}
 }
 
 func (r *record) addStream(s stream) {
@@ -160,7 +171,7 @@
 			case r.gateDisturbed(a.request):
 			case i == 0:
 				r.begun.add(a.events > 0)
-			case a.expected:
+			case a.expected && !r.originCutOff(s, a.request):
 				r.resumed.add(a.events > 0)
 			}
 		}
@@ -179,6 +190,14 @@
 	return disturbed || slices.ContainsFunc(r.stops, func(s plannedStop) bool { return s.overlaps(a) })
 }
 
+// originCutOff reports whether the gate at which a stream began was cut off, so that the gate of
+// a later attempt could not ask it for the version.
+func (r *record) originCutOff(s stream, a request) bool {
+	begun := s.origin()
+	begun.ended = a.ended
+	return slices.ContainsFunc(r.disturbances, func(t disturbance) bool { return t.kind == CutOff && t.affects(begun) })
+}
+
 const (
 	// minResumed is the number of resumed streams from which their share counts, and
 	// minResumedShare its least value as a part of the share of new streams.
--- a/measure/soak/schedule.go
+++ b/measure/soak/schedule.go
@@ -94,8 +94,6 @@
 	return firstEngines
 }
 
-func (p Play) hasLongStreams() bool { return p == Planned || p == Mixed || p == Silent }
-
 // How the stops of a series overlap.
 const (
 	together    = "together"
@@ -141,7 +139,7 @@
 // disturbs reports whether a gate may have outdated data of engines during the step.
 func (s Step) disturbs() bool {
 	switch s.Kind {
-	case Pause, AllGates, Suspend, StoreFault, Compact, RestoreStore, StoreLink, SilentStoreConns, Revoke:
+	case Pause, AllGates, Suspend, CutOff, StoreFault, Compact, RestoreStore, StoreLink, SilentStoreConns, Revoke:
 		return true
 	}
 	return false
@@ -181,7 +179,10 @@
 	case Breaking:
 		return newBreaking(rng, length)
 	case Releasing:
-		return newReleasing(rng, length)
+		if (seed+seed/32)%2 == 0 {
+			return calmReleases.draw(rng, length)
+		}
+		return denseReleases.draw(rng, length)
 	case Silent:
 		return newSilent(rng, length)
 	}
@@ -207,27 +208,10 @@
 		}
 		s.Duration = min(time.Duration(rng.Int64N(int64(longest)))+shortestStep, length-quiet-at)
 		s.Index = rng.IntN(maxIndex)
-		switch s.Kind {
-		case StoreFault:
-			s.Variant = string(storeFaults[rng.IntN(len(storeFaults))])
-		case StoreLink, EngineLink:
-			s.Variant = string(linkFaults[rng.IntN(len(linkFaults))])
-		case EngineFault:
-			s.Variant = engineVariants[rng.IntN(len(engineVariants))]
-		case AllEnginesFault:
-			s.Variant = allEnginesVariants[rng.IntN(len(allEnginesVariants))]
-		case Series:
-			s = newSeries(rng, at)
-		case RestoreStore:
+		if s.Kind == RestoreStore {
 			s.Duration = time.Duration(rng.Int64N(int64(longestStep)))
-		case RestartEngines:
-			s.Variant, s.Count = restartVariants[rng.IntN(len(restartVariants))], restartGroups[rng.IntN(len(restartGroups))]
-		case ForeignEntry:
-			s.Variant = foreignVariants[rng.IntN(len(foreignVariants))]
-		case SilentStoreConns, SilentEngineConns:
-			s.Variant, s.Count = string(silences[rng.IntN(len(silences))]), 1+rng.IntN(maxSilentConns)
 		}
-		steps = append(steps, s)
+		steps = append(steps, s.drawVariant(rng, engineVariants))
 	}
 	if seed%rollEvery == 0 {
 		roll := Step{Start: time.Duration(rng.Int64N(int64(length - quiet))), Kind: RollingStop, Duration: shortestStep + time.Duration(rng.Int64N(int64(longestGap)))}
@@ -242,6 +226,31 @@
 	return steps
 }
 
+// drawVariant returns the step with a variant of its kind, of the given ones for EngineFault.
+func (s Step) drawVariant(rng *rand.Rand, ofEngines []string) Step {
+	switch s.Kind {
+	case StoreFault:
+		s.Variant = string(storeFaults[rng.IntN(len(storeFaults))])
+	case StoreLink, EngineLink:
+		s.Variant = string(linkFaults[rng.IntN(len(linkFaults))])
+	case EngineFault:
+		s.Variant = ofEngines[rng.IntN(len(ofEngines))]
+	case AllEnginesFault:
+		s.Variant = allEnginesVariants[rng.IntN(len(allEnginesVariants))]
+	case AllGates:
+		s.Variant = allGatesVariants[rng.IntN(len(allGatesVariants))]
+	case Series:
+		return newSeries(rng, s.Start)
+	case RestartEngines:
+		s.Variant, s.Count = restartVariants[rng.IntN(len(restartVariants))], restartGroups[rng.IntN(len(restartGroups))]
+	case ForeignEntry:
+		s.Variant = foreignVariants[rng.IntN(len(foreignVariants))]
+	case SilentStoreConns, SilentEngineConns:
+		s.Variant, s.Count = string(silences[rng.IntN(len(silences))]), 1+rng.IntN(maxSilentConns)
+	}
+	return s
+}
+
 // newPlanned draws stops, the first of them within a second of the start of the gates, and
 // some other planned work.
 func newPlanned(rng *rand.Rand, length time.Duration) []Step {
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -100,8 +102,10 @@
 	store *standin.Store
 	rec   *record
 	gates []*gate
-	ctx   context.Context
-	wg    sync.WaitGroup
+	// peerLinks are the links over which gates call each other.
+	peerLinks map[pair]*proxy.Link
+	ctx       context.Context
+	wg        sync.WaitGroup
 	// quietFrom is the time from which no disturbance starts.
 	quietFrom time.Time
 
@@ -117,8 +121,10 @@
 	// is out of service. releases counts the releases.
 	versions []string
 	releases int
-	version  int
-	revoked  bool
+	// outOfStep has the gates that are cut off, without those whose processes are stopped.
+	outOfStep []int
+	version   int
+	revoked   bool
 	// idle is the number of routes without requests.
 	idle int
 	// limits are the settings that a silent play changes.
@@ -190,55 +196,32 @@
 		seeds = append(seeds, g.peersAddr)
 		w.gates = append(w.gates, g)
 	}
+	if err := w.linkGates(); err != nil {
+		return err
+	}
 	for i, g := range w.gates {
 		if err := g.start(); err != nil {
 			return err
 		}
-		for c := range callers {
-			w.wg.Go(func() { w.call(i, c) })
-		}
-		if w.cfg.Play == Growing {
-			w.wg.Go(func() { w.callVersions(i) })
-		}
-		if w.cfg.Play == Ending && i == 0 {
-			for k := range crashingRequests {
-				w.wg.Go(func() { w.callCrashing(k) })
+		startCallers := func(n int, call func(g, c int), plays ...Play) {
+			for c := range n {
+				if slices.Contains(plays, w.cfg.Play) {
+					w.wg.Go(func() { call(i, c) })
+				}
 			}
 		}
-		if w.cfg.Play == Sharing && i == 0 {
-			for k := range crashingParts {
-				w.wg.Go(func() { w.callSharing(k) })
-			}
-		}
-		if w.cfg.Play == Breaking {
-			for c := range breakingCallers {
-				w.wg.Go(func() { w.callBreaking(i, c) })
-			}
-		}
-		if w.cfg.Play == Failing {
-			for c := range failingCallers {
-				w.wg.Go(func() { w.callFailing(i, c) })
-			}
-		}
-		if w.cfg.Play == Crowding {
-			for c := range crowdingCallers {
-				w.wg.Go(func() { w.callCrowding(i, c) })
-			}
-		}
-		if w.cfg.Play == Silent {
-			for c := range silentCallers {
-				w.wg.Go(func() { w.callSilent(i, c) })
-			}
-		}
-		if w.cfg.Play == Releasing {
-			for c := range resumingCallers {
-				w.wg.Go(func() { w.callResuming(i, c) })
-			}
-		}
-		if w.cfg.Play.hasLongStreams() {
-			for c := range longCallers {
-				w.wg.Go(func() { w.callLong(i, callers+c) })
-			}
+		startCallers(callers, w.call, Plays...)
+		startCallers(1, func(g, _ int) { w.callVersions(g) }, Growing)
+		startCallers(breakingCallers, w.callBreaking, Breaking)
+		startCallers(failingCallers, w.callFailing, Failing)
+		startCallers(crowdingCallers, w.callCrowding, Crowding)
+		startCallers(silentCallers, w.callSilent, Silent)
+		startCallers(resumingCallers, w.callResuming, Releasing)
+		startCallers(longCallers, func(g, c int) { w.callLong(g, callers+c) }, Planned, Mixed, Silent)
+		if i == 0 {
+			startCallers(crashingRequests, func(_, k int) { w.callCrashing(k) }, Ending)
+			startCallers(crashingParts, func(_, k int) { w.callSharing(k) }, Sharing)
+			startCallers(1, func(int, int) { w.renewEntries() }, Releasing)
 		}
 	}
 	return nil
@@ -262,7 +245,7 @@
 	for _, e := range w.engines {
 		e.Close()
 	}
-	for _, l := range w.links {
+	for _, l := range slices.Concat(w.links, slices.Collect(maps.Values(w.peerLinks))) {
 		l.Close()
 	}
 }
--- a/measure/soak/weldsoak/main.go
+++ b/measure/soak/weldsoak/main.go
@@ -23,6 +23,7 @@
 
 	"github.com/weldfall/weldfall/commands"
 	"github.com/weldfall/weldfall/internal/clocktest"
+	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/measure/soak"
 )
 
@@ -42,6 +43,7 @@
 func main() {
 	if os.Getenv(mainEnv) != "" {
 		clocktest.SimulateSuspensions()
+		proxy.DialLinks()
 		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	var a args
