--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -63,7 +63,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			checkSeed(t, kept.seed, kept.play)
+			check(t, config(t, kept.seed, kept.play))
 		})
 	}
 }
@@ -80,20 +80,36 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			checkSeed(t, seed, soak.Silent)
+			check(t, config(t, seed, soak.Silent))
 		})
 	}
 }
 
-// checkSeed fails the test if a run breaks a guarantee or serves nothing.
-func checkSeed(t *testing.T, seed uint64, play soak.Play) {
+// Guards against streams of two software versions that are resumed at gates which are cut off
+// while engines of the next version join.
+func TestGatesOutOfStepJoinNoVersions(t *testing.T) {
+	for name, seed := range map[string]uint64{
+		"one gate cut off":                     8,
+		"half of the gates that are not heard": 4,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cfg := config(t, seed, soak.Releasing)
+			cfg.Length, cfg.Gates = 20*time.Second, 4
+			check(t, cfg)
+		})
+	}
+}
+
+// check fails the test if a run breaks a guarantee or serves nothing.
+func check(t *testing.T, cfg soak.Config) {
 	t.Helper()
-	r, err := soak.Run(t.Context(), config(t, seed, play))
+	r, err := soak.Run(t.Context(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, b := range r.Violations {
-		t.Errorf("seed %d, play %s: %s", seed, play, b)
+		t.Errorf("seed %d, play %s: %s", cfg.Seed, cfg.Play, b)
 	}
 	if r.Served == 0 {
 		t.Errorf("got no request served of %d", r.Requests)
