--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -135,9 +135,9 @@
 
 // Store implements origin.Peers. A record that an entry does not take goes to the next
 // one.
-func (x *Exchange) Store(r origin.Record) <-chan struct{} {
+func (x *Exchange) Store(r origin.Record) <-chan bool {
 	addrs, reachable, _ := x.cfg.Holders(r.Key.Hash(), asked)
-	s := &store{x: x, record: r, rest: addrs, done: make(chan struct{})}
+	s := &store{x: x, record: r, rest: addrs, done: make(chan bool, 1)}
 	if reachable == 0 {
 		// A caller does not wait for entries that have not responded lately.
 		s.finish(false)
--- a/engines/origin/exchange/exchange_test.go
+++ b/engines/origin/exchange/exchange_test.go
@@ -33,7 +33,7 @@
 		Links: link.NewPool(clk, nil), Clock: clk, Log: slog.New(slog.DiscardHandler),
 		Holders: func(uint64, int) ([]string, int, int) { return addrs, entries, entries },
 	})
-	var stored []<-chan struct{}
+	var stored []<-chan bool
 	for i := range records {
 		stored = append(stored, x.Store(origin.Record{Key: origin.NewKey("ws", fmt.Sprint(i)), Version: "v1", TTL: 1000}))
 	}
--- a/engines/origin/exchange/store.go
+++ b/engines/origin/exchange/store.go
@@ -11,7 +11,7 @@
 type store struct {
 	x      *Exchange
 	record origin.Record
-	done   chan struct{}
+	done   chan bool
 
 	mu sync.Mutex
 	// rest are the entries that were not tried yet.
@@ -73,6 +73,7 @@
 		return
 	}
 	s.finished = true
+	s.done <- held
 	close(s.done)
 	if held {
 		s.x.stored.Inc()
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -177,9 +177,9 @@
 
 // Peers are the other entries.
 type Peers interface {
-	// Store sends a record to other entries. The channel is closed once one of them has
-	// it or none can.
-	Store(r Record) <-chan struct{}
+	// Store sends a record to other entries. The channel receives true once one of them has
+	// it, or false once none can, and is closed.
+	Store(r Record) <-chan bool
 	// Find asks other entries.
 	Find(ctx context.Context, q Query) Search
 }
--- a/engines/origin/proof.go
+++ b/engines/origin/proof.go
@@ -39,9 +39,6 @@
 	Others []Knowledge
 	// AllResponded is true if these are all entries that can have begun the stream.
 	AllResponded bool
-	// Unconfirmed is true if the store did not confirm the list of engines in time after the
-	// request had arrived.
-	Unconfirmed bool
 }
 
 // Proof is what shows that the streams of a service which may still be resumed began at one
@@ -78,7 +75,7 @@
 		return "", Unproven
 	case e.listCovers(sole):
 		return sole, ByList
-	case e.Unconfirmed && e.entriesAgree(sole):
+	case e.entriesAgree(sole):
 		return sole, ByEntries
 	}
 	return "", Unproven
--- a/engines/origin/proof_model_test.go
+++ b/engines/origin/proof_model_test.go
@@ -147,7 +147,7 @@
 	if named && e.hasRecord {
 		return "", "", false
 	}
-	ev := origin.Evidence{Window: modelWindow, Lag: modelLag, AllResponded: e.known != 0, Unconfirmed: !e.reachesStore}
+	ev := origin.Evidence{Window: modelWindow, Lag: modelLag, AllResponded: e.known != 0}
 	for j, o := range m.entries {
 		switch {
 		case e.known&(1<<j) == 0:
--- a/gate/call.go
+++ b/gate/call.go
@@ -141,9 +141,11 @@
 	recordedVersion  string
 	recordedAttempts uint8
 	originCall       uint32
-	// originHeld is closed once another entry holds the latest record or none can. It is
+	// originKept is true once another entry holds the latest record.
+	originKept bool
+	// originHeld receives whether another entry holds the latest record. It is
 	// nil if no entry has to.
-	originHeld <-chan struct{}
+	originHeld <-chan bool
 	// events is the number of events of the stream so far.
 	events int
 	// progress records the pace of the stream.
--- a/gate/engines.go
+++ b/gate/engines.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// RecordListed records that an engine was listed until lately, whose entry has changed since.
+func (g *Gate) RecordListed(in engines.Info) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if in.Version != "" {
+		g.pastVersions.Record(in.Service, in.Version, g.clk.Now())
+	}
+}
+
 // RemoveEngine records that an engine is no longer listed.
 func (g *Gate) RemoveEngine(id, cause string) {
 	g.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -164,8 +164,9 @@
 
 	// setTableMu is held while a version is put in force. moves holds the routes that lately led
 	// to other services.
-	setTableMu sync.Mutex
-	moves      routeMoves
+	setTableMu   sync.Mutex
+	moves        routeMoves
+	pastTimeouts pastTimeouts
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -207,10 +208,12 @@
 	// shares computes this entry's part of the quotas of the whole fleet. warmupParts caches
 	// its part for each engine in warm-up, by engine ID, until shares changes. maxEntries is
 	// the largest number of entries ever known.
-	shares      peers.Shares
-	others      []string
-	warmupParts map[string]int
-	maxEntries  int
+	shares peers.Shares
+	others []string
+	// forgottenEntries has the addresses of other entries that were known and no longer are.
+	forgottenEntries map[string]bool
+	warmupParts      map[string]int
+	maxEntries       int
 	// minEntries is the number of entries that shares assumes at least.
 	minEntries int
 	// originPeers are the other entries that hold origins of streams, nil if there are
@@ -252,7 +255,7 @@
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
 		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
 		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
-		origins: origin.NewBook(), originSearches: newSearches(), resumeLimits: origin.NewLimits(maxRequestTime), versionsBelievedSince: math.MaxInt64, versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{},
+		origins: origin.NewBook(), originSearches: newSearches(), resumeLimits: origin.NewLimits(maxRequestTime), versionsBelievedSince: math.MaxInt64, versionsKnownSince: math.MaxInt64, severalVersions: map[string]bool{}, forgottenEntries: map[string]bool{},
 	}
 	g.list.confirmed = make(chan struct{})
 	g.shutdown.estimate = g.estimate
--- a/gate/listdemand.go
+++ b/gate/listdemand.go
@@ -21,7 +21,7 @@
 	// minListDemandPause is the least time between two demands of an entry, and
 	// listDemandPausePerEntry extends it, so that all entries together demand at most 500
 	// confirmations a second, a quarter of the calls that the store allows.
-	minListDemandPause      clock.Millis = 10
+	minListDemandPause      clock.Millis = 20
 	listDemandPausePerEntry clock.Millis = 2
 )
 
@@ -40,9 +40,6 @@
 // after a request arrived. It returns false if that takes too long. One confirmation serves all
 // requests that wait for it.
 func (g *Gate) awaitListConfirmation(ctx context.Context, c *call) bool {
-	if c.originSearch.Skipped {
-		return false
-	}
 	left := clock.Millis(listDemandPart * float64(c.timeLeft(g.clk.Now())))
 	ctx, cancel := context.WithTimeout(ctx, min(listDemandTimeout, left).Duration())
 	defer cancel()
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -255,7 +255,7 @@
 	g.mu.Unlock()
 	sole = sole && !g.movedLately(c, now)
 	if !sole && peers != nil {
-		c.sentVersion, c.originHeld = version, peers.Store(r)
+		c.sentVersion, c.originHeld, c.originKept = version, peers.Store(r), false
 	}
 }
 
@@ -268,21 +268,39 @@
 	return max(0, left) + resumeMargin
 }
 
+// tellOrigin records the version of the engine that a request goes to. If the list is old, the
+// engine may no longer be listed, and the others may take another version for the only one; the
+// request is rejected unless another entry holds the record.
+func (g *Gate) tellOrigin(ctx context.Context, c *call, version string) *verdict.Error {
+	g.recordOrigin(c, version)
+	if c.recordedVersion == "" || c.resumed.resumes() || c.originKept {
+		return nil
+	}
+	now := g.clk.Now()
+	g.mu.Lock()
+	current, age, retryAfter := g.listFreshness.Within(staleListAge, now), g.listFreshness.Age(now), g.retryElsewhere(now)
+	g.mu.Unlock()
+	if current || g.awaitOrigin(ctx, c) {
+		return nil
+	}
+	return verdict.New(c.verdict(), verdict.NotReady, "this entry's list of engines is %d ms old, and no other entry holds the origin of the stream", age).WithRetryAfter(retryAfter)
+}
+
 // awaitOrigin waits until another entry holds the origin of the stream, so that it can be
-// resumed if this entry ends. An entry that others cannot be reached from passes the
-// stream on all the same.
-func (g *Gate) awaitOrigin(ctx context.Context, c *call) {
+// resumed if this entry ends, and reports whether one does.
+func (g *Gate) awaitOrigin(ctx context.Context, c *call) bool {
 	held := c.originHeld
 	if c.originHeld = nil; held == nil {
-		return
+		return c.originKept
 	}
 	ctx, cancel := context.WithTimeout(ctx, originHeldTimeout.Duration())
 	defer cancel()
 	select {
-	case <-held:
+	case c.originKept = <-held:
 	case <-ctx.Done():
 		g.log.Info("origin_not_held", "request", c.id, "service", c.service, "waited_ms", originHeldTimeout)
 	}
+	return c.originKept
 }
 
 // handOverOrigins sends all origins to other entries when the process stops, unless every
@@ -338,7 +356,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return origin.Finding{
-		Record: r, Ambiguous: ambiguous, Others: len(g.others),
+		Record: r, Ambiguous: ambiguous, Others: g.othersKnown(),
 		Knowledge: g.versionKnowledge(q.Service, g.resumeWindow(q.Service), now),
 	}
 }
--- a/gate/send.go
+++ b/gate/send.go
@@ -54,6 +54,10 @@
 		if err != nil {
 			return err
 		}
+		if err := g.tellOrigin(ctx, c, e.Version); err != nil {
+			g.finish(e.Incarnation(), engines.Neutral)
+			return err
+		}
 		o := g.attempt(ctx, c, e)
 		g.recordOutcome(ctx, c, e, o)
 		g.recordHall(c, e.Info, o)
@@ -95,7 +99,6 @@
 func (g *Gate) attempt(ctx context.Context, c *call, e pick) attempt.Outcome {
 	now := g.clk.Now()
 	c.said = statement.Said{}
-	g.recordOrigin(c, e.Version)
 	req := g.request(c, e, now)
 	c.trace = upstream.Trace{}
 	req.Trace = &c.trace
--- a/gate/table.go
+++ b/gate/table.go
@@ -16,6 +16,7 @@
 	if old := g.table.Load(); old != nil && t.Version() >= old.Version() {
 		// Requests find the moves as soon as the version is in force.
 		g.moves.update(old, t, g.clk.Now())
+		g.pastTimeouts.record(old, g.bounds().Change, g.clk.Now())
 	}
 	g.mu.Lock()
 	old := g.table.Load()
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -4,19 +4,26 @@
 	"context"
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/origin"
+	"github.com/weldfall/weldfall/table"
 )
 
+// staleListAge is the age of the list from which an entry begins a resumable stream only if
+// another entry holds its record. For that long an entry that is out of step may begin streams at
+// a version that is no longer listed, and others know nothing of them.
+const staleListAge clock.Millis = 5000
+
 // soleVersion returns the only version that the service of a call can have begun a stream at
 // that its caller may still resume. Unless the store has confirmed the list since the request
 // arrived, it waits for that.
 func (g *Gate) soleVersion(ctx context.Context, c *call) (version string, by basis, err error) {
-	version, proof := g.versionEvidence(c, false).SoleVersion()
-	if proof == origin.Unproven && g.hasListed(c.service) {
-		confirmed := g.awaitListConfirmation(ctx, c)
-		version, proof = g.versionEvidence(c, !confirmed).SoleVersion()
+	version, proof := g.versionEvidence(c).SoleVersion()
+	if (proof == origin.Unproven || proof == origin.ByEntries) && g.hasListed(c.service) {
+		g.awaitListConfirmation(ctx, c)
+		version, proof = g.versionEvidence(c).SoleVersion()
 	}
 	switch proof {
 	case origin.ByList:
@@ -29,16 +36,15 @@
 	return "", "", errVersionsUnknown
 }
 
-// versionEvidence returns what is known of the versions of a call's service. unconfirmed is
-// true if the store did not confirm the list after the request arrived.
-func (g *Gate) versionEvidence(c *call, unconfirmed bool) origin.Evidence {
+// versionEvidence returns what is known of the versions of a call's service.
+func (g *Gate) versionEvidence(c *call) origin.Evidence {
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	window := g.resumeWindowOf(c, now)
 	e := origin.Evidence{
-		ArrivedAt: c.start, Window: window, Lag: g.staleEntryLag(), Own: g.versionKnowledge(c.service, window, now),
-		AllResponded: g.allResponded(c.originSearch), Unconfirmed: unconfirmed,
+		ArrivedAt: c.start, Window: window, Lag: staleListAge, Own: g.versionKnowledge(c.service, window, now),
+		AllResponded: g.allResponded(c.originSearch),
 	}
 	for _, f := range c.originSearch.Findings {
 		e.Others = append(e.Others, f.Knowledge)
@@ -48,16 +54,21 @@
 }
 
 // allResponded reports whether a search had findings of every other entry, and all of them
-// know equally many others. An entry that lost sight of others cannot tell whether they ended.
-// The caller holds mu.
+// know equally many others. An entry that has forgotten another one cannot tell whether that
+// ended, and does not count. The caller holds mu.
 func (g *Gate) allResponded(s origin.Search) bool {
 	missing := slices.ContainsFunc(s.Findings, func(f origin.Finding) bool { return f.Others != s.Others })
-	return s.Others > 0 && len(s.Findings) == s.Others && s.Others+1 >= g.maxEntries && !missing
+	return s.Others > 0 && len(s.Findings) == s.Others && len(g.forgottenEntries) == 0 && !missing
 }
 
-// staleEntryLag returns for how long an entry that is out of step may go on beginning streams
-// at a version that is no longer listed: until it refuses keys.
-func (g *Gate) staleEntryLag() clock.Millis { return g.bounds().Revocation }
+// othersKnown returns the number of other entries that are known, or -1 if others were known that
+// are no longer. The caller holds mu.
+func (g *Gate) othersKnown() int {
+	if len(g.forgottenEntries) > 0 {
+		return -1
+	}
+	return len(g.others)
+}
 
 // hasListed reports whether engines of a service are listed.
 func (g *Gate) hasListed(service string) bool {
@@ -75,7 +86,7 @@
 	}
 	other := g.pastVersions.LastOther(service, listed[0])
 	return origin.Knowledge{
-		Sole: listed[0], Several: other > 0 && now-other <= window+g.staleEntryLag(),
+		Sole: listed[0], Several: other > 0 && now-other <= window+staleListAge,
 		Since: max(g.versionsKnownSince, other), BelievedSince: max(g.versionsBelievedSince, other),
 		// A call that was sent in the same millisecond may have been sent before.
 		AsOf: g.list.readAt - 1,
@@ -87,7 +98,7 @@
 // older than other entries allow for. The caller holds mu.
 func (g *Gate) servesOneVersion(service string, window, now clock.Millis) bool {
 	k := g.versionKnowledge(service, window, now)
-	return k.Sole != "" && !k.Several && k.BelievedSince <= now-window && g.listFreshness.Within(g.staleEntryLag(), now)
+	return k.Sole != "" && !k.Several && k.BelievedSince <= now-window && g.listFreshness.Within(staleListAge, now)
 }
 
 // resumeWindowOf returns how long after its first event a caller may resume a stream of the
@@ -106,7 +117,50 @@
 	if t == nil {
 		return maxRequestTime
 	}
-	return 2*t.StreamTimeout(service) + resumeMargin
+	return 2*max(t.StreamTimeout(service), g.pastTimeouts.longest(service, g.clk.Now())) + resumeMargin
+}
+
+// pastTimeouts holds the timeouts of streams by earlier versions of the routes, for as long as
+// streams that began by them can be resumed. The zero value is empty. It is safe for concurrent
+// use.
+type pastTimeouts struct {
+	mu        sync.Mutex
+	byService map[string]pastTimeout
+}
+
+// pastTimeout is the longest timeout of a service's streams that counts until a time.
+type pastTimeout struct{ timeout, until clock.Millis }
+
+// record records the timeouts of a version that is replaced. Entries that are late by lag begin
+// streams by it.
+func (p *pastTimeouts) record(old *table.Table, lag, now clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	timeouts := map[string]pastTimeout{}
+	for service, past := range p.byService {
+		if past.until > now {
+			timeouts[service] = past
+		}
+	}
+	for r := range old.ResumableStreams() {
+		for _, s := range r.Shares {
+			t := old.StreamTimeout(s.Service)
+			if past := timeouts[s.Service]; t >= past.timeout {
+				timeouts[s.Service] = pastTimeout{t, now + lag + 2*t + resumeMargin}
+			}
+		}
+	}
+	p.byService = timeouts
+}
+
+// longest returns the longest timeout of a service that counts, zero if there is none.
+func (p *pastTimeouts) longest(service string, now clock.Millis) clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if past := p.byService[service]; past.until > now {
+		return past.timeout
+	}
+	return 0
 }
 
 // recordVersions handles a change of the versions that a service lists. gone is the former
--- a/gate/warmup.go
+++ b/gate/warmup.go
@@ -29,6 +29,7 @@
 		g.maxEntries = n
 		g.limitAllConns(g.table.Load())
 	}
+	g.recordForgotten(others)
 	minEntries := g.maxEntries
 	if len(others) == 0 || g.clk.Now()-g.startedAt <= discoveryTime {
 		minEntries = max(minEntries, assumedEntries)
@@ -40,6 +41,24 @@
 	g.shares, g.warmupParts = peers.NewShares(self, others, minEntries), map[string]int{}
 }
 
+// maxForgotten limits the forgotten entries that are told apart.
+const maxForgotten = 4096
+
+// recordForgotten records which entries are no longer known. The caller holds mu.
+func (g *Gate) recordForgotten(others []string) {
+	if slices.Equal(others, g.others) {
+		return
+	}
+	for _, o := range g.others {
+		if _, known := slices.BinarySearch(others, o); !known && len(g.forgottenEntries) < maxForgotten {
+			g.forgottenEntries[o] = true
+		}
+	}
+	for _, o := range others {
+		delete(g.forgottenEntries, o)
+	}
+}
+
 // warmup returns the limits for engines of the request's service that are in warm-up. The
 // caller holds mu.
 func (g *Gate) warmup(c *call) engines.Warmup {
