soak: Take the run that responded for the one whose end counts

The judge compared the end of a response with that of the run that arrived last.

Runs that sent and ended nothing count only if no other one did. TestJudgeCompleteness has the case, which failed before, and that an end which no engine made is still found beside such a run.

--- a/measure/soak/export_test.go
+++ b/measure/soak/export_test.go
@@ -84,6 +84,8 @@
 	Late bool
 	// Before is the framing of an earlier, broken run, "" if there was none.
 	Before framing.Framing
+	// LateRun is true if another engine received the request later and sent nothing.
+	LateRun bool
 }
 
 // JudgeCompleteness returns the violations by the end of a response.
@@ -105,6 +107,9 @@
 		note(disturbance{kind: c.Trouble, gate: everyGate, from: start.Add(c.From), until: start.Add(c.Until)})
 	}
 	runs := []*standin.Run{{ArrivedAt: start, Ended: c.Ran, Sent: cmp.Or(c.Sent, len(a.wantBody()))}}
+	if c.LateRun {
+		runs = append(runs, &standin.Run{ArrivedAt: start.Add(time.Millisecond)})
+	}
 	if c.Before != "" {
 		runs = append(runs, &standin.Run{ArrivedAt: start.Add(-time.Millisecond), Framed: c.Before, Ended: framing.Incomplete})
 	}
--- a/measure/soak/frames_test.go
+++ b/measure/soak/frames_test.go
@@ -84,6 +84,9 @@
 		"continued, closed reported as complete":      {answer: soak.EndedResponse{Path: "/resume/x", End: framing.Complete, Ran: framing.Closed, Before: framing.Chunked}, broken: 1},
 		"continued in 1.0, reported as incomplete":    {answer: soak.EndedResponse{Path: "/resume/x", By: "HTTP/1.0", End: framing.Incomplete, Ran: framing.Closed, Before: framing.Chunked}, broken: 1},
 		"run again, closed reported as incomplete":    {answer: soak.EndedResponse{Path: "/safe/x", End: framing.Incomplete, Ran: framing.Closed, Before: framing.Length}, broken: 1},
+		"complete by an engine, another one is late":  {answer: soak.EndedResponse{End: framing.Complete, Ran: framing.Complete, LateRun: true}},
+		"closed as complete, another one is late":     {answer: soak.EndedResponse{End: framing.Complete, Ran: framing.Closed, LateRun: true}, broken: 1},
+		"not ended, another one is late":              {answer: soak.EndedResponse{End: framing.Complete, LateRun: true}, broken: 1},
 		"frames with a fault":                         {answer: soak.EndedResponse{End: framing.Incomplete, Ran: framing.Incomplete, Fault: "two lengths"}, broken: 1},
 	} {
 		if got := soak.JudgeCompleteness(c.answer); len(got) != c.broken {
--- a/measure/soak/judge_end.go
+++ b/measure/soak/judge_end.go
@@ -18,7 +18,13 @@
 	if len(runs) == 0 {
 		return
 	}
-	last := slices.MaxFunc(runs, func(x, y *standin.Run) int { return x.ArrivedAt.Compare(y.ArrivedAt) })
+	// An engine that a request left before it sent anything may have received it after the one
+	// that responded.
+	responded := slices.DeleteFunc(slices.Clone(runs), func(r *standin.Run) bool { return r.Ended == "" && r.Sent == 0 })
+	if len(responded) == 0 {
+		responded = runs
+	}
+	last := slices.MaxFunc(responded, func(x, y *standin.Run) int { return x.ArrivedAt.Compare(y.ArrivedAt) })
 	passed := a.signature != ""
 	switch {
 	case !passed, a.ending == framing.Incomplete:
