gate: Confirm an old list before a stream begins by it

Where engines do not renew their entries, a watch that finds no changes confirms nothing until it ends, and the list gets up to 7 s old. On the users' platform they renew them each 1.2 s.

An entry has the store confirm a list that is older than 5 s, on demand, before it begins a resumable stream. TestStreamsBeginByAListWithoutChanges failed before (stream 49) and passes.

--- a/gate/listdemand.go
+++ b/gate/listdemand.go
@@ -37,19 +37,16 @@
 }
 
 // awaitListConfirmation waits until the store has confirmed the list to this entry as of a time
-// after a request arrived. It returns false if that takes too long. One confirmation serves all
-// requests that wait for it.
-func (g *Gate) awaitListConfirmation(ctx context.Context, c *call) bool {
+// after a request arrived, or until that takes too long. One confirmation serves all requests
+// that wait for it.
+func (g *Gate) awaitListConfirmation(ctx context.Context, c *call) {
 	left := clock.Millis(listDemandPart * float64(c.timeLeft(g.clk.Now())))
 	ctx, cancel := context.WithTimeout(ctx, min(listDemandTimeout, left).Duration())
 	defer cancel()
 	for {
 		d := g.demandList(c.start)
-		if d.confirmed || d.failed {
-			return d.confirmed
-		}
-		if !await(ctx, d.next, d.again) {
-			return false
+		if d.confirmed || d.failed || !await(ctx, d.next, d.again) {
+			return
 		}
 	}
 }
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -268,6 +268,21 @@
 	return max(0, left) + resumeMargin
 }
 
+// refreshList has the store confirm a list that is too old for a resumable stream to begin by it.
+// Where engines do not renew their entries, a watch that finds no changes confirms nothing for
+// seconds.
+func (g *Gate) refreshList(ctx context.Context, c *call) {
+	if c.route.Kind != table.Stream || !c.route.Resumable || c.resumed.resumes() {
+		return
+	}
+	g.mu.Lock()
+	current := g.listFreshness.Within(staleListAge, g.clk.Now())
+	g.mu.Unlock()
+	if !current {
+		g.awaitListConfirmation(ctx, c)
+	}
+}
+
 // tellOrigin records the version of the engine that a request goes to. If the list is old, the
 // engine may no longer be listed, and the others may take another version for the only one; the
 // request is rejected unless another entry holds the record.
