gate: Confirm an old list at each attempt of a stream that begins

Traced by the lines: the list was confirmed before the first engine was chosen, and became older than 5 s before the second.

The check asks for a confirmation at each attempt that may begin a stream, and then whether the version is still listed. An attempt of a stream whose first event was passed on needs neither.

--- a/gate/listdemand.go
+++ b/gate/listdemand.go
@@ -36,15 +36,15 @@
 	g.listSource = s
 }
 
-// awaitListConfirmation waits until the store has confirmed the list to this entry as of a time
-// after a request arrived, or until that takes too long. One confirmation serves all requests
-// that wait for it.
-func (g *Gate) awaitListConfirmation(ctx context.Context, c *call) {
+// awaitListConfirmation waits until the store has confirmed the list to this entry as of later
+// than the given time, or until that takes too long for the call. One confirmation serves all
+// calls that wait for it.
+func (g *Gate) awaitListConfirmation(ctx context.Context, c *call, after clock.Millis) {
 	left := clock.Millis(listDemandPart * float64(c.timeLeft(g.clk.Now())))
 	ctx, cancel := context.WithTimeout(ctx, min(listDemandTimeout, left).Duration())
 	defer cancel()
 	for {
-		d := g.demandList(c.start)
+		d := g.demandList(after)
 		if d.confirmed || d.failed || !await(ctx, d.next, d.again) {
 			return
 		}
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -268,39 +268,35 @@
 	return max(0, left) + resumeMargin
 }
 
-// refreshList has the store confirm a list that is too old for a resumable stream to begin by it.
-// Where engines do not renew their entries, a watch that finds no changes confirms nothing for
-// seconds.
-func (g *Gate) refreshList(ctx context.Context, c *call) {
-	if c.route.Kind != table.Stream || !c.route.Resumable || c.resumed.resumes() {
-		return
-	}
-	g.mu.Lock()
-	current := g.listFreshness.Within(staleListAge, g.clk.Now())
-	g.mu.Unlock()
-	if !current {
-		g.awaitListConfirmation(ctx, c)
-	}
-}
-
 // tellOrigin records the version of the engine that a request goes to. If the list is old, the
 // engine may no longer be listed, and the others may take another version for the only one; the
-// request is rejected unless another entry holds the record.
+// request is rejected unless the store confirms that the version is listed, or another entry
+// holds the record.
 func (g *Gate) tellOrigin(ctx context.Context, c *call, version string) *verdict.Error {
 	g.recordOrigin(c, version)
-	if c.recordedVersion == "" || c.resumed.resumes() || c.originKept {
+	if version == "" || c.recordedVersion == "" || c.versionBasis != "" || c.originKept || g.listsVersion(c.service, version) {
+		return nil
+	}
+	// Where engines do not renew their entries, a watch that finds no changes confirms nothing
+	// for seconds.
+	g.awaitListConfirmation(ctx, c, g.clk.Now())
+	if g.listsVersion(c.service, version) || g.awaitOrigin(ctx, c) {
 		return nil
 	}
 	now := g.clk.Now()
 	g.mu.Lock()
-	current, age, retryAfter := g.listFreshness.Within(staleListAge, now), g.listFreshness.Age(now), g.retryElsewhere(now)
+	age, retryAfter := g.listFreshness.Age(now), g.retryElsewhere(now)
 	g.mu.Unlock()
-	if current || g.awaitOrigin(ctx, c) {
-		return nil
-	}
 	return verdict.New(c.verdict(), verdict.NotReady, "this entry's list of engines is %d ms old, and no other entry holds the origin of the stream", age).WithRetryAfter(retryAfter)
 }
 
+// listsVersion reports whether a service has engines of a version by a list that is not old.
+func (g *Gate) listsVersion(service, version string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listFreshness.Within(staleListAge, g.clk.Now()) && slices.Contains(g.registry.Versions(service), version)
+}
+
 // awaitOrigin waits until another entry holds the origin of the stream, so that it can be
 // resumed if this entry ends, and reports whether one does.
 func (g *Gate) awaitOrigin(ctx context.Context, c *call) bool {
--- a/gate/send.go
+++ b/gate/send.go
@@ -37,7 +37,6 @@
 	// held is the latest error response of an engine. It is the response to the caller if no
 	// other engine has a better one.
 	var held *attempt.BufferedResponse
-	g.refreshList(ctx, c)
 	for {
 		if err := g.recheckAdmission(c); err != nil {
 			return err
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -22,7 +22,7 @@
 func (g *Gate) soleVersion(ctx context.Context, c *call) (version string, by basis, err error) {
 	version, proof := g.versionEvidence(c).SoleVersion()
 	if (proof == origin.Unproven || proof == origin.ByEntries) && g.hasListed(c.service) {
-		g.awaitListConfirmation(ctx, c)
+		g.awaitListConfirmation(ctx, c, c.start)
 		version, proof = g.versionEvidence(c).SoleVersion()
 	}
 	switch proof {
