gate, origin: Remove what the proof of a single version wrote twice or left dead

Found when reading the change once more; nothing behaves differently.

- origin.Search.Skipped is gone: nothing has read it since the list alone may prove a version.
- What an entry says that knows nothing is one value, origin.NoKnowledge, in place of the same literal at both ends of the message.
- The timeouts of replaced routes come from the table, which has them by service, in place of a walk over all resumable routes (5,600 on a large site) at each version.
- SetTable compares the versions once.
- Whether the store has confirmed the list follows from its freshness, not from another field.
- Which entries were forgotten is recorded beside what asks for it, not beside warm-up.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -236,6 +236,19 @@
 	}
 }
 
+// Await waits until ch is closed or received from, for d or until ctx is done, and reports
+// whether ctx is not done.
+func Await(ctx context.Context, ch <-chan struct{}, d Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ch:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // PauseDetector detects that a process stood still between two ticks, so that
 // what it knew before may be outdated.
 type PauseDetector struct {
--- a/common/clock/clock_test.go
+++ b/common/clock/clock_test.go
@@ -196,3 +196,28 @@
 		c.Now()
 	}
 }
+
+// A wait ends with its channel, its time or its context, and only the last one is a failure.
+func TestAwaitEndsWithTheFirstOfThree(t *testing.T) {
+	const long clock.Millis = 60_000
+	closed, never := make(chan struct{}), make(chan struct{})
+	close(closed)
+	done, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, tc := range []struct {
+		name string
+		ctx  context.Context
+		ch   chan struct{}
+		d    clock.Millis
+		want bool
+	}{
+		{"the channel is closed", t.Context(), closed, long, true},
+		{"the time is over", t.Context(), never, 1, true},
+		{"the context is done", done, never, long, false},
+		{"the context is done, too", done, closed, long, false},
+	} {
+		if got := clock.Await(tc.ctx, tc.ch, tc.d); got != tc.want {
+			t.Errorf("%s: got %t, want %t", tc.name, got, tc.want)
+		}
+	}
+}
--- a/engines/origin/exchange/exchange.go
+++ b/engines/origin/exchange/exchange.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"math"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -86,7 +85,8 @@
 // finding decodes the answer of the entry at addr to a question of the given key that was
 // asked at a time of this entry's clock.
 func (a Answer) finding(addr string, key origin.Key, askedAt, now clock.Millis) origin.Finding {
-	k := origin.Knowledge{Sole: a.Sole, Several: a.Several, Since: math.MaxInt64, AsOf: math.MinInt64, BelievedSince: math.MaxInt64}
+	k := origin.NoKnowledge()
+	k.Sole, k.Several = a.Sole, a.Several
 	if a.ListAge > 0 && a.SoleFor > 0 {
 		k.Since, k.AsOf = now-a.SoleFor, askedAt-a.ListAge
 	}
--- a/engines/origin/origin.go
+++ b/engines/origin/origin.go
@@ -162,8 +162,6 @@
 	Findings []Finding
 	// Others is the number of other entries that are known, whether they were asked or not.
 	Others int
-	// Skipped is true if no entry was asked because there were too many searches.
-	Skipped bool
 }
 
 // Responders returns the addresses of the entries that responded.
--- a/engines/origin/proof.go
+++ b/engines/origin/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -23,6 +24,11 @@
 	BelievedSince clock.Millis
 }
 
+// NoKnowledge returns the Knowledge of an entry that covers no time.
+func NoKnowledge() Knowledge {
+	return Knowledge{Since: math.MaxInt64, AsOf: math.MinInt64, BelievedSince: math.MaxInt64}
+}
+
 // Evidence is what an entry knows of the versions of a service when a stream of unknown
 // origin is resumed there. All times are by its clock; those of other entries are rounded so
 // that their knowledge covers less.
--- a/engines/plain.go
+++ b/engines/plain.go
@@ -56,7 +56,8 @@
 }
 
 // addBeliefs adds the believed requests of other entries to the loads of engines that report
-// none and whose slots count up to limit. It changes nothing unless one of the engines has rejected a request lately.
+// none and whose slots count up to limit. It changes nothing unless one of the engines has
+// rejected a request lately.
 func addBeliefs(in []*Engine, loads []float64, limit float64, now clock.Millis) {
 	fastest, rejected := math.Inf(1), false
 	for _, e := range in {
--- a/gate/enginelist.go
+++ b/gate/enginelist.go
@@ -166,7 +166,7 @@
 // listReadAge returns the time since the store last confirmed the list to this entry, or -1 if
 // it has not. The caller holds mu.
 func (g *Gate) listReadAge(now clock.Millis) clock.Millis {
-	if g.versionsBelievedSince == math.MaxInt64 {
+	if !g.listFreshness.Known() {
 		return -1
 	}
 	return now - g.list.readAt
--- a/gate/listdemand.go
+++ b/gate/listdemand.go
@@ -45,23 +45,12 @@
 	defer cancel()
 	for {
 		d := g.demandList(after)
-		if d.confirmed || d.failed || !await(ctx, d.next, d.again) {
+		if d.confirmed || d.failed || !clock.Await(ctx, d.next, d.again) {
 			return
 		}
 	}
 }
 
-// await waits until ch is closed or for d. It returns false if ctx is done before.
-func await(ctx context.Context, ch <-chan struct{}, d clock.Millis) bool {
-	waiting, cancel := context.WithTimeout(ctx, d.Duration())
-	defer cancel()
-	select {
-	case <-ch:
-	case <-waiting.Done():
-	}
-	return ctx.Err() == nil
-}
-
 // demand is the state of a demand that the store confirms the list.
 type demand struct {
 	// confirmed is true if it has, and failed if it does not respond.
--- a/gate/origin.go
+++ b/gate/origin.go
@@ -181,17 +181,14 @@
 	return r.Version, byRecord, nil
 }
 
-// askOrigin asks other entries for the origin of a stream.
+// askOrigin asks other entries for the origin of a stream, unless there are too many searches.
 func (g *Gate) askOrigin(ctx context.Context, q origin.Query) origin.Search {
 	g.mu.Lock()
 	peers := g.originPeers
 	g.mu.Unlock()
-	if peers == nil {
+	if peers == nil || !g.originSearches.allow(q.Workspace) {
 		return origin.Search{}
 	}
-	if !g.originSearches.allow(q.Workspace) {
-		return origin.Search{Skipped: true}
-	}
 	return peers.Find(ctx, q)
 }
 
--- a/gate/table.go
+++ b/gate/table.go
@@ -13,14 +13,9 @@
 func (g *Gate) SetTable(t *table.Table, a table.Arrival) {
 	g.setTableMu.Lock()
 	defer g.setTableMu.Unlock()
-	if old := g.table.Load(); old != nil && t.Version() >= old.Version() {
-		// Requests find the moves as soon as the version is in force.
-		g.moves.update(old, t, g.clk.Now())
-		g.pastTimeouts.record(old, g.bounds().Change, g.clk.Now())
-	}
-	g.mu.Lock()
 	old := g.table.Load()
 	if old != nil && t.Version() < old.Version() {
+		g.mu.Lock()
 		if !a.Unconfirmed && a.Epoch > g.tableEpoch {
 			g.confirm(a.Epoch, a.ConfirmedAt)
 		}
@@ -28,6 +23,12 @@
 		g.log.Warn("table_ignored", "version", t.Version(), "in_force", old.Version(), "epoch", a.Epoch, "cause", "older than the one in force")
 		return
 	}
+	if old != nil {
+		// Requests find the moves as soon as the version is in force.
+		g.moves.update(old, t, g.clk.Now())
+		g.pastTimeouts.record(old, g.bounds().Change, g.clk.Now())
+	}
+	g.mu.Lock()
 	newer := old == nil || old.Version() != t.Version()
 	g.table.Store(t)
 	g.tableEpoch = a.Epoch
--- a/gate/versions.go
+++ b/gate/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 
@@ -70,6 +69,24 @@
 	return len(g.others)
 }
 
+// maxForgotten limits the forgotten entries that are told apart.
+const maxForgotten = 4096
+
+// recordForgotten records which entries are no longer known. The caller holds mu.
+func (g *Gate) recordForgotten(others []string) {
+	if slices.Equal(others, g.others) {
+		return
+	}
+	for _, o := range g.others {
+		if _, known := slices.BinarySearch(others, o); !known && len(g.forgottenEntries) < maxForgotten {
+			g.forgottenEntries[o] = true
+		}
+	}
+	for _, o := range others {
+		delete(g.forgottenEntries, o)
+	}
+}
+
 // hasListed reports whether engines of a service are listed.
 func (g *Gate) hasListed(service string) bool {
 	g.mu.Lock()
@@ -82,7 +99,9 @@
 func (g *Gate) versionKnowledge(service string, window, now clock.Millis) origin.Knowledge {
 	listed := g.registry.Versions(service)
 	if len(listed) != 1 {
-		return origin.Knowledge{Several: len(listed) > 1, Since: math.MaxInt64, AsOf: math.MinInt64, BelievedSince: math.MaxInt64}
+		k := origin.NoKnowledge()
+		k.Several = len(listed) > 1
+		return k
 	}
 	other := g.pastVersions.LastOther(service, listed[0])
 	return origin.Knowledge{
@@ -142,12 +161,9 @@
 			timeouts[service] = past
 		}
 	}
-	for r := range old.ResumableStreams() {
-		for _, s := range r.Shares {
-			t := old.StreamTimeout(s.Service)
-			if past := timeouts[s.Service]; t >= past.timeout {
-				timeouts[s.Service] = pastTimeout{t, now + lag + 2*t + resumeMargin}
-			}
+	for service, t := range old.StreamTimeouts() {
+		if t >= timeouts[service].timeout {
+			timeouts[service] = pastTimeout{t, now + lag + 2*t + resumeMargin}
 		}
 	}
 	p.byService = timeouts
--- a/gate/warmup.go
+++ b/gate/warmup.go
@@ -41,24 +41,6 @@
 	g.shares, g.warmupParts = peers.NewShares(self, others, minEntries), map[string]int{}
 }
 
-// maxForgotten limits the forgotten entries that are told apart.
-const maxForgotten = 4096
-
-// recordForgotten records which entries are no longer known. The caller holds mu.
-func (g *Gate) recordForgotten(others []string) {
-	if slices.Equal(others, g.others) {
-		return
-	}
-	for _, o := range g.others {
-		if _, known := slices.BinarySearch(others, o); !known && len(g.forgottenEntries) < maxForgotten {
-			g.forgottenEntries[o] = true
-		}
-	}
-	for _, o := range others {
-		delete(g.forgottenEntries, o)
-	}
-}
-
 // warmup returns the limits for engines of the request's service that are in warm-up. The
 // caller holds mu.
 func (g *Gate) warmup(c *call) engines.Warmup {
--- a/table/table.go
+++ b/table/table.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -321,6 +322,10 @@
 // it has none.
 func (t *Table) StreamTimeout(service string) clock.Millis { return t.streamTimeouts[service] }
 
+// StreamTimeouts returns the longest timeout of the resumable streams of each service that has
+// any.
+func (t *Table) StreamTimeouts() iter.Seq2[string, clock.Millis] { return maps.All(t.streamTimeouts) }
+
 // PickService chooses one of the route's services by weight. All processes choose the
 // same service for the same key.
 func (r *Route) PickService(key string) string {
