review: Keep the crashes of the scripts inside one listed dose

Case 7 had one of four engines (0.25) down for 4.5 s; the site file has 0.25 for 2.0 s and 0.17 for 4.5 s. Case 6 had two of six engines (0.33) down at once. Now one of six (0.167) and at most two of twelve (0.167), for 4.5 s.

--- a/review/scene/case6.go
+++ b/review/scene/case6.go
@@ -17,9 +17,9 @@
 	crashes    = 2
 )
 
-// case6 has two gates and six model engines. One gate is lost for good, then two engines crash,
+// case6 has two gates and twelve model engines. One gate is lost for good, then two engines crash,
 // one after the other, each while it runs a report. All reports begin with the same part of a
-// prompt, as those of a kind do. Reports must be served on: a sound gate and at least four sound
+// prompt, as those of a kind do. Reports must be served on: a sound gate and at least ten sound
 // engines are there.
 func case6(f *fleet, trouble bool) (int, error) {
 	const host, service, tenant, slots = "desk.example", "drafting", "hule", 64
@@ -32,7 +32,7 @@
 	f.store.Put("op/config", config(7, host, routes, []string{service}, []string{tenant}, true))
 	v := &victims{f: f, left: crashes, crashed: make(chan *engineProc, crashes)}
 	f.onLine = v.onLine
-	for range 6 {
+	for range 12 {
 		if _, err := f.startEngine(service, "", slots); err != nil {
 			return 0, err
 		}
--- a/review/scene/case7.go
+++ b/review/scene/case7.go
@@ -18,9 +18,9 @@
 	entryLapse = 3600 * time.Millisecond
 )
 
-// case7 has two gates and four engines of a plain service. One gate is lost for good, then one
+// case7 has two gates and six engines of a plain service. One gate is lost for good, then one
 // engine crashes while it runs the lookup that one tenant repeats. The tenant must be served on:
-// a sound gate and three, later four, sound engines are there.
+// a sound gate and five, later six, sound engines are there.
 func case7(f *fleet, trouble bool) (int, error) {
 	const host, service = "desk.example", "desk"
 	tenants := []string{"hule", "kora", "mino", "pasa"}
@@ -42,7 +42,7 @@
 		_ = e.cmd.Process.Signal(syscall.SIGKILL)
 		close(crashed)
 	}
-	for range 4 {
+	for range 6 {
 		if _, err := f.startEngine(service, "", 6); err != nil {
 			return 0, err
 		}
