gate: Log whether other entries are heard

A request that is held back says contact=isolated, but nothing told since when the entry hears nobody, nor how many others it had known: peers_lost comes only once all are forgotten, after 30 s. The line contact tells both when it changes. No other change.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -205,6 +205,8 @@
 	tableEpoch int64
 	// fleet is the state of the other entries. The first entry confirms the table for all.
 	fleet peers.Fleet
+	// loggedContact is the contact to other entries that was last logged.
+	loggedContact quarantine.Connectivity
 	// shares computes this entry's part of the quotas of the whole fleet. warmupParts caches
 	// its part for each engine in warm-up, by engine ID, until shares changes. maxEntries is
 	// the largest number of entries ever known.
--- a/gate/status.go
+++ b/gate/status.go
@@ -93,6 +93,10 @@
 	if alone && f.Entries > 1 {
 		g.sendBegunOrigins()
 	}
+	if c := g.contactNow(); c != g.loggedContact {
+		g.loggedContact = c
+		g.log.Info("contact", "contact", c, "entries", f.Entries, "most_entries", g.maxEntries, "serving", f.Serving, "stopping", f.StoppingBefore+f.StoppingAfter)
+	}
 }
 
 // LocalStatus implements peers.Host.
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -71,6 +71,11 @@
 func (g *Gate) contact() quarantine.Connectivity {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.contactNow()
+}
+
+// contactNow is contact for a caller that holds mu.
+func (g *Gate) contactNow() quarantine.Connectivity {
 	switch f := g.fleet; {
 	case g.maxEntries <= 1:
 		return quarantine.Standalone
