gate: Let an isolated entry notice engines that a request silences

Data from another engine, since the request was sent, shows as well as another entry that this entry's network works.

--- a/engines/registry.go
+++ b/engines/registry.go
@@ -311,5 +311,16 @@
 	return ids
 }
 
+// AnotherActiveSince reports whether this entry received anything since the given time from an
+// engine other than the given one, which shows that its own network works.
+func (r *Registry) AnotherActiveSince(n Incarnation, since clock.Millis) bool {
+	for _, e := range r.byID {
+		if e.info.Incarnation() != n && e.lastActiveAt >= since {
+			return true
+		}
+	}
+	return false
+}
+
 // ByHash returns the engine whose incarnation has the given hash, or nil.
 func (r *Registry) ByHash(hash uint32) *Engine { return r.byHash[hash] }
--- a/gate/unresponsive.go
+++ b/gate/unresponsive.go
@@ -49,16 +49,14 @@
 }
 
 // isUnresponsive reports whether an engine has sent nothing since the given time and does not
-// respond to a health check, although its machine accepts connections. It returns false
-// without contact to other entries, since the fault may then be at this entry.
+// respond to a health check, although its machine accepts connections. Without contact to other
+// entries the fault may be at this entry, unless it received data from another engine since then.
 func (g *Gate) isUnresponsive(ctx context.Context, e engines.Info, healthPath string, since clock.Millis) bool {
-	if g.contact() == quarantine.Isolated {
-		return false
-	}
 	g.mu.Lock()
 	known := g.registry.Find(e.Incarnation())
 	now := g.clk.Now()
-	silent := known != nil && known.SilentSince(since, now) && known.AllowHealthCheck(now)
+	reachable := g.contactNow() != quarantine.Isolated || g.registry.AnotherActiveSince(e.Incarnation(), since)
+	silent := known != nil && reachable && known.SilentSince(since, now) && known.AllowHealthCheck(now)
 	g.mu.Unlock()
 	if !silent {
 		return false
