upstream: Log how far a request was written when its response ended

A response without a length that was reset during the upload was told as closed, and nothing told why the reset did not show. sending (done, failed, pending) in the lines of a request and of an attempt tells. No other change.

--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -99,8 +99,22 @@
 	Identity Identity
 	// End is "" while the exchange goes on.
 	End ConnEnd
+	// Sending is how far the request was written when the exchange ended, "" without a response.
+	Sending Sending
 }
 
+// Sending is how far a request was written.
+type Sending string
+
+const (
+	// Sent means that all of the request was written.
+	Sent Sending = "done"
+	// SendFailed means that writing the request failed.
+	SendFailed Sending = "failed"
+	// SendPending means that the request was still being written.
+	SendPending Sending = "pending"
+)
+
 // Identity is whether a response names the request that it responds to.
 type Identity string
 
@@ -145,9 +159,9 @@
 	// stop detaches the context of the exchange. It returns false if the context has
 	// already closed the connection.
 	stop func() bool
-	// sent receives the result of writing the request. It is nil if the request was
-	// written before the response was read.
-	sent chan error
+	// upload is the writing of a large request, nil if the request was written before the
+	// response was read.
+	upload *upload
 	// ended is true once the body was read to its end.
 	ended bool
 	keep  bool
@@ -190,7 +204,9 @@
 	a.once.Do(func() {
 		attached := a.stop()
 		end := ConnReset
-		if attached && a.ended && a.bodySent() {
+		sending := a.upload.state()
+		a.conn.trace.Sending = sending
+		if attached && a.ended && sending == Sent {
 			end = ConnClosed
 			if a.keep && framing.OfResponse(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 {
 				end = ConnKept
@@ -200,17 +216,27 @@
 	})
 }
 
-// bodySent reports whether the whole request was written.
-func (a *Response) bodySent() bool {
-	if a.sent == nil {
-		return true
+// upload is the writing of a large request, which may go on while the response is read.
+type upload struct {
+	// done is closed at the end of writing. err is then its error.
+	done chan struct{}
+	err  error
+}
+
+// state returns how far the request was written. A nil upload was written at once.
+func (u *upload) state() Sending {
+	if u == nil {
+		return Sent
 	}
 	select {
-	case err := <-a.sent:
-		return err == nil
+	case <-u.done:
 	default:
-		return false
+		return SendPending
+	}
+	if u.err != nil {
+		return SendFailed
 	}
+	return Sent
 }
 
 // Do sends r to the engine at addr and returns its response once the head has arrived,
@@ -313,11 +339,12 @@
 		}
 		return nil
 	}
-	a.sent = make(chan error, 1)
+	u := &upload{done: make(chan struct{})}
+	a.upload = u
 	go func() {
+		defer close(u.done)
 		bufs := net.Buffers{head, r.Body}
-		_, err := bufs.WriteTo(c.nc)
-		a.sent <- err
+		_, u.err = bufs.WriteTo(c.nc)
 	}()
 	return nil
 }
