upstream: Take no end of a connection for the end of a response while the request is not written

Cause: a socket reports a reset once. The goroutine that wrote the request got ECONNRESET, and the read of the response a plain end of file, which ends a response without a length. Evidence: sending=failed in the lines of 45 of 45 such responses.

framing.End decides in one place whether the end of a connection ends a message: not while the request is unwritten. The read waits until writing is done, has failed or its time is over; an engine that half-closes and reads on keeps its response.

--- a/common/framing/framing.go
+++ b/common/framing/framing.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -31,6 +32,38 @@
 	return UntilClose
 }
 
+// Sending is how far the request to which a message responds was written.
+type Sending string
+
+const (
+	// Sent means that all of the request was written.
+	Sent Sending = "done"
+	// SendFailed means that writing the request failed.
+	SendFailed Sending = "failed"
+	// SendPending means that the request was still being written.
+	SendPending Sending = "pending"
+)
+
+// End is what is known of the end of a message.
+type End struct {
+	Framing Framing
+	// Err is the error that ended reading the body, io.EOF at its end or at the end of the
+	// connection.
+	Err error
+	// Sending is how far the request was written by then.
+	Sending Sending
+}
+
+// CheckedErr returns Err, or an error that wraps io.ErrUnexpectedEOF if the end of the connection
+// does not show that the sender ended the message. A connection that is reset while the request is
+// written may look closed: a socket reports its error once, which the write may have received.
+func (e End) CheckedErr() error {
+	if e.Framing == UntilClose && errors.Is(e.Err, io.EOF) && e.Sending != Sent {
+		return fmt.Errorf("%w: the connection closed and the request was not written (%s)", io.ErrUnexpectedEOF, e.Sending)
+	}
+	return e.Err
+}
+
 // Completeness is whether a message that has ended is known to be complete.
 type Completeness string
 
@@ -44,7 +77,8 @@
 	Incomplete Completeness = "incomplete"
 )
 
-// Completeness returns the completeness of a body whose reading ended with err.
+// Completeness returns the completeness of a body whose reading ended with err, which
+// End.CheckedErr has checked.
 func (f Framing) Completeness(err error) Completeness {
 	switch {
 	case !errors.Is(err, io.EOF):
--- a/common/framing/framing_test.go
+++ b/common/framing/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -49,3 +50,29 @@
 		})
 	}
 }
+
+// Every combination of framing, error and progress of the request.
+func TestCompletenessOfAnEnd(t *testing.T) {
+	reset := errors.New("connection reset by peer")
+	framings := []framing.Framing{framing.Length, framing.Chunked, framing.UntilClose}
+	for _, f := range framings {
+		for _, sending := range []framing.Sending{framing.Sent, framing.SendFailed, framing.SendPending} {
+			for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, reset} {
+				want := framing.Complete
+				switch {
+				case !errors.Is(err, io.EOF), f == framing.UntilClose && sending != framing.Sent:
+					want = framing.Incomplete
+				case f == framing.UntilClose:
+					want = framing.Closed
+				}
+				checked := framing.End{Framing: f, Err: err, Sending: sending}.CheckedErr()
+				if got := f.Completeness(checked); got != want {
+					t.Errorf("%s, %v, request %s: got %s by %v, want %s", f, err, sending, got, checked, want)
+				}
+				if !errors.Is(err, io.EOF) && !errors.Is(checked, err) {
+					t.Errorf("%s, %v, request %s: got %v, want the error kept", f, err, sending, checked)
+				}
+			}
+		}
+	}
+}
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -100,21 +100,9 @@
 	// End is "" while the exchange goes on.
 	End ConnEnd
 	// Sending is how far the request was written when the exchange ended, "" without a response.
-	Sending Sending
+	Sending framing.Sending
 }
 
-// Sending is how far a request was written.
-type Sending string
-
-const (
-	// Sent means that all of the request was written.
-	Sent Sending = "done"
-	// SendFailed means that writing the request failed.
-	SendFailed Sending = "failed"
-	// SendPending means that the request was still being written.
-	SendPending Sending = "pending"
-)
-
 // Identity is whether a response names the request that it responds to.
 type Identity string
 
@@ -173,10 +161,13 @@
 	return a.StatusCode == http.StatusMisdirectedRequest || a.Header.Get(a.pool.names.NotRun) != ""
 }
 
-// Read reads the body. It returns io.EOF when the body ends by its framing or with the
-// connection.
+// Read reads the body. It returns io.EOF when the body ends by its framing, or with the
+// connection once the whole request was written.
 func (a *Response) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
+	if f := framing.OfResponse(a.Response); f == framing.UntilClose && errors.Is(err, io.EOF) {
+		err = framing.End{Framing: f, Err: err, Sending: a.upload.wait()}.CheckedErr()
+	}
 	if errors.Is(err, io.EOF) {
 		a.ended = true
 	}
@@ -206,7 +197,7 @@
 		end := ConnReset
 		sending := a.upload.state()
 		a.conn.trace.Sending = sending
-		if attached && a.ended && sending == Sent {
+		if attached && a.ended && sending == framing.Sent {
 			end = ConnClosed
 			if a.keep && framing.OfResponse(a.Response) != framing.UntilClose && a.conn.br.Buffered() == 0 {
 				end = ConnKept
@@ -224,19 +215,28 @@
 }
 
 // state returns how far the request was written. A nil upload was written at once.
-func (u *upload) state() Sending {
+func (u *upload) state() framing.Sending {
 	if u == nil {
-		return Sent
+		return framing.Sent
 	}
 	select {
 	case <-u.done:
 	default:
-		return SendPending
+		return framing.SendPending
 	}
 	if u.err != nil {
-		return SendFailed
+		return framing.SendFailed
+	}
+	return framing.Sent
+}
+
+// wait waits until the request was written, writing failed or its time was over, and returns how
+// far the request was written.
+func (u *upload) wait() framing.Sending {
+	if u != nil {
+		<-u.done
 	}
-	return Sent
+	return u.state()
 }
 
 // Do sends r to the engine at addr and returns its response once the head has arrived,
