upstream: Keep the reset that a check for arrived data received

The same cause on a related path: whoever asks whether something has arrived on a connection receives a pending error of the socket, which tells it once. The next read then got an end of file, which ends a response without a length: a stream whose engine fell silent and was reset while another engine was looked for was told as ended by its engine.

sock.NothingToRead returns that error, and the connection returns it in place of the end of file.

Failed before: TestResetDuringASilenceIsNoEndOfTheResponse ("part" and no error).

--- a/common/sock/sock.go
+++ b/common/sock/sock.go
@@ -14,7 +14,8 @@
 
 // NothingToRead reports whether an open connection has neither data nor EOF to read. It may
 // be called while another goroutine reads. It fails with ErrNotSyscallConn for connections
-// that are not of the operating system.
+// that are not of the operating system, and with the error of the connection, which a later
+// read does not return again.
 func NothingToRead(nc net.Conn) (bool, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
@@ -24,13 +25,18 @@
 	if err != nil {
 		return false, err
 	}
-	empty := false
+	var peekErr error
 	err = rc.Control(func(fd uintptr) {
 		var buf [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		_, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return empty, err
+	switch {
+	case err != nil:
+		return false, err
+	case errors.Is(peekErr, syscall.EAGAIN), errors.Is(peekErr, syscall.EWOULDBLOCK):
+		return true, nil
+	}
+	return false, peekErr
 }
 
 // UnreadBytes returns the number of bytes that an open connection has received and that were
--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -185,6 +185,8 @@
 	// silent is true once the connection counted as silent in the current exchange. It is
 	// guarded by the pool's mu.
 	silent bool
+	// peekErr is the error that hasArrived received from the socket, which returns it only once.
+	peekErr error
 	// onSilence is Request.OnSilence of the current exchange, nil if there is none.
 	onSilence func(arrived func() bool) clock.Millis
 	// number identifies the connection in logs. exchanges counts the exchanges on it, the
@@ -216,6 +218,9 @@
 		c.setReadTimeout(more)
 		n, err = c.nc.Read(b)
 	}
+	if errors.Is(err, io.EOF) && c.peekErr != nil {
+		err = c.peekErr
+	}
 	if n > 0 {
 		c.received += int64(n)
 		c.link.RecordCallerBytes(n)
@@ -228,6 +233,9 @@
 // hasArrived reports whether there is data to read, or the end of the connection.
 func (c *conn) hasArrived() bool {
 	quiet, err := sock.NothingToRead(c.nc)
+	if err != nil && !errors.Is(err, sock.ErrNotSyscallConn) {
+		c.peekErr = err
+	}
 	return err != nil || !quiet
 }
 
