target: Take no end of a connection for the end of a response while the request is not written

The connection of the target's client reports its end only once the request was written, and the failure of writing in place of it. TestResponseHalfClosedDuringTheUploadIsComplete passes before and after.

--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -45,8 +45,8 @@
 
 // New returns a client of the target at addr, which is host:port.
 func New(addr string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	noReuse := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{DialContext: dialConn, MaxIdleConnsPerHost: 256, DisableCompression: true}
+	noReuse := &http.Transport{DialContext: dialConn, DisableKeepAlives: true, DisableCompression: true}
 	return &Client{addr: addr, base: "http://" + addr, dialer: dial.New(checkTimeout), http: &http.Client{Transport: t}, noReuse: &http.Client{Transport: noReuse}}
 }
 
@@ -71,6 +71,9 @@
 // Do sends a request. If the error wraps ErrNotSent, the request has certainly not run.
 // After any other error, it may have.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	if len(r.Body) > 0 {
+		ctx = traceUpload(ctx)
+	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
