upstream: Report an invalid head that arrives in parts at once

Package bufio ignores an error behind part of a line and reads again, so that an exchange whose invalid head arrived in several segments waited for more bytes and ended by its time limit. The error of the head is returned before the connection is read. TestResponseWithAnInvalidHeadIsNotPassedOn sends each head in three writes now.

--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -211,6 +211,10 @@
 	if c.maxReceived > 0 && c.received >= c.maxReceived {
 		return 0, errHeadTooLong
 	}
+	if err := c.head.Err(); c.checksHead && err != nil {
+		// Package bufio ignores an error behind part of a line, and reads again.
+		return 0, err
+	}
 	n, err := c.nc.Read(b)
 	for n == 0 && c.onSilence != nil && isTimeout(err) {
 		more := c.onSilence(c.hasArrived)
