httpconn: Check the heads that net/http reads

common/httpconn wraps the connections of an http.Transport: it checks each head by common/head, refuses data that arrives while no response is due, and has the rule of package target for the end of a connection. An error of the first read would make net/http send a request without a body again, so that it comes with the second one. An entry takes no status out of range from a daemon of an earlier version.

--- a/commands/demo.go
+++ b/commands/demo.go
@@ -217,7 +217,7 @@
 	}
 	dm := daemon.New(daemon.Config{
 		ID: id + "-daemon", Hall: hall, Pool: pool, Engines: []daemon.Engine{{ID: id, Addr: addr, Slots: demoSlots}},
-		Platform: source.New(f.platformURL, f.clk), Clock: f.clk, Log: log,
+		Platform: source.New(f.platformURL, f.clk, log), Clock: f.clk, Log: log,
 	})
 	f.publish(member.Instance{
 		ID: id + "-daemon", Role: member.Daemon, Addr: ls[0].Addr().String(), Hall: hall, Pool: pool,
@@ -237,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	e := entry.New(entry.Config{ID: id, Hall: hall, Platform: source.New(f.platformURL, f.clk), Clock: f.clk, Log: log})
+	e := entry.New(entry.Config{ID: id, Hall: hall, Platform: source.New(f.platformURL, f.clk, log), Clock: f.clk, Log: log})
 	f.publish(member.Instance{ID: id, Role: member.Entry, Addr: ls[1].Addr().String(), Hall: hall, State: member.Live})
 	f.closers = append(f.closers, startServer(ls[2], admin.Handler(e)))
 	f.entries = append(f.entries, e)
--- a/commands/gate.go
+++ b/commands/gate.go
@@ -77,7 +77,7 @@
 	g := gate.New(gate.Config{
 		ID: cfg.ID, Dialect: platform.Dialect(), Bounds: cfg.Bounds, Hall: cfg.Hall, Link: link, Clock: clk, Log: log,
 	})
-	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: cfg.Store, Link: link, Clock: clk}), g, cfg.Timing, clk, log)
+	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: cfg.Store, Link: link, Clock: clk, Log: log}), g, cfg.Timing, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/commands/process.go
+++ b/commands/process.go
@@ -126,7 +126,7 @@
 	}
 	clk := clock.System()
 	e := entry.New(entry.Config{
-		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform, clk),
+		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform, clk, log),
 		Clock: clk, Log: log,
 	})
 	stopAdmin := startServer(ls[2], admin.Handler(e))
@@ -153,7 +153,7 @@
 	clk := clock.System()
 	d := daemon.New(daemon.Config{
 		ID: f.ID, Hall: f.Hall, Pool: f.Pool, Engines: f.Engines, Bootstrap: f.Bootstrap,
-		Platform: source.New(f.Platform, clk), Clock: clk, Log: log,
+		Platform: source.New(f.Platform, clk, log), Clock: clk, Log: log,
 	})
 	stopAdmin := startServer(ls[1], admin.Handler(d))
 	defer stopAdmin()
--- a/common/httpconn/conn.go
+++ b/common/httpconn/conn.go
@@ -1,19 +1,21 @@
-package target
+package httpconn
 
 import (
-	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
-	"net/http/httptrace"
 	"sync"
 
 	"github.com/weldfall/weldfall/common/framing"
+	"github.com/weldfall/weldfall/common/head"
 )
 
-// conn is a connection to a target whose end counts as the end of a response only once the
-// request was written. net/http does not look at how the writing of a request went when a
-// response without a length ends.
+// errUnsolicited is returned for data that arrives while no response is due.
+var errUnsolicited = errors.New("data arrived that is no response to a request")
+
+// conn is a connection that checks the head of each response, and whose end counts as the end of a
+// response only once the request was written. net/http does neither.
 type conn struct {
 	net.Conn
 	// closed is closed by Close.
@@ -21,7 +23,11 @@
 	closeOnce sync.Once
 
 	mu sync.Mutex
-	// upload is the writing of the latest request with a body, nil if there was none.
+	// head checks the head of the response to the latest request. due is true from the
+	// beginning of a request until the connection is idle again.
+	head head.Scanner
+	due  bool
+	// upload is the writing of the latest request, nil before the first one.
 	upload *upload
 }
 
@@ -33,6 +39,8 @@
 	once sync.Once
 }
 
+func newUpload() *upload { return &upload{done: make(chan struct{})} }
+
 func (u *upload) end(err error) {
 	u.once.Do(func() {
 		u.err = err
@@ -40,51 +48,65 @@
 	})
 }
 
-func dialConn(ctx context.Context, network, addr string) (net.Conn, error) {
-	nc, err := new(net.Dialer).DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: nc, closed: make(chan struct{})}, nil
-}
-
-// traceUpload lets the connection of a request know how the request is written.
-func traceUpload(ctx context.Context) context.Context {
-	u := &upload{done: make(chan struct{})}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*conn); ok {
-				c.setUpload(u)
-			}
-		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { u.end(info.Err) },
-	})
+// begin prepares the connection for the response to a request.
+func (c *conn) begin(u *upload) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Reset()
+	c.due, c.upload = true, u
 }
 
-func (c *conn) setUpload(u *upload) {
+// rest marks the connection as idle, unless a later request than that of u has begun on it.
+func (c *conn) rest(u *upload) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.upload = u
+	if c.upload == u {
+		c.due = false
+	}
 }
 
-func (c *conn) latestUpload() *upload {
+// headErr returns why the head of the latest response is invalid, nil if it is not.
+func (c *conn) headErr() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.upload
+	return c.head.Err()
 }
 
 // Read implements net.Conn. At the end of the connection, it waits for the request to be written.
 func (c *conn) Read(p []byte) (int, error) {
+	// A reader may ignore an error behind a part of a line, and read again.
+	if err := c.headErr(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
+	if checkErr := c.check(p[:n]); errors.Is(checkErr, errUnsolicited) {
+		return 0, checkErr
+	} else if checkErr != nil {
+		// After an error of the first read net/http would send some requests again. The next
+		// read returns the error.
+		return 1, nil
+	}
 	if errors.Is(err, io.EOF) {
 		err = framing.End{Framing: framing.UntilClose, Err: err, Sending: c.waitSent()}.CheckedErr()
 	}
 	return n, err
 }
 
+// check checks data that was read.
+func (c *conn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p) > 0 && !c.due {
+		return fmt.Errorf("%s: %w", c.RemoteAddr(), errUnsolicited)
+	}
+	return c.head.Scan(p)
+}
+
 // waitSent waits for the end of the latest upload and returns how far its request was written.
 func (c *conn) waitSent() framing.Sending {
-	u := c.latestUpload()
+	c.mu.Lock()
+	u := c.upload
+	c.mu.Unlock()
 	if u == nil {
 		return framing.Sent
 	}
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -54,7 +54,7 @@
 
 func newEngine(id, addr string, slots int, clk *clock.Clock, otherLoads func() []wire.Load, log *slog.Logger) *engine {
 	return &engine{
-		id: id, otherLoads: otherLoads, log: log, client: target.New(addr), clk: clk,
+		id: id, otherLoads: otherLoads, log: log, client: target.New(addr, log), clk: clk,
 		queue: fair.New(1, max(1, slots)), queued: map[uint64]*attempt{}, slots: map[uint64]chan fair.Item{},
 		cache: route.NewCacheIndex(defaultCacheTokens), serviceTime: 100,
 	}
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -79,7 +79,7 @@
 	ln := listen(tb)
 	d := daemon.New(daemon.Config{
 		ID: "d", Hall: "h", Pool: "p", Engines: []daemon.Engine{{ID: "e", Addr: addr, Slots: slots}},
-		Platform: source.New("http://127.0.0.1:1", clk), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Platform: source.New("http://127.0.0.1:1", clk, nil), Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
--- a/daemon/target/early_test.go
+++ b/daemon/target/early_test.go
@@ -39,7 +39,7 @@
 			}()
 		}
 	}()
-	return target.New(ln.Addr().String())
+	return target.New(ln.Addr().String(), nil)
 }
 
 // Guards against a part of a response that counts as complete: the service responded to a long
--- a/daemon/target/heads_test.go
+++ b/daemon/target/heads_test.go
@@ -48,7 +48,7 @@
 						_ = nc.Close()
 					}
 				}()
-				c := target.New(ln.Addr().String())
+				c := target.New(ln.Addr().String(), nil)
 				for cut := range len(head) {
 					cuts <- cut
 					res, err := c.Do(t.Context(), target.Request{Attempt: fmt.Sprint(cut), Method: http.MethodPost, Path: "/x", Body: []byte("b"), AtMostOnce: true})
--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/dial"
+	"github.com/weldfall/weldfall/common/httpconn"
 	"github.com/weldfall/weldfall/common/whole"
 )
 
@@ -43,10 +45,13 @@
 	noReuse *http.Client
 }
 
+// sender names the target in logs and counters of its responses.
+const sender = "target"
+
 // New returns a client of the target at addr, which is host:port.
-func New(addr string) *Client {
-	t := &http.Transport{DialContext: dialConn, MaxIdleConnsPerHost: 256, DisableCompression: true}
-	noReuse := &http.Transport{DialContext: dialConn, DisableKeepAlives: true, DisableCompression: true}
+func New(addr string, log *slog.Logger) *Client {
+	t := httpconn.New(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, sender, log)
+	noReuse := httpconn.New(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, sender, log)
 	return &Client{addr: addr, base: "http://" + addr, dialer: dial.New(checkTimeout), http: &http.Client{Transport: t}, noReuse: &http.Client{Transport: noReuse}}
 }
 
@@ -71,9 +76,6 @@
 // Do sends a request. If the error wraps ErrNotSent, the request has certainly not run.
 // After any other error, it may have.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
-	if len(r.Body) > 0 {
-		ctx = traceUpload(ctx)
-	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/daemon/target/target_test.go
+++ b/daemon/target/target_test.go
@@ -59,7 +59,7 @@
 func TestTooLargeLoadReport(t *testing.T) {
 	srv := httptest.NewServer(largetest.OverLimit(target.MaxControlResponse))
 	defer srv.Close()
-	_, err := target.New(srv.Listener.Addr().String()).Load(t.Context())
+	_, err := target.New(srv.Listener.Addr().String(), nil).Load(t.Context())
 	if want := strconv.Itoa(target.MaxControlResponse); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
 		t.Errorf("got %v, want an error that names the limit of %s bytes", err, want)
 	}
@@ -73,7 +73,7 @@
 			callers.SetUntilClose(w, r)
 			_, _ = w.Write([]byte(prefix[:n]))
 		}))
-		if got, err := target.New(srv.Listener.Addr().String()).ExportPrefix(t.Context(), "1"); err == nil {
+		if got, err := target.New(srv.Listener.Addr().String(), nil).ExportPrefix(t.Context(), "1"); err == nil {
 			t.Errorf("got %q, want an error", got)
 		}
 		srv.Close()
--- a/engines/offer/offer.go
+++ b/engines/offer/offer.go
@@ -161,10 +161,14 @@
 }
 
 // deliver writes the frames that have arrived. It returns nil unless the caller stopped
-// reading.
+// reading or the response is invalid.
 func (a *offered) deliver() attempt.Outcome {
 	frames, gap, full := a.in.take()
 	if len(frames) > 0 && frames[0].Head != nil {
+		if status := frames[0].Head.Status; status < 200 || status > 599 {
+			// A daemon of an earlier version passes on what its target sent.
+			return attempt.Broken{Err: verdict.New(verdict.MayHaveRun, verdict.EngineFailed, "daemon %s reported a response with status %d", a.to.ID, status)}
+		}
 		if frames[0].Head.EndsUntilClose() {
 			a.responseEnd = framing.Closed
 		}
--- a/engines/offer/offer_test.go
+++ b/engines/offer/offer_test.go
@@ -245,6 +245,17 @@
 			},
 			resume: whole, kind: "answered", verdict: verdict.Ran, body: "ab",
 		},
+		"a response without a status": {
+			run: func(t *testing.T) func(*link.Conn, uint64) wire.Result {
+				return func(c *link.Conn, attempt uint64) wire.Result {
+					if err := c.SendFrame(wire.Frame{Attempt: attempt, Head: &wire.Head{}, Data: []byte("a")}); err != nil {
+						t.Errorf("send: %v", err)
+					}
+					return wire.Result{Verdict: verdict.Ran, Frames: 1}
+				}
+			},
+			canceled: verdict.MayHaveRun, kind: "broken", verdict: verdict.MayHaveRun, cancels: 1,
+		},
 		"the deadline passes before it runs": {
 			canceled: verdict.NotRun, deadline: 50 * time.Millisecond,
 			kind: "broken", verdict: verdict.NotRun, cancels: 1,
--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -110,7 +110,7 @@
 // startEntry starts an entry that can't reach the platform.
 func startEntry(t *testing.T, bootstrap string) *fleet.Node {
 	t.Helper()
-	return startEntryAt(t, source.New("http://"+unreachable(t), clock.System()), bootstrap)
+	return startEntryAt(t, source.New("http://"+unreachable(t), clock.System(), nil), bootstrap)
 }
 
 // startEntryAt starts an entry that reads a platform.
@@ -240,7 +240,7 @@
 			Upto:  upto, Revs: allTopics(12), PlatformAge: 10,
 		}
 	})
-	n := startEntryAt(t, source.New(srv.URL, clk), partial.serve(t))
+	n := startEntryAt(t, source.New(srv.URL, clk, nil), partial.serve(t))
 	await(t, n, 1, 10*time.Second)
 	// An entry that waits for its peers gives up after three seconds.
 	time.Sleep(4 * time.Second)
--- a/fleet/silent_test.go
+++ b/fleet/silent_test.go
@@ -77,7 +77,7 @@
 	link := linktest.New(t, strings.TrimPrefix(srv.URL, "http://"))
 	n := fleet.New(fleet.Config{
 		ID: "entry-1", Role: member.Entry, Hall: "hall-a", Clock: clk, Log: slog.New(slog.DiscardHandler),
-		Platform: source.New("http://"+link.Addr(), clk),
+		Platform: source.New("http://"+link.Addr(), clk, nil),
 	})
 	go n.Run(t.Context())
 	await(t, n, revision, 20*time.Second)
--- a/fleet/source/client.go
+++ b/fleet/source/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +18,7 @@
 
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/dial"
+	"github.com/weldfall/weldfall/common/httpconn"
 	"github.com/weldfall/weldfall/common/silence"
 	"github.com/weldfall/weldfall/common/whole"
 )
@@ -73,8 +75,8 @@
 }
 
 // New returns a client of the platform at base, for example http://10.0.0.1:9000.
-func New(base string, clk *clock.Clock) *Client {
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+func New(base string, clk *clock.Clock, log *slog.Logger) *Client {
+	c := &http.Client{Transport: httpconn.New(&http.Transport{MaxIdleConnsPerHost: 4}, "platform", log)}
 	return &Client{base: base, http: c, idle: dial.NewIdleConns(c, clk)}
 }
 
--- a/fleet/source/client_test.go
+++ b/fleet/source/client_test.go
@@ -32,7 +32,7 @@
 	defer srv.Close()
 	link := linktest.New(t, strings.TrimPrefix(srv.URL, "http://"))
 	link.SetRate(size / 6)
-	got, err := source.New("http://"+link.Addr(), clock.System()).Changes(t.Context(), source.Config, 0, 0)
+	got, err := source.New("http://"+link.Addr(), clock.System(), nil).Changes(t.Context(), source.Config, 0, 0)
 	if err != nil || len(got.Items) != 1 || len(got.Items[0].Value) != size {
 		t.Errorf("got %d items, %v, want the whole batch", len(got.Items), err)
 	}
@@ -49,7 +49,7 @@
 	t.Cleanup(srv.Close)
 	link := linktest.New(t, strings.TrimPrefix(srv.URL, "http://"))
 	hands := clocktest.New()
-	c := source.New("http://"+link.Addr(), clock.FromSource(hands))
+	c := source.New("http://"+link.Addr(), clock.FromSource(hands), nil)
 	if _, err := c.Changes(t.Context(), source.Config, 0, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 func TestAnErrorNamesTheLimitOfABatch(t *testing.T) {
 	srv := httptest.NewServer(largetest.OverLimit(source.MaxResponse))
 	defer srv.Close()
-	_, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
+	_, err := source.New(srv.URL, clock.System(), nil).Changes(t.Context(), source.Config, 0, 0)
 	if want := strconv.Itoa(source.MaxResponse); !errors.Is(err, whole.ErrTooLarge) || !strings.Contains(err.Error(), want) {
 		t.Errorf("got %v, want an error that names the limit of %s bytes", err, want)
 	}
@@ -81,7 +81,7 @@
 			callers.SetUntilClose(w, r)
 			_, _ = w.Write([]byte(batch[:n]))
 		}))
-		got, err := source.New(srv.URL, clock.System()).Changes(t.Context(), source.Config, 0, 0)
+		got, err := source.New(srv.URL, clock.System(), nil).Changes(t.Context(), source.Config, 0, 0)
 		if err == nil {
 			t.Errorf("got %+v of %q, want an error", got, batch[:n])
 		}
--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	head, body string
 	// status is 200 if zero.
 	status int
+	// statusLine is sent in place of one with the status, unless it is "".
+	statusLine string
 	// reset ends the connection by a reset instead of a FIN.
 	reset bool
 }
@@ -73,7 +76,8 @@
 		return
 	}
 	reply := s.replyTo(r.URL.Path, string(body))
-	_, _ = fmt.Fprintf(nc, "HTTP/1.1 %d Status\r\n%s\r\n%s", max(http.StatusOK, reply.status), reply.head, reply.body)
+	statusLine := cmp.Or(reply.statusLine, fmt.Sprintf("HTTP/1.1 %d Status", max(http.StatusOK, reply.status)))
+	_, _ = fmt.Fprintf(nc, "%s\r\n%s\r\n%s", statusLine, reply.head, reply.body)
 	if reply.reset {
 		// The peer must have read the data before the reset.
 		time.Sleep(100 * time.Millisecond)
