platform, integration: Show that requests late in a planned stop are answered

Another operator reports requests that came late in the grace of a planned stop, were passed on and cut with no answer at its end. No change of logic.

--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -121,19 +121,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	got, err := q.sendOn(nc, proto)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// sendOn sends a request over a connection and closes it. The error is that of sending.
+func (q request) sendOn(nc net.Conn, proto string) (rawResponse, error) {
 	defer func() { _ = nc.Close() }()
 	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
-	_, err = fmt.Fprintf(nc, "POST %s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", q.path, proto, q.key, len(q.body), q.body)
+	_, err := fmt.Fprintf(nc, "POST %s %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", q.path, proto, q.key, len(q.body), q.body)
 	if err != nil {
-		t.Fatal(err)
+		return rawResponse{}, err
 	}
 	res, err := http.ReadResponse(bufio.NewReader(nc), &http.Request{Method: http.MethodPost})
 	if err != nil {
-		return rawResponse{err: err}
+		return rawResponse{err: err}, nil
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	return rawResponse{status: res.StatusCode, framed: framing.OfResponse(res), body: string(body), err: err}
+	return rawResponse{status: res.StatusCode, framed: framing.OfResponse(res), body: string(body), err: err}, nil
 }
 
 func service(f *fleettest.Fleet, path string) request {
