daemon: Ask whether the service's process has ended where a response ends with its connection

The same cause on the own path: a daemon passed on the FIN of a service's process that had ended as the end of its response, which has neither a length nor chunks. It asks now whether the address refuses connections, as it does for engines that break off. A refusal of a chat without a framing, too.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -115,6 +115,7 @@
 	for {
 		chunk := make([]byte, chunkBytes)
 		n, err := readFull(res.Body, chunk)
+		err = e.checkEnd(a, bodyFraming, err)
 		if n > 0 || head != nil {
 			if !a.appendFrame(head, chunk[:n]) {
 				return e.failedResult(a, a.ctx.Err())
@@ -131,6 +132,15 @@
 	}
 }
 
+// checkEnd returns err, or why a body whose reading it ended did not end by its sender's will.
+func (e *engine) checkEnd(a *attempt, f framing.Framing, err error) error {
+	end := framing.End{Framing: f, Err: err, Sending: framing.Sent}
+	if end.AtClose() && e.client.Exited(a.ctx) {
+		end.Sender = framing.SenderEnded
+	}
+	return end.CheckedErr()
+}
+
 // readFull reads until p is full or r returns an error. Unlike io.ReadFull it returns the
 // error of r unchanged, so that a short last chunk differs from a truncated body.
 func readFull(r io.Reader, p []byte) (n int, err error) {
@@ -154,6 +164,9 @@
 	}
 	head := e.newHead(res)
 	if !p.complete(res) {
+		if !p.more && e.client.Exited(a.ctx) {
+			return e.failedResult(a, framing.ErrSenderEnded)
+		}
 		head.MarkEndsUntilClose()
 	}
 	return e.relayBody(a, res, head, p)
@@ -198,6 +211,7 @@
 		chunk := make([]byte, chunkBytes)
 		var m int
 		m, err = readFull(res.Body, chunk)
+		err = e.checkEnd(a, framing.OfResponse(res), err)
 		if n += int64(m); n > maxPlainResponse {
 			err = fmt.Errorf("%w: more than %d bytes", whole.ErrTooLarge, maxPlainResponse)
 		}
--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -25,6 +25,8 @@
 	statusLine string
 	// reset ends the connection by a reset instead of a FIN.
 	reset bool
+	// exits closes the listener before the connection, as a process that ends does.
+	exits bool
 }
 
 // resumedReply is the key of the reply to requests that continue a response.
@@ -39,7 +41,7 @@
 }
 
 // startRawTarget starts a target and the daemon beside it.
-func startRawTarget(t *testing.T, f *fleettest.Fleet, pool string, replies map[string]rawReply) {
+func startRawTarget(t *testing.T, f *fleettest.Fleet, pool string, replies map[string]rawReply) *rawTarget {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,6 +61,7 @@
 	d := f.StartDaemon(&fleettest.Process{Name: "raw-" + pool, Addr: ln.Addr().String()}, pool, 0)
 	f.ServiceDaemons = append(f.ServiceDaemons, d)
 	f.WaitReady()
+	return s
 }
 
 // closeHeader announces the end of the connection, which follows each reply. Without it,
@@ -78,6 +81,9 @@
 	reply := s.replyTo(r.URL.Path, string(body))
 	statusLine := cmp.Or(reply.statusLine, fmt.Sprintf("HTTP/1.1 %d Status", max(http.StatusOK, reply.status)))
 	_, _ = fmt.Fprintf(nc, "%s\r\n%s\r\n%s", statusLine, reply.head, reply.body)
+	if reply.exits {
+		_ = s.ln.Close()
+	}
 	if reply.reset {
 		// The peer must have read the data before the reset.
 		time.Sleep(100 * time.Millisecond)
@@ -190,6 +196,19 @@
 	}
 }
 
+// Guards against a part of a response that is told as ended by its service: the service's process
+// ended, and the kernel closed the connection with a FIN.
+func TestServiceResponseOfAProcessThatEndedIsIncomplete(t *testing.T) {
+	for _, proto := range protos {
+		f := fleettest.Start(t, fleettest.Spec{Entries: 1, Direct: true})
+		s := startRawTarget(t, f, "desk", map[string]rawReply{"/part": {body: strings.Repeat("x", 300<<10), exits: true}})
+		if got := service(f, "/part").sendRaw(t, proto); got.err == nil && got.status == http.StatusOK {
+			t.Errorf("%s: got status %d and %d bytes, framed %s, want a broken response", proto, got.status, len(got.body), got.framed)
+		}
+		_ = s.ln.Close()
+	}
+}
+
 // Guards against ending a response that is known to be broken as a complete one for
 // HTTP/1.0 callers.
 func TestBrokenResponseIsIncompleteForCallers(t *testing.T) {
