target: Pass a redirect on in place of following it

Found while the readers of responses were listed: net/http followed redirects of a target, so that callers got the response of whatever process the Location names as the target's, and a request that may run once was followed by another one.

Failed before: TestRedirectIsNotFollowed (followed, status 200).

--- a/daemon/target/target.go
+++ b/daemon/target/target.go
@@ -52,9 +52,15 @@
 func New(addr string, log *slog.Logger) *Client {
 	t := httpconn.New(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, sender, log)
 	noReuse := httpconn.New(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, sender, log)
-	return &Client{addr: addr, base: "http://" + addr, dialer: dial.New(checkTimeout), http: &http.Client{Transport: t}, noReuse: &http.Client{Transport: noReuse}}
+	return &Client{
+		addr: addr, base: "http://" + addr, dialer: dial.New(checkTimeout),
+		http: &http.Client{Transport: t, CheckRedirect: keepRedirect}, noReuse: &http.Client{Transport: noReuse, CheckRedirect: keepRedirect},
+	}
 }
 
+// keepRedirect returns a redirect as the response.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Request is a request to a target.
 type Request struct {
 	Attempt  string
--- a/daemon/target/target_test.go
+++ b/daemon/target/target_test.go
@@ -79,3 +79,23 @@
 		srv.Close()
 	}
 }
+
+// Guards against a daemon that follows a redirect of its target and passes on what it finds there,
+// which may be another process, as the target's response.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	followed := false
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed = true }))
+	defer other.Close()
+	srv := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusSeeOther))
+	defer srv.Close()
+	for _, once := range []bool{false, true} {
+		res, err := target.New(srv.Listener.Addr().String(), nil).Do(t.Context(), target.Request{Method: http.MethodPost, Path: "/x", Body: []byte("b"), AtMostOnce: once})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusSeeOther || res.Header.Get("Location") != other.URL || followed {
+			t.Errorf("at most once %t: got status %d, Location %q, followed %t, want the target's redirect", once, res.StatusCode, res.Header.Get("Location"), followed)
+		}
+	}
+}
