--- a/gate/gate.go
+++ b/gate/gate.go
@@ -208,14 +208,14 @@
 	// loggedContact is the contact to other entries that was last logged.
 	loggedContact quarantine.Connectivity
 	// shares computes this entry's part of the quotas of the whole fleet. warmupParts caches
-	// its part for each engine in warm-up, by engine ID, until shares changes. maxEntries is
-	// the largest number of entries ever known.
+	// its part for each engine in warm-up, by engine ID, until shares changes. entries is the
+	// largest number of entries known lately.
 	shares peers.Shares
 	others []string
 	// forgottenEntries has the addresses of other entries that were known and no longer are.
 	forgottenEntries map[string]bool
 	warmupParts      map[string]int
-	maxEntries       int
+	entries          recentMost
 	// minEntries is the number of entries that shares assumes at least.
 	minEntries int
 	// originPeers are the other entries that hold origins of streams, nil if there are
@@ -325,7 +325,7 @@
 		return
 	}
 	if s, ok := t.Service(in.Service); ok && s.MaxConns > 0 {
-		g.pool.SetMaxConns(in.Addr, max(minConns, s.MaxConns/max(minConnParts, g.maxEntries)))
+		g.pool.SetMaxConns(in.Addr, max(minConns, s.MaxConns/max(minConnParts, g.entries.most())))
 	}
 }
 
--- a/gate/retries.go
+++ b/gate/retries.go
@@ -63,7 +63,7 @@
 	bounds := g.bounds()
 	cfg := budget.Config{
 		Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Lag: upstream.MaxArrivalDelay, StartedAt: g.startedAt,
-		Extra: bounds.RetryExtra / float64(max(minRetryParts, retryPartsPerEntry*g.maxEntries)),
+		Extra: bounds.RetryExtra / float64(max(minRetryParts, retryPartsPerEntry*g.entries.most())),
 	}
 	if b := g.budgets[service]; b != nil {
 		b.Configure(cfg)
--- a/gate/status.go
+++ b/gate/status.go
@@ -95,7 +95,7 @@
 	}
 	if c := g.contactNow(); c != g.loggedContact {
 		g.loggedContact = c
-		g.log.Info("contact", "contact", c, "entries", f.Entries, "most_entries", g.maxEntries, "serving", f.Serving, "stopping", f.StoppingBefore+f.StoppingAfter)
+		g.log.Info("contact", "contact", c, "entries", f.Entries, "most_entries", g.entries.most(), "serving", f.Serving, "stopping", f.StoppingBefore+f.StoppingAfter)
 	}
 }
 
--- a/gate/status_test.go
+++ b/gate/status_test.go
@@ -106,3 +106,32 @@
 		}
 	})
 }
+
+// Guards against an entry that believes in others for as long as it lives: when most of a fleet is
+// gone for good, those that are left must get all that is shared.
+func TestEntryForgetsOthersThatAreGoneForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var others []string
+		for i := range 40 {
+			others = append(others, fmt.Sprintf("edge-%02d", i))
+		}
+		g, _ := newGate(t, false)
+		time.Sleep(10 * time.Second)
+		g.SetOthers("edge", others)
+		g.SetOthers("edge", others[:3])
+		for range 9 {
+			time.Sleep(time.Minute)
+			g.SetOthers("edge", others[:3])
+		}
+		if got, limit := g.ShareOf(64, "e"), 2; got > limit {
+			t.Errorf("got %d of 64 nine minutes after 41 entries were known, want at most %d", got, limit)
+		}
+		for range 12 {
+			time.Sleep(time.Minute)
+			g.SetOthers("edge", others[:3])
+		}
+		if got, want := g.ShareOf(64, "e"), 16; got != want {
+			t.Errorf("got %d of 64 after 20 minutes among four entries, want %d", got, want)
+		}
+	})
+}
--- a/gate/suspects.go
+++ b/gate/suspects.go
@@ -77,7 +77,7 @@
 // contactNow is contact for a caller that holds mu.
 func (g *Gate) contactNow() quarantine.Connectivity {
 	switch f := g.fleet; {
-	case g.maxEntries <= 1:
+	case g.entries.most() <= 1:
 		return quarantine.Standalone
 	case f.Serving+f.StoppingBefore+f.StoppingAfter == 0:
 		return quarantine.Isolated
--- a/gate/warmup.go
+++ b/gate/warmup.go
@@ -21,16 +21,15 @@
 )
 
 // SetOthers implements peers.Host. An entry that loses contact with others cannot tell
-// whether they ended, so the largest number ever known still counts.
+// whether they ended, so the largest number known lately still counts.
 func (g *Gate) SetOthers(self string, others []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n := len(others) + 1; n > g.maxEntries {
-		g.maxEntries = n
+	if g.entries.record(len(others)+1, g.clk.Now()) {
 		g.limitAllConns(g.table.Load())
 	}
 	g.recordForgotten(others)
-	minEntries := g.maxEntries
+	minEntries := g.entries.most()
 	if len(others) == 0 || g.clk.Now()-g.startedAt <= discoveryTime {
 		minEntries = max(minEntries, assumedEntries)
 	}
