--- a/gate/account.go
+++ b/gate/account.go
@@ -87,12 +87,15 @@
 		"late", c.missedGoal(now), "first_ms", max(0, c.reply.FirstAt()-c.start), "pause_ms", c.reply.LongestPause(), "total_ms", now - c.start, "bytes", c.reply.BytesWritten(),
 	}
 	if a := c.reply.Observed(); a.Framing != "" {
-		attrs = append(attrs, "framed", a.Framing, "ended", a.End, "partial", a.PartialBytes, "sending", c.trace.Sending, "sender", c.trace.Sender)
+		attrs = append(attrs, "framed", a.Framing, "ended", a.End, "partial", a.PartialBytes)
 		metrics.GetOrCreateCounter(fmt.Sprintf(`weldfall_engine_answers_total{service=%q,framed=%q,ended=%q}`, c.service, a.Framing, a.End)).Inc()
 	}
 	if c.reply.Started() {
 		attrs = append(attrs, "told", c.reply.EndForCaller())
 	}
+	if c.trace.Sending != "" {
+		attrs = append(attrs, "sending", c.trace.Sending, "sender", c.trace.Sender)
+	}
 	if c.version != "" {
 		attrs = append(attrs, "events", c.events, "last_event", loggedID(c.reply.LastEventID()), "engine_version", c.version)
 	}
