--- a/gate/account.go
+++ b/gate/account.go
@@ -93,7 +93,7 @@
 	if c.reply.Started() {
 		attrs = append(attrs, "told", c.reply.EndForCaller())
 	}
-	if c.trace.Sending != "" {
+	if c.trace.Sender != "" || (c.trace.Sending != "" && c.trace.Sending != framing.Sent) {
 		attrs = append(attrs, "sending", c.trace.Sending, "sender", c.trace.Sender)
 	}
 	if c.version != "" {
