relay, events: Hold less of a response without end

An event could take 1 MiB, and the buffer of a response that is held up to 512 KiB where 256 are meant.

Failed before: TestManyEnginesThatSendWithoutEndTakeLittleMemory.

--- a/engines/events/events.go
+++ b/engines/events/events.go
@@ -8,7 +8,7 @@
 )
 
 // maxPending is the default maximum size in bytes of an incomplete event.
-const maxPending = 1 << 20
+const maxPending = 256 << 10
 
 // Splitter buffers bytes until events are complete. The zero value is ready to use.
 type Splitter struct {
--- a/gate/relay/relay.go
+++ b/gate/relay/relay.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +18,8 @@
 	// so that a failure can be returned if it breaks off. Larger responses are passed on as
 	// they arrive.
 	bufferLimit = 256 << 10
+	// firstBuffer is the size in bytes of the buffer that most of these responses fit into.
+	firstBuffer = 4 << 10
 	// bufferSize is the size in bytes of the buffer for data that is passed on as it arrives.
 	bufferSize = 8 << 10
 )
@@ -92,15 +93,14 @@
 
 // relayBuffered buffers a response until it has ended.
 func (p *Reply) relayBuffered(ctx context.Context, x Exchange, resp *http.Response, body Body) attempt.Outcome {
-	var buf bytes.Buffer
-	_, err := io.CopyN(&buf, body, bufferLimit)
+	buf, err := readBuffered(body)
 	if err == nil {
-		return p.relayUnbuffered(ctx, x, resp, body, buf.Bytes())
+		return p.relayUnbuffered(ctx, x, resp, body, buf)
 	}
 	if p.end(err); !errors.Is(err, io.EOF) {
 		return brokenOrGone(ctx, err)
 	}
-	h := &attempt.BufferedResponse{Status: resp.StatusCode, Header: resp.Header, Body: buf.Bytes(), End: p.observed.End}
+	h := &attempt.BufferedResponse{Status: resp.StatusCode, Header: resp.Header, Body: buf, End: p.observed.End}
 	switch {
 	case impliesNotRun(resp.StatusCode):
 		return attempt.Broken{Err: fmt.Errorf("status %d without the header that says that the request did not run", resp.StatusCode)}
@@ -111,6 +111,26 @@
 	return attempt.Answered{End: h.End}
 }
 
+// readBuffered reads bufferLimit bytes, or less and the error that ended reading. Unlike a
+// bytes.Buffer, it never allocates more than bufferLimit.
+func readBuffered(r io.Reader) ([]byte, error) {
+	buf := make([]byte, 0, firstBuffer)
+	for {
+		if len(buf) == cap(buf) {
+			if cap(buf) == bufferLimit {
+				return buf, nil
+			}
+			grown := make([]byte, len(buf), min(4*cap(buf), bufferLimit))
+			copy(grown, buf)
+			buf = grown
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		if buf = buf[:len(buf)+n]; err != nil {
+			return buf, err
+		}
+	}
+}
+
 // impliesNotRun reports whether callers take the status as a promise that the request did
 // not run and never will. Only an engine that marks its response so can make that promise.
 func impliesNotRun(status int) bool {
