--- a/engines/quarantine/liveness_test.go
+++ b/engines/quarantine/liveness_test.go
@@ -14,8 +14,6 @@
 var livenessPlays = flag.Int("liveness-plays", 300, "number of drawn plays of sound requests beside crashes and lost entries")
 
 const (
-	// contactTime is how long after its latest message an entry knows that it hears nobody.
-	contactTime clock.Millis = 2000
 	// disturbedTime is how long engines crash and entries are lost in a play.
 	disturbedTime clock.Millis = 30_000
 	// resumeTime is how long after the last disturbance each sound request must be served.
