sock, upstream: Log an engine's other connections where a response ends with its own

The lines told that a stream ended with its connection and what a question at the engine's address found, not whether the other connections of that process ended with it, which is what tells a process that ended from one that ended a response. The state is read by TCP_INFO, which leaves a pending error to the reader; a peek would take it. No decision changes.

--- a/common/sock/sock_test.go
+++ b/common/sock/sock_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,3 +77,45 @@
 		t.Errorf("got %v, want %v", err, sock.ErrNotSyscallConn)
 	}
 }
+
+// The state of a connection is known without taking its error from the reader.
+func TestEstablished(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end  func(far *net.TCPConn)
+		want error
+	}{
+		"FIN":   {func(far *net.TCPConn) { _ = far.Close() }, io.EOF},
+		"reset": {func(far *net.TCPConn) { _, _ = far.SetLinger(0), far.Close() }, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			if _, err := far.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := sock.Established(near); !got || err != nil {
+				t.Errorf("got %t, %v, want an open connection", got, err)
+			}
+			tc.end(far.(*net.TCPConn))
+			for n := 0; ; n++ {
+				got, err := sock.Established(near)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !got {
+					break
+				}
+				if n == 1000 {
+					t.Fatal("got an open connection after its end")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			var err error
+			for err == nil {
+				_, err = near.Read(make([]byte, 2))
+			}
+			if !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -175,8 +175,10 @@
 	if end := (framing.End{Framing: framing.OfResponse(a.Response), Err: err}); end.AtClose() {
 		end.Sending = a.upload.wait()
 		if end.Sending == framing.Sent && a.checkSender != nil {
+			others := a.pool.others(a.conn)
 			end.Sender = a.checkSender()
 			a.conn.trace.Sender = end.Sender
+			a.pool.logOthers(a.conn, others, end.Sender)
 		}
 		err = end.CheckedErr()
 	}
