commands, daemon: Collect a daemon's garbage as early as a gate's

Traced: 40 responses without end hold some 10 MB in a daemon (256 KiB of frames each that half of the callers do not take, and the first 128 KiB of each response), and Go's default lets the heap double before it collects; each 32 KiB also left 96 KiB of garbage.

A daemon collects at a quarter of growth, as a gate does, the end of a response that is searched for its usage stays in one buffer, and the beginning is kept by its frames alone.

go test ./daemon failed once on the change of the buffers alone, its output was not kept; 7 of 7 further runs passed, six of them two at a time.

--- a/commands/process.go
+++ b/commands/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"regexp"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -138,6 +139,7 @@
 }
 
 func (c *daemonCmd) run(_, errOut io.Writer) error {
+	debug.SetGCPercent(gcPercent)
 	f, err := loadProcessFile(c.Settings, true)
 	if err != nil {
 		return err
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -205,9 +205,15 @@
 	if !a.appendBody(head, p.body) {
 		return e.failedResult(a, a.ctx.Err())
 	}
+	if !p.more {
+		return wire.Result{Verdict: verdict.Ran, Usage: parseUsage(p.body)}
+	}
+	n := int64(len(p.body))
 	// tail is the end of the response, which has the usage.
-	tail := p.body
-	for n, err := int64(len(p.body)), error(nil); p.more && err == nil; {
+	tail := append(make([]byte, 0, 2*chunkBytes), p.body[max(0, len(p.body)-chunkBytes):]...)
+	// The frames hold it until they are acknowledged.
+	p.body = nil
+	for err := error(nil); err == nil; {
 		chunk := make([]byte, chunkBytes)
 		var m int
 		m, err = readFull(res.Body, chunk)
@@ -221,13 +227,10 @@
 		if m > 0 && !a.appendFrame(nil, chunk[:m]) {
 			return e.failedResult(a, a.ctx.Err())
 		}
-		tail = append(tail[max(0, len(tail)-chunkBytes):len(tail):len(tail)], chunk[:m]...)
-	}
-	usage := parseUsage(p.body)
-	if p.more {
-		usage = lastUsage(tail)
+		tail = tail[:copy(tail, tail[max(0, len(tail)-chunkBytes):])]
+		tail = append(tail, chunk[:m]...)
 	}
-	return wire.Result{Verdict: verdict.Ran, Usage: usage}
+	return wire.Result{Verdict: verdict.Ran, Usage: lastUsage(tail)}
 }
 
 // usageBody is the part of a chat response that has the usage.
