callers: Reject requests with folded header lines

An intermediary may take it for a length (request smuggling).

Behind a chunked request the server does not follow where lines begin and still joins them, the other way that section 5.2 allows.

--- a/callers/heads.go
+++ b/callers/heads.go
@@ -23,8 +23,9 @@
 	begun, ended bool
 	// line is the beginning of the current line of the header, requestLine that of its first.
 	line, requestLine []byte
-	// transferEncoding is set if a line of the header begins with the name of that field.
-	transferEncoding bool
+	// transferEncoding is set if a line of the header begins with the name of that field, folded if
+	// one begins with a blank.
+	transferEncoding, folded bool
 	// bodyLeft counts the bytes of the body that were not scanned yet.
 	bodyLeft int64
 	// unassigned is what was read behind a header whose handler has not started.
@@ -70,6 +71,8 @@
 		t.requestLine = append(t.requestLine, t.line...)
 	case line == "\n" || line == "\r\n":
 		t.ended = true
+	case line[0] == ' ' || line[0] == '\t':
+		t.folded = true
 	case len(line) >= len(name) && bytes.EqualFold(t.line[:len(name)], []byte(name)):
 		t.transferEncoding = true
 	}
@@ -78,21 +81,22 @@
 }
 
 // begin is called when the handler of a request starts. It reports whether the header of the
-// request has Transfer-Encoding; known is false if that cannot be told.
-func (t *headTracker) begin(r *http.Request) (transferEncoding, known bool) {
+// request has Transfer-Encoding and whether it has folded lines; known is false if that cannot be
+// told.
+func (t *headTracker) begin(r *http.Request) (transferEncoding, folded, known bool) {
 	if t.lost || !t.ended || !t.isOf(r) {
 		t.giveUp()
-		return false, false
+		return false, false, false
 	}
-	transferEncoding = t.transferEncoding
+	transferEncoding, folded = t.transferEncoding, t.folded
 	if r.ContentLength < 0 {
 		t.giveUp()
-		return transferEncoding, true
+		return transferEncoding, folded, true
 	}
 	rest := t.unassigned
 	*t = headTracker{line: t.line[:0], requestLine: t.requestLine[:0], bodyLeft: r.ContentLength}
 	t.scan(rest)
-	return transferEncoding, true
+	return transferEncoding, folded, true
 }
 
 // isOf reports whether the header is that of a request, as far as its first line tells.
--- a/callers/lengths.go
+++ b/callers/lengths.go
@@ -14,6 +14,9 @@
 // takes the request for one without a body. According to the same section the framing of such a
 // request is faulty.
 
+// A folded header line, which begins with a blank, is rejected (section 5.2). net/http joins it to the
+// one before, while an intermediary may take it for a field, such as a length.
+
 // Beginnings of the header lines that define the length of a body, with the end of the
 // preceding line.
 const (
@@ -66,11 +69,17 @@
 	}
 }
 
-// checkFraming wraps h to reject chunked requests of HTTP/1.0, and to close the connection after
-// a request that may have both Content-Length and Transfer-Encoding.
+// checkFraming wraps h to reject chunked requests of HTTP/1.0 and requests with folded header lines,
+// and to close the connection after a request that may have both Content-Length and
+// Transfer-Encoding.
 func checkFraming(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		contentLength, transferEncoding := connFromContext(r.Context()).framingFields(r)
+		contentLength, transferEncoding, folded := connFromContext(r.Context()).framingFields(r)
+		if folded {
+			w.Header().Set("Connection", "close")
+			http.Error(w, "folded header lines are not supported: send each field on one line", http.StatusBadRequest)
+			return
+		}
 		if transferEncoding && r.ContentLength == 0 && !r.ProtoAtLeast(1, 1) {
 			w.Header().Set("Connection", "close")
 			http.Error(w, "HTTP/1.0 does not support Transfer-Encoding", http.StatusBadRequest)
@@ -83,17 +92,18 @@
 	})
 }
 
-// framingFields reports whether a request on the connection may have had Content-Length, and
-// whether the one that begins has, or may have, Transfer-Encoding.
-func (c *conn) framingFields(r *http.Request) (contentLength, transferEncoding bool) {
+// framingFields reports whether a request on the connection may have had Content-Length, whether
+// the one that begins has, or may have, Transfer-Encoding, and whether it has folded lines, as far
+// as is known.
+func (c *conn) framingFields(r *http.Request) (contentLength, transferEncoding, folded bool) {
 	if c == nil {
-		return false, false
+		return false, false, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	transferEncoding, known := c.heads.begin(r)
+	transferEncoding, folded, known := c.heads.begin(r)
 	if !known {
 		transferEncoding = c.framing.transferEncoding.found
 	}
-	return c.framing.contentLength.found, transferEncoding
+	return c.framing.contentLength.found, transferEncoding, folded
 }
--- a/callers/lengths_test.go
+++ b/callers/lengths_test.go
@@ -133,3 +133,34 @@
 	_, _ = io.Copy(io.Discard, res.Body)
 	return !res.Close
 }
+
+// Guards against request smuggling by a folded header line, which is joined to the line before while
+// an intermediary may take it for a length.
+func TestFoldedHeaderLineIsRejected(t *testing.T) {
+	t.Parallel()
+	s := serve(t, 60_000, 60_000, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path != "/sized" {
+			t.Errorf("got %s served", r.URL.Path)
+		}
+	})
+	for _, blank := range []string{" ", "\t"} {
+		nc, r := s.dial()
+		send(t, nc, length+"POST /folded HTTP/1.1\r\nHost: x\r\nX: y\r\n"+blank+"Content-Length: 3\r\n\r\nPOST /inside HTTP/1.1\r\nHost: x\r\n\r\n")
+		if err := nc.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []int{http.StatusOK, http.StatusBadRequest} {
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != want {
+				t.Errorf("blank %q: got status %d, %v, want %d", blank, res.StatusCode, err, want)
+			}
+		}
+		if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("blank %q: got %v, want the end of the connection", blank, err)
+		}
+	}
+}
