--- a/engines/upstream/pool.go
+++ b/engines/upstream/pool.go
@@ -201,7 +201,8 @@
 	number, exchanges int
 	// requestID is the ID of the latest request on the connection.
 	requestID string
-	// engine is the engine that responded to it, "" if unknown, or otherEngine.
+	// engine is the engine that responded to it, "" if unknown, or otherEngine. It is guarded by the
+	// pool's mu.
 	engine string
 	// trace is Request.Trace of the current exchange, nil if there is none.
 	trace *Trace
--- a/engines/upstream/upstream.go
+++ b/engines/upstream/upstream.go
@@ -325,9 +325,7 @@
 		case identity == IdentityOwn, unnamedFailure && c.exchanges == 1 && n == 0:
 			a.Response, a.headAt = res, p.clk.Now()
 			a.keep = a.keep && !res.Close
-			if c.engine = r.Engine; res.StatusCode == http.StatusMisdirectedRequest {
-				c.engine = otherEngine
-			}
+			p.setEngine(c, r.Engine, res.StatusCode)
 			return a, nil
 		case unnamedFailure:
 			// It may be one response too many to an earlier request, and this one may be running.
--- a/engines/upstream/witness.go
+++ b/engines/upstream/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -97,7 +98,10 @@
 		return nil, ErrNotSent
 	}
 	if c := p.takeIdle(addr); !replaces && c != nil {
-		if c.mayReach(w.engine) && c.reusable() && !c.stale() {
+		p.mu.Lock()
+		same := c.mayReach(w.engine)
+		p.mu.Unlock()
+		if same && c.reusable() && !c.stale() {
 			return c, nil
 		}
 		p.discard(c)
@@ -176,13 +180,9 @@
 	for c := range p.busy[addr] {
 		candidates = append(candidates, c)
 	}
+	candidates = slices.DeleteFunc(candidates, func(c *conn) bool { return c == a.conn || c.connectedAt > last || !c.mayReach(a.engine) })
 	p.mu.Unlock()
-	for _, c := range candidates {
-		if c != a.conn && c.connectedAt <= last && c.mayReach(a.engine) && c.established() {
-			others = append(others, c)
-		}
-	}
-	return w, lost, others
+	return w, lost, slices.DeleteFunc(candidates, func(c *conn) bool { return !c.established() })
 }
 
 // isWitness reports whether c still is the witness of an address and open, as far as can be known.
@@ -195,7 +195,17 @@
 	return current && (open || err != nil)
 }
 
-// mayReach reports whether the connection is not known to be that of another engine.
+// setEngine records which engine responded on c.
+func (p *Pool) setEngine(c *conn, engine string, status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.engine = engine; status == http.StatusMisdirectedRequest {
+		c.engine = otherEngine
+	}
+}
+
+// mayReach reports whether the connection is not known to be that of another engine. The caller
+// holds the pool's mu.
 func (c *conn) mayReach(engine string) bool { return c.engine == "" || c.engine == engine }
 
 // established reports whether neither side is known to have closed the connection. It returns false
