--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -27,6 +27,8 @@
 	reset bool
 	// exits closes the listener before the connection, as a process that ends does.
 	exits bool
+	// onEnd is called before the connection is closed, unless it is nil.
+	onEnd func(ln net.Listener)
 }
 
 // resumedReply is the key of the reply to requests that continue a response.
@@ -84,6 +86,9 @@
 	if reply.exits {
 		_ = s.ln.Close()
 	}
+	if reply.onEnd != nil {
+		reply.onEnd(s.ln)
+	}
 	if reply.reset {
 		// The peer must have read the data before the reset.
 		time.Sleep(100 * time.Millisecond)
@@ -209,6 +214,43 @@
 	}
 }
 
+// Guards against a part of a response that is told as ended by its service, whose process ended: its
+// listener is closed after the connection, or another process has its address at once.
+func TestServiceResponseOfAProcessWhoseAddressAcceptsIsIncomplete(t *testing.T) {
+	for name, onEnd := range map[string]func(net.Listener){
+		"closes its listener 30 ms later": func(ln net.Listener) { time.AfterFunc(30*time.Millisecond, func() { _ = ln.Close() }) },
+		"another process has its address": func(ln net.Listener) {
+			_ = ln.Close()
+			other, err := net.Listen("tcp", ln.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _ = other.Close() })
+			go func() {
+				for {
+					nc, err := other.Accept()
+					if err != nil {
+						return
+					}
+					go func() { _, _ = io.Copy(io.Discard, nc) }()
+				}
+			}()
+		},
+	} {
+		for _, proto := range protos {
+			t.Run(name+", "+proto, func(t *testing.T) {
+				f := fleettest.Start(t, fleettest.Spec{Entries: 1, Direct: true})
+				s := startRawTarget(t, f, "desk", map[string]rawReply{"/part": {body: strings.Repeat("x", 300<<10), onEnd: onEnd}})
+				if got := service(f, "/part").sendRaw(t, proto); got.err == nil && got.status == http.StatusOK {
+					t.Errorf("got status %d and %d bytes, framed %s, want a broken response", got.status, len(got.body), got.framed)
+				}
+				_ = s.ln.Close()
+			})
+		}
+	}
+}
+
 // Guards against ending a response that is known to be broken as a complete one for
 // HTTP/1.0 callers.
 func TestBrokenResponseIsIncompleteForCallers(t *testing.T) {
