integration: End all connections of a service whose process ends

TestServiceResponseOfAProcessWhoseAddressAcceptsIsIncomplete left the service's other connections open, as no process that ends does, so that the witness stood. All are closed now, before the listener is closed or taken.

--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -101,8 +101,8 @@
 		s.exit()
 	}
 	if reply.onEnd != nil {
-		reply.onEnd(s.ln)
 		s.closeConns()
+		reply.onEnd(s.ln)
 	}
 	if reply.reset {
 		// The peer must have read the data before the reset.
