callers: Close idle and unfinished connections beyond a share of the descriptors

What callers saw: while others held more connections than the process may open, whatever little they sent, a request got 503 ("no engine of api is available") or waited for the idle limit.

Cause: nothing bounded the connections of callers, so they took the descriptors of engines, store and peers. net/http waits after a failed accept (5 ms to 1 s, no hot loop) and closes nothing.

Callers now have half of the descriptors (RLIMIT_NOFILE, or limits.maxFds if lower); beyond it the longest idle connection gives way, then the one whose header has been incomplete for longest, then new ones wait and responses say Connection: close. The reader of a connection closes it, as at the idle and header limits, so that a request that has arrived is served. Both entries have it.

Half a body still holds its connection for the time of its request.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -97,6 +97,7 @@
 			c.markActive()
 			c.request.recordRead(1, c.since)
 		}
+		c.server.notifyRoom()
 	}
 }
 
@@ -106,6 +107,7 @@
 	limits := s.cfg.Limits()
 	now := s.cfg.Clock.Now()
 	s.pauses.record(now)
+	s.logEvictions()
 	resumedAt := max(s.pauses.lastResumedAt(), s.cfg.Clock.ResumedAt())
 	for _, c := range s.openConns() {
 		c.mu.Lock()
@@ -120,7 +122,7 @@
 		case !active && age > limits.Idle:
 			c.closeIfIdle(causeIdleTimeout, limits.Idle, limits.Version)
 		case active && !headerRead && headerAge > header.Header:
-			c.expireHeader(header.Header, header.Version)
+			c.expireHeader(causeHeaderTimeout, header.Header, header.Version)
 		}
 	}
 }
@@ -181,11 +183,11 @@
 	// began is the limits in force when the current request began. Settings that lower the
 	// limit on headers apply to later requests.
 	began Limits
-	// closing is set while the connection is being closed because it is idle. Its pending
+	// closing is set while the connection is being closed as idle, for whatever cause. Its pending
 	// read is interrupted, and the reader closes it if no data has arrived.
 	closing bool
 	// overdue is set while the connection is being closed because the limit on its header is
-	// over. Its pending read is interrupted, and the reader closes it once no data is left.
+	// over, or to make room for another connection. Its pending read is interrupted, and the reader closes it once no data is left.
 	overdue   bool
 	pipelined readAheadBuffer
 	// request is the progress of the current request, zero while there is none.
@@ -208,7 +210,6 @@
 	for n == 0 && err == nil {
 		if c.headerExpired() {
 			// net/http would respond to a header that ends within a line.
-			c.server.recordTimeout(c.RemoteAddr().String(), phaseHeader)
 			return 0, errors.Join(net.ErrClosed, c.Close())
 		}
 		n, err = c.Conn.Read(p)
@@ -263,7 +264,9 @@
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.server.notifyRoom()
+	return err
 }
 
 // closeIfIdle starts to close the connection and returns true, unless a request is in flight.
@@ -300,17 +303,17 @@
 	}
 }
 
-// expireHeader starts to close the connection because the limit on its header is over. What has
+// expireHeader starts to close the connection because its header is incomplete. What has
 // arrived is read first: the process may not have run since, and a request that is complete is
 // served.
-func (c *conn) expireHeader(limit clock.Millis, version int64) {
+func (c *conn) expireHeader(cause endCause, limit clock.Millis, version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.active || c.headerRead || c.overdue {
 		return
 	}
 	c.overdue = true
-	c.end.set(causeHeaderTimeout, limit, version)
+	c.end.set(cause, limit, version)
 	// Fails only if the connection is closed.
 	_ = c.Conn.SetReadDeadline(clock.Deadline(0))
 }
@@ -324,8 +327,8 @@
 	}
 }
 
-// headerExpired reports whether the limit on the header is over and all data was read. A caller
-// that sent only part of a header gets no response.
+// headerExpired reports whether the connection is overdue and all data was read. A caller that
+// sent only part of a header gets no response.
 func (c *conn) headerExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -337,6 +340,9 @@
 		_ = c.Conn.SetReadDeadline(c.pipelined.deadline)
 		return false
 	}
+	if c.end.cause == causeHeaderTimeout {
+		c.server.recordTimeout(c.RemoteAddr().String(), phaseHeader)
+	}
 	return true
 }
 
--- a/callers/progress.go
+++ b/callers/progress.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,16 +33,23 @@
 	causeAborted       endCause = "response_aborted"
 	causePanicked      endCause = "handler_panicked"
 	causeAfterResponse endCause = "after_response"
+	causeEvictedIdle   endCause = "evicted_idle"
+	causeEvictedHeader endCause = "evicted_head"
 )
 
-// level returns the level of the log line. Callers disconnect at any time.
+// level returns the level of the log line. Callers disconnect at any time, and evictions are many.
 func (e endCause) level() slog.Level {
-	if e == causeCallerClosed || e == causeCallerReset {
+	switch {
+	case e == causeCallerClosed || e == causeCallerReset:
 		return slog.LevelInfo
+	case e.isEviction():
+		return slog.LevelDebug
 	}
 	return slog.LevelWarn
 }
 
+func (e endCause) isEviction() bool { return slices.Contains(evictable, e) }
+
 // received is how much of a request was read.
 type received string
 
@@ -242,6 +250,9 @@
 		return false
 	}
 	c.closed = true
+	if c.end.cause.isEviction() {
+		c.server.countEviction(c.end.cause)
+	}
 	// Fails only for connections that are not of the operating system.
 	unread, err := sock.UnreadBytes(c.Conn)
 	if err != nil {
--- a/callers/server.go
+++ b/callers/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -33,6 +34,10 @@
 	Handler http.Handler
 	// MaxHeaderBytes limits the size of a request header.
 	MaxHeaderBytes int
+	// MaxConns limits the number of open connections, 0 if there is no limit. Beyond it, those
+	// that are idle or whose header is incomplete are closed, and while there are none, new ones
+	// wait.
+	MaxConns int
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Link is the downlink of the process, or nil if its rate is unknown.
@@ -64,11 +69,22 @@
 	conns map[*conn]bool
 	// closing is set by Close.
 	closing bool
+	// evictions counts the connections that were closed to make room, since the last log line.
+	evictions map[endCause]int
+	// removed receives a value when a connection was closed or became idle. It has room for one.
+	removed chan struct{}
+	// full is set while a new connection waits and no other one may be closed.
+	full atomic.Bool
+	// acceptFailing is set while accepting fails. It is used only by the accepting goroutine.
+	acceptFailing bool
 }
 
 // New returns a server that is not yet serving.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, conns: map[*conn]bool{}, timeoutsTotal: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`)}
+	s := &Server{
+		cfg: cfg, conns: map[*conn]bool{}, evictions: map[endCause]int{}, removed: make(chan struct{}, 1),
+		timeoutsTotal: metrics.GetOrCreateCounter(`weldfall_silent_connections_total{to="caller"}`),
+	}
 	s.http = &http.Server{
 		ConnState: s.connStateChanged, ConnContext: contextWithConn, Handler: trackRequests(checkFraming(resetUnfinished(cfg.Handler))), MaxHeaderBytes: cfg.MaxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
@@ -131,9 +147,9 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
+	c, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
-	return l.s.track(nc), nil
+	return c, nil
 }
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -74,6 +74,8 @@
 type serverOptions struct {
 	limits func() callers.Limits
 	clk    *clock.Clock
+	// maxConns limits the connections, 0 if there is no limit.
+	maxConns int
 	// wrapListener wraps the listener.
 	wrapListener func(net.Listener) net.Listener
 }
@@ -92,7 +94,7 @@
 		ln = opts.wrapListener(ln)
 	}
 	s.srv = callers.New(callers.Config{
-		Handler: h, MaxHeaderBytes: 4096, Clock: s.clk, Log: slog.New(slog.NewTextHandler(s.logs, nil)), Limits: opts.limits,
+		Handler: h, MaxHeaderBytes: 4096, MaxConns: opts.maxConns, Clock: s.clk, Log: slog.New(slog.NewTextHandler(s.logs, nil)), Limits: opts.limits,
 	})
 	go func() {
 		defer close(s.done)
--- a/commands/gate.go
+++ b/commands/gate.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/downlink"
 	"github.com/weldfall/weldfall/common/logline"
@@ -67,15 +68,21 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	log.Info("started", "role", "gate", "version", Version, "hall", cfg.Hall, "listen", ls[0].Addr(),
-		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "peers", ls[3].Addr(), "store", cfg.Store, "hall_megabyte_ms", cfg.Bounds.Locality.MegabyteMillis)
+		"readiness", ls[1].Addr(), "metrics", ls[2].Addr(), "peers", ls[3].Addr(), "store", cfg.Store, "hall_megabyte_ms", cfg.Bounds.Locality.MegabyteMillis,
+		"descriptors", descriptorLimit(cfg.Descriptors), "max_connections", maxConns(cfg))
 	return runGate(ctx, cfg, log, ls, hup)
 }
 
+// maxConns returns the limit on the connections of callers.
+func maxConns(cfg platform.Settings) int {
+	return callers.MaxConns(descriptorLimit(cfg.Descriptors))
+}
+
 // runGate serves until ctx is done and the requests in flight have finished.
 func runGate(ctx context.Context, cfg platform.Settings, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
 	clk, link := clock.System(), downlink.New(cfg.Link)
 	g := gate.New(gate.Config{
-		ID: cfg.ID, Dialect: platform.Dialect(), Bounds: cfg.Bounds, Hall: cfg.Hall, Link: link, Clock: clk, Log: log,
+		ID: cfg.ID, Dialect: platform.Dialect(), Bounds: cfg.Bounds, Hall: cfg.Hall, MaxConns: maxConns(cfg), Link: link, Clock: clk, Log: log,
 	})
 	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: cfg.Store, Link: link, Clock: clk, Log: log}), g, cfg.Timing, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
--- a/commands/process.go
+++ b/commands/process.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"syscall"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/logline"
 	"github.com/weldfall/weldfall/common/strict"
@@ -125,15 +126,18 @@
 		return err
 	}
 	clk := clock.System()
+	descriptors := descriptorLimit(0)
+	maxConns := callers.MaxConns(descriptors)
 	e := entry.New(entry.Config{
 		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform, clk, log),
-		Clock: clk, Log: log,
+		MaxConns: maxConns, Clock: clk, Log: log,
 	})
 	stopAdmin := startServer(ls[2], admin.Handler(e))
 	defer stopAdmin()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	log.Info("started", "role", "entry", "listen", ls[0].Addr(), "peers", ls[1].Addr(), "admin", ls[2].Addr())
+	log.Info("started", "role", "entry", "listen", ls[0].Addr(), "peers", ls[1].Addr(), "admin", ls[2].Addr(),
+		"descriptors", descriptors, "max_connections", maxConns)
 	return e.Run(ctx, ls[0], ls[1])
 }
 
@@ -175,6 +179,23 @@
 	return d.Run(serveCtx, ln)
 }
 
+// maxDescriptors stands for a process without a limit.
+const maxDescriptors = 1 << 20
+
+// descriptorLimit returns how many descriptors this process may open, by its resource limit and
+// by its settings, where 0 sets no limit.
+func descriptorLimit(configured int) int {
+	limit := maxDescriptors
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err == nil && r.Cur < maxDescriptors {
+		limit = int(r.Cur)
+	}
+	if configured > 0 {
+		limit = min(limit, configured)
+	}
+	return limit
+}
+
 // listenAll listens on all addresses, or fails and closes the listeners.
 func listenAll(addrs ...string) ([]net.Listener, error) {
 	var ls []net.Listener
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,8 +56,10 @@
 	Hall      string
 	Bootstrap []string
 	Platform  *source.Client
-	Clock     *clock.Clock
-	Log       *slog.Logger
+	// MaxConns limits the open connections of callers, 0 if there is no limit.
+	MaxConns int
+	Clock    *clock.Clock
+	Log      *slog.Logger
 }
 
 // Entry is the process that callers connect to.
@@ -186,7 +188,7 @@
 	wg.Go(func() { clock.Every(nodeCtx, fleet.ExchangePeriod, e.guard.Sweep) })
 	wg.Go(func() { link.Serve(nodeCtx, peers, e.clk, e.log, e, 0) })
 	srv := callers.New(callers.Config{
-		Handler: e.handler(), MaxHeaderBytes: maxHeaderBytes, Clock: e.clk, Log: e.log,
+		Handler: e.handler(), MaxHeaderBytes: maxHeaderBytes, MaxConns: e.cfg.MaxConns, Clock: e.clk, Log: e.log,
 		Limits: func() callers.Limits { return callers.Limits{Idle: idleTimeout, Header: headerTimeout} },
 	})
 	done := make(chan struct{})
@@ -235,8 +237,8 @@
 }
 
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, service string) *call {
-	if e.draining.Load() {
-		// Makes the caller send its next request to another entry.
+	if e.draining.Load() || callers.Full(r.Context()) {
+		// Makes the caller send its next request on another connection, or to another entry.
 		w.Header().Set("Connection", "close")
 	}
 	return &call{
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -114,6 +114,8 @@
 	Bounds  Bounds
 	// Hall is the data hall of the process, "" if it is unknown.
 	Hall string
+	// MaxConns limits the open connections of callers, 0 if there is no limit.
+	MaxConns int
 	// Link is the downlink of the process, nil if its capacity is unknown.
 	Link  *downlink.Downlink
 	Clock *clock.Clock
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/weldfall/weldfall/callers"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/framing"
 	"github.com/weldfall/weldfall/engines"
@@ -109,7 +110,7 @@
 		if from != nil {
 			g.copyHead(to, from)
 		}
-		if g.shutdown.started() {
+		if g.shutdown.started() || callers.Full(c.r.Context()) {
 			to.Set("Connection", "close")
 		}
 		c.limitWrite(g.clk.Now())
--- a/gate/server.go
+++ b/gate/server.go
@@ -48,7 +48,7 @@
 // ended or the grace is over.
 func (g *Gate) Run(ctx context.Context, ln net.Listener) error {
 	srv := callers.New(callers.Config{
-		Handler: g, MaxHeaderBytes: maxHeaderBytes, Limits: g.callerLimits, Link: g.cfg.Link, Clock: g.clk, Log: g.log,
+		Handler: g, MaxHeaderBytes: maxHeaderBytes, MaxConns: g.cfg.MaxConns, Limits: g.callerLimits, Link: g.cfg.Link, Clock: g.clk, Log: g.log,
 	})
 	sweepCtx, stopSweep := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopSweep()
