link: Take a message's memory as it arrives and bound incomplete messages

What happened: connections to the port for other processes that announce 12 MiB each, and send nothing or all but a byte, took that much memory each.

Cause: the buffer of a message was taken when its length had arrived, and nothing bounded the sum over connections.

A message's memory grows by 64 KiB as its bytes arrive and is joined when it is complete. What incomplete messages hold is summed over the accepted connections; beyond a quarter of the Go memory limit (480 MiB without one) the connection whose message has been incomplete for longest is closed. Messages of up to 4 KiB, as long as the read buffer, are read as before.

--- a/link/codec.go
+++ b/link/codec.go
@@ -42,6 +42,8 @@
 	class Class
 	// frame handles received frames, in order with the other messages.
 	frame func(wire.Frame)
+	// arrivals has the account of incomplete messages, nil if there is none.
+	arrivals *arrivals
 
 	mu  sync.Mutex
 	w   *bufio.Writer
@@ -63,8 +65,8 @@
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
-func newStream(conn io.ReadWriteCloser, class Class, frame func(wire.Frame)) *stream {
-	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriterSize(conn, writeBuffer[class]), class: class, frame: frame}
+func newStream(conn io.ReadWriteCloser, class Class, arriving *arrivals, frame func(wire.Frame)) *stream {
+	s := &stream{conn: conn, r: bufio.NewReader(conn), w: bufio.NewWriterSize(conn, writeBuffer[class]), class: class, arrivals: arriving, frame: frame}
 	s.enc = msgpack.NewEncoder(&s.buf)
 	s.enc.UseArrayEncodedStructs(true)
 	return s
@@ -178,8 +180,7 @@
 	if n > MaxMessage {
 		return 0, nil, fmt.Errorf("decode message: %d bytes exceed the limit of %d", n, MaxMessage)
 	}
-	data := make([]byte, n)
-	_, err = io.ReadFull(s.r, data)
+	data, err := s.readMessage(int(n))
 	return format(f), data, err
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -176,11 +176,11 @@
 	_ = rpc.Reply(ctx, req.ID, res)
 }
 
-func newConn(nc net.Conn, class Class, clk *clock.Clock, h Handler) *Conn {
+func newConn(nc net.Conn, class Class, arriving *arrivals, clk *clock.Clock, h Handler) *Conn {
 	c := &Conn{clk: clk}
 	c.receivedAt.Store(int64(clk.Now()))
 	a := &adapter{conn: c, ready: make(chan struct{}), h: h}
-	c.stream = newStream(nc, class, func(f wire.Frame) {
+	c.stream = newStream(nc, class, arriving, func(f wire.Frame) {
 		c.receivedAt.Store(int64(clk.Now()))
 		h.Frame(f)
 	})
@@ -294,7 +294,7 @@
 		_ = nc.Close()
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
-	c := newConn(nc, class, p.clk, p.h)
+	c := newConn(nc, class, nil, p.clk, p.h)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Duration())
 	defer cancel()
 	var hello wire.Hello
@@ -349,6 +349,7 @@
 // descriptor, it is tried again after a pause.
 func Serve(ctx context.Context, ln net.Listener, clk *clock.Clock, log *slog.Logger, h Handler, idleTimeout clock.Millis) {
 	open := &acceptedConns{conns: map[*Conn]bool{}}
+	arriving := newArrivals(clk, log)
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	defer open.closeIf(func(*Conn) bool { return true })
@@ -384,7 +385,7 @@
 				_ = nc.Close()
 				return
 			}
-			c := newConn(nc, class, clk, h)
+			c := newConn(nc, class, arriving, clk, h)
 			open.add(c)
 			<-c.Done()
 			open.remove(c)
