callers: Let incomplete bodies give way to new connections

What callers saw: beside connections that hold half a body, a new connection waited until those before it had had the time of their requests, or the header limit if a request was refused by its header.

Cause: only idle connections and incomplete headers gave way; a request whose body rests counts as in flight.

After both, the request whose body is incomplete and from whose connection no byte has come for longest gives way: the read of its body is interrupted, what has arrived is read first, and the handler tells that the body did not arrive in time (503, Retry-After, not run). A read of one byte is net/http's wait for a disconnect and goes on, so that a request that is complete is not canceled. A timeout is logged as such only if no other cause ends the connection.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -47,10 +47,10 @@
 	return func() { c.setOnDisconnect(nil) }
 }
 
-// RecordBodyTimeout records that the body of a request did not arrive within a limit.
+// RecordBodyTimeout records that the body of a request did not arrive within a limit, unless its
+// connection ends for another cause.
 func RecordBodyTimeout(ctx context.Context, limit clock.Millis) {
-	if c := connFromContext(ctx); c != nil {
-		c.setEndCause(causeBodyTimeout, limit, 0)
+	if c := connFromContext(ctx); c != nil && c.setEndCause(causeBodyTimeout, limit, 0) {
 		c.server.recordTimeout(c.RemoteAddr().String(), phaseBody)
 	}
 }
@@ -89,6 +89,7 @@
 			// net/http closes the connection only when it reads again.
 			c.logEnd(c.request.delivered(false), 0)
 		}
+		c.cancelBodyExpiry()
 		c.active, c.headerRead, c.since = false, false, s.cfg.Clock.Now()
 		c.request = requestProgress{}
 		if c.pipelined.begun {
@@ -188,8 +189,11 @@
 	closing bool
 	// overdue is set while the connection is being closed because the limit on its header is
 	// over, or to make room for another connection. Its pending read is interrupted, and the reader closes it once no data is left.
-	overdue   bool
-	pipelined readAheadBuffer
+	overdue bool
+	// bodyOverdue is set while the read of a body is interrupted to make room for another
+	// connection.
+	bodyOverdue bool
+	pipelined   readAheadBuffer
 	// request is the progress of the current request, zero while there is none.
 	request requestProgress
 	// end is why the connection ends, zero while nothing ends it. closed is set by Close.
@@ -214,7 +218,7 @@
 		}
 		n, err = c.Conn.Read(p)
 		c.server.cfg.Link.RecordCallerBytes(n)
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.receivedBeforeClose() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && (c.receivedBeforeClose() || c.bodyContinues(len(p))) {
 			err = nil
 		}
 	}
--- a/callers/progress.go
+++ b/callers/progress.go
@@ -35,6 +35,7 @@
 	causeAfterResponse endCause = "after_response"
 	causeEvictedIdle   endCause = "evicted_idle"
 	causeEvictedHeader endCause = "evicted_head"
+	causeEvictedBody   endCause = "evicted_body"
 )
 
 // level returns the level of the log line. Callers disconnect at any time, and evictions are many.
@@ -79,10 +80,13 @@
 	version int64
 }
 
-func (e *connEnd) set(cause endCause, limit clock.Millis, version int64) {
-	if e.cause == "" {
-		*e = connEnd{cause, limit, version}
+// set sets the cause and reports whether there was none.
+func (e *connEnd) set(cause endCause, limit clock.Millis, version int64) bool {
+	if e.cause != "" {
+		return false
 	}
+	*e = connEnd{cause, limit, version}
+	return true
 }
 
 // requestProgress is how far a request and its response have got. It is guarded by conn.mu.
@@ -196,10 +200,11 @@
 	return n, err
 }
 
-func (c *conn) setEndCause(cause endCause, limit clock.Millis, version int64) {
+// setEndCause sets why the connection ends and reports whether there was no earlier cause.
+func (c *conn) setEndCause(cause endCause, limit clock.Millis, version int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.end.set(cause, limit, version)
+	return c.end.set(cause, limit, version)
 }
 
 func (c *conn) recordReadError(err error) {
--- a/callers/room.go
+++ b/callers/room.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/sock"
 )
 
 const (
@@ -34,7 +35,7 @@
 }
 
 // evictable lists the causes of evictions in the order in which connections give way.
-var evictable = []endCause{causeEvictedIdle, causeEvictedHeader}
+var evictable = []endCause{causeEvictedIdle, causeEvictedHeader, causeEvictedBody}
 
 // Full reports whether new connections wait because all others have requests in flight. The
 // response to a request should then say that its connection closes. ctx is the context of the
@@ -141,7 +142,7 @@
 	switch {
 	case c.closed:
 		return -1, 0, false
-	case c.closing, c.overdue:
+	case c.closing, c.overdue, c.bodyOverdue:
 		// net/http may have set another deadline meanwhile.
 		_ = c.Conn.SetReadDeadline(clock.Deadline(0))
 		return -1, 0, true
@@ -149,6 +150,8 @@
 		return slices.Index(evictable, causeEvictedIdle), c.since, false
 	case c.active && !c.headerRead && c.server.cfg.Clock.Now()-c.since >= QuietPeriod:
 		return slices.Index(evictable, causeEvictedHeader), c.since, false
+	case c.awaitsBody() && c.server.cfg.Clock.Now()-c.since >= QuietPeriod:
+		return slices.Index(evictable, causeEvictedBody), c.request.lastReadAt, false
 	}
 	return -1, 0, false
 }
@@ -160,9 +163,56 @@
 		c.closeIfIdle(cause, 0, 0)
 	case causeEvictedHeader:
 		c.expireHeader(cause, 0, 0)
+	case causeEvictedBody:
+		c.expireBody()
 	}
 }
 
+// awaitsBody reports whether the body of the current request has not been read completely. c.mu
+// must be held.
+func (c *conn) awaitsBody() bool {
+	return c.active && c.headerRead && c.request.handling && !c.request.wholeBody && c.pipelined.done == nil
+}
+
+// expireBody interrupts the read of a body, so that its handler responds that the body did not
+// arrive in time. What has arrived is read first.
+func (c *conn) expireBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.awaitsBody() || c.bodyOverdue || c.end.cause != "" {
+		return
+	}
+	c.bodyOverdue = true
+	c.end.set(causeEvictedBody, 0, 0)
+	// Fails only if the connection is closed.
+	_ = c.Conn.SetReadDeadline(clock.Deadline(0))
+}
+
+// cancelBodyExpiry keeps the connection open if it is being closed because its body is
+// incomplete. c.mu must be held.
+func (c *conn) cancelBodyExpiry() {
+	if c.bodyOverdue {
+		c.bodyOverdue, c.end = false, connEnd{}
+		_ = c.Conn.SetReadDeadline(c.pipelined.deadline)
+	}
+}
+
+// bodyContinues reports whether a read of n bytes goes on although it was interrupted by
+// expireBody: data has arrived, or the body was complete and net/http waits for a disconnect.
+func (c *conn) bodyContinues(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.bodyOverdue {
+		return false
+	}
+	quiet, err := sock.NothingToRead(c.Conn)
+	if n > 1 && (quiet || err != nil) {
+		return false
+	}
+	c.cancelBodyExpiry()
+	return true
+}
+
 // countEviction counts a connection that was closed to make room for another one.
 func (s *Server) countEviction(cause endCause) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("weldfall_connections_evicted_total{cause=%q}", cause)).Inc()
--- a/callers/room_test.go
+++ b/callers/room_test.go
@@ -258,3 +258,97 @@
 		t.Errorf("got %d lines accept_failed, want 1", got)
 	}
 }
+
+// readBody responds with 503 to a request whose body does not arrive in time.
+func readBody(w http.ResponseWriter, r *http.Request) bool {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return false
+	}
+	_, _ = io.WriteString(w, "ok")
+	return true
+}
+
+// Guards against callers that send half a body and hold all places: the one from which no byte has
+// come for longest is told that its request did not run, and a body that goes on is read.
+func TestIncompleteBodiesGiveWay(t *testing.T) {
+	s := serveAtMost(t, 2, func(w http.ResponseWriter, r *http.Request) { readBody(w, r) })
+	const half = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf"
+	resting, restingReader := s.dial()
+	send(t, resting, half)
+	going, goingReader := s.dial()
+	send(t, going, half)
+	time.Sleep(350 * time.Millisecond)
+	send(t, going, "x")
+	time.Sleep(50 * time.Millisecond)
+	nc, r := s.dial()
+	exchange(t, nc, r)
+	res, err := http.ReadResponse(restingReader, nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("got %v, %v for a body that rests, want 503 on a connection that closes", res, err)
+	}
+	send(t, going, "end")
+	if !readResponse(goingReader) {
+		t.Error("got no response to the request whose body went on")
+	}
+}
+
+// Guards against requests that are read and not answered, or are canceled, because their body was
+// taken for incomplete when it had just arrived.
+func TestNoBodyThatArrivedIsLostToAnEviction(t *testing.T) {
+	var mu sync.Mutex
+	handled, canceled := map[string]bool{}, 0
+	s := serveAtMost(t, 8, func(w http.ResponseWriter, r *http.Request) {
+		if !readBody(w, r) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		handled[r.URL.Path] = true
+		if r.Context().Err() != nil {
+			canceled++
+		}
+	})
+	answered, refused := map[string]bool{}, 0
+	var wg sync.WaitGroup
+	start := time.Now()
+	for caller := range 24 {
+		wg.Go(func() {
+			for n := 0; time.Since(start) < 5*time.Second; n++ {
+				nc, err := net.Dial("tcp", s.addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				path := fmt.Sprintf("/%d-%d", caller, n)
+				_, _ = fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf", path)
+				// As long as a new connection is spared, or somewhat longer.
+				time.Sleep(time.Duration(290+(37*n+11*caller)%150) * time.Millisecond)
+				_, _ = io.WriteString(nc, "rest")
+				if res, err := http.ReadResponse(bufio.NewReader(nc), nil); err == nil {
+					mu.Lock()
+					if res.StatusCode == http.StatusOK {
+						answered[path] = true
+					} else {
+						refused++
+					}
+					mu.Unlock()
+				}
+				_ = nc.Close()
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d requests handled, %d refused", len(handled), refused)
+	for path := range handled {
+		if !answered[path] {
+			t.Errorf("request %s: read and not answered", path)
+		}
+	}
+	if canceled > 0 || len(handled) == 0 || refused == 0 {
+		t.Errorf("got %d requests canceled, %d handled and %d refused, want none canceled and both others", canceled, len(handled), refused)
+	}
+}
--- a/callers/server.go
+++ b/callers/server.go
@@ -35,8 +35,8 @@
 	// MaxHeaderBytes limits the size of a request header.
 	MaxHeaderBytes int
 	// MaxConns limits the number of open connections, 0 if there is no limit. Beyond it, those
-	// that are idle or whose header is incomplete are closed, and while there are none, new ones
-	// wait.
+	// that are idle or whose request has not arrived completely are closed, and while there are
+	// none, new ones wait.
 	MaxConns int
 	// Limits returns the limits in force.
 	Limits func() Limits
