bodies, gate, entry: Show the bytes held for callers' bodies

Cause: no metric tells how much memory the bodies of callers' requests take, so that a process that runs out of memory by them can't be told from one whose connections take it.

Change: gauge weldfall_request_bodies_bytes, counted from arrival to the end of the request, and gauge weldfall_memory_bytes, the memory of the machine by the settings. An entry has the setting memory_mb for it, 1,024 by default; nothing goes by it yet. No change of behaviour.

Tests: a gauge of two bodies through their ends; a value out of range ends the start with a line that names the key.

--- a/commands/gate.go
+++ b/commands/gate.go
@@ -75,7 +75,7 @@
 func runGate(ctx context.Context, cfg platform.Settings, log *slog.Logger, ls []net.Listener, hup <-chan os.Signal) error {
 	clk, link := clock.System(), downlink.New(cfg.Link)
 	g := gate.New(gate.Config{
-		ID: cfg.ID, Dialect: platform.Dialect(), Bounds: cfg.Bounds, Hall: cfg.Hall, Link: link, Clock: clk, Log: log,
+		ID: cfg.ID, Dialect: platform.Dialect(), Bounds: cfg.Bounds, Hall: cfg.Hall, Link: link, Memory: cfg.Memory, Clock: clk, Log: log,
 	})
 	reader := platform.NewReader(platform.NewStore(platform.StoreConfig{Addr: cfg.Store, Link: link, Clock: clk, Log: log}), g, cfg.Timing, clk, log)
 	readCtx, stopReading := context.WithCancel(context.WithoutCancel(ctx))
--- a/commands/process.go
+++ b/commands/process.go
@@ -38,11 +38,20 @@
 	// Bootstrap has the peers to contact before the instance list is known.
 	Bootstrap []string `toml:"bootstrap"`
 	LogLevel  string   `toml:"log_level"`
+	// MemoryMB is the memory of the machine in MiB; entries only.
+	MemoryMB int64 `toml:"memory_mb"`
 	// Pool and Engines are for daemons only.
 	Pool    string          `toml:"pool"`
 	Engines []daemon.Engine `toml:"engines"`
 }
 
+// defaultMemoryMB is the default of processFile.MemoryMB. minMemoryMB and maxMemoryMB bound it.
+const (
+	defaultMemoryMB = 1024
+	minMemoryMB     = 48
+	maxMemoryMB     = 1 << 20
+)
+
 // nameRE matches the names of instances, data halls and pools.
 var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
 
@@ -53,7 +62,7 @@
 	if err != nil {
 		return processFile{}, err
 	}
-	f := processFile{LogLevel: "info"}
+	f := processFile{LogLevel: "info", MemoryMB: defaultMemoryMB}
 	if err := strict.Decode(path, text, &f); err != nil {
 		return processFile{}, usageError{err}
 	}
@@ -86,6 +95,9 @@
 	if _, err := logline.New(io.Discard, f.LogLevel, f.ID); err != nil {
 		return fail("log_level", err.Error())
 	}
+	if f.MemoryMB < minMemoryMB || f.MemoryMB > maxMemoryMB {
+		return fail("memory_mb", fmt.Sprintf("%d: write %d to %d", f.MemoryMB, minMemoryMB, maxMemoryMB))
+	}
 	if !isDaemon {
 		return f, nil
 	}
@@ -104,7 +116,7 @@
 }
 
 type entryCmd struct {
-	Settings string `arg:"--settings,required" help:"TOML file with id, hall, listen, peers, admin, platform, bootstrap and log_level"`
+	Settings string `arg:"--settings,required" help:"TOML file with id, hall, listen, peers, admin, platform, bootstrap, log_level and memory_mb"`
 }
 
 type daemonCmd struct {
@@ -127,7 +139,7 @@
 	clk := clock.System()
 	e := entry.New(entry.Config{
 		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform, clk, log),
-		Clock: clk, Log: log,
+		Memory: f.MemoryMB << 20, Clock: clk, Log: log,
 	})
 	stopAdmin := startServer(ls[2], admin.Handler(e))
 	defer stopAdmin()
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/engines/duration"
@@ -31,7 +32,9 @@
 
 	// Set by read.
 	body []byte
-	chat chats.Turn
+	// received accounts for the memory of the body.
+	received *bodies.Body
+	chat     chats.Turn
 
 	// Set by resolve.
 	values settings.Values
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/callers/filter"
 	"github.com/weldfall/weldfall/common/clock"
@@ -56,8 +57,10 @@
 	Hall      string
 	Bootstrap []string
 	Platform  *source.Client
-	Clock     *clock.Clock
-	Log       *slog.Logger
+	// Memory is the memory of the machine in bytes.
+	Memory int64
+	Clock  *clock.Clock
+	Log    *slog.Logger
 }
 
 // Entry is the process that callers connect to.
@@ -84,6 +87,7 @@
 	aborting context.Context
 	abort    context.CancelCauseFunc
 	active   atomic.Int64
+	bodies   *bodies.Account
 	// lastRequestAt is when the latest request arrived.
 	lastRequestAt atomic.Int64
 
@@ -119,7 +123,7 @@
 	hints, _ := simplelru.NewLRU[uint64, string](maxHints, nil)
 	e := &Entry{
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, limiters: newLimiters(),
-		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints, durations: duration.NewEstimator(),
+		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints, bodies: bodies.NewAccount(cfg.Memory), durations: duration.NewEstimator(),
 	}
 	e.aborting, e.abort = context.WithCancelCause(context.Background())
 	e.links = link.NewPool(cfg.Clock, e)
@@ -240,7 +244,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	return &call{
-		w: w, r: r, service: service, startMicros: e.clk.Micros(), start: e.clk.Now(),
+		w: w, r: r, service: service, received: e.bodies.Body(), startMicros: e.clk.Micros(), start: e.clk.Now(),
 		id: fmt.Sprintf("%s-%x-%d", e.cfg.ID, link.BootID()&0xffffff, e.seq.Add(1)),
 	}
 }
@@ -251,6 +255,7 @@
 		e.active.Add(1)
 		defer e.active.Add(-1)
 		c := e.newCall(w, r, service(r))
+		defer c.received.Release()
 		e.lastRequestAt.Store(int64(c.start))
 		if !e.node.Ready() && !e.draining.Load() {
 			e.respond(c, "ready", verdict.New(unhandledVerdict(r), verdict.NotReady, "this entry has not loaded the settings yet").WithRetryAfter(1000))
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -54,7 +54,7 @@
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(clock.Deadline(bodyTimeout))
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := io.ReadAll(c.received.Reader(http.MaxBytesReader(c.w, c.r.Body, limit)))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/gate/call.go
+++ b/gate/call.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
@@ -62,6 +63,8 @@
 	// or has returned it.
 	turn turnPlace
 	body []byte
+	// received accounts for the memory of the body.
+	received *bodies.Body
 	// guardRequest is the call as the guard knows it, nil until it is first sent. isolated is
 	// true if the latest attempt was isolated.
 	guardRequest *quarantine.Request
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/callers/failure"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/downlink"
@@ -115,9 +116,11 @@
 	// Hall is the data hall of the process, "" if it is unknown.
 	Hall string
 	// Link is the downlink of the process, nil if its capacity is unknown.
-	Link  *downlink.Downlink
-	Clock *clock.Clock
-	Log   *slog.Logger
+	Link *downlink.Downlink
+	// Memory is the memory of the machine in bytes, 0 if it is unknown.
+	Memory int64
+	Clock  *clock.Clock
+	Log    *slog.Logger
 }
 
 // Gate is the entry of one process.
@@ -136,6 +139,7 @@
 	limits    atomic.Pointer[Bounds]
 	shutdown  shutdown
 	active    atomic.Int64
+	bodies    *bodies.Account
 	counts    counts
 	durations *duration.Estimator
 	// prefillSpeeds holds the prefill speed of the engines of each service. It is guarded by
@@ -253,7 +257,7 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d, style: failureStyle(d.RequestID),
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
-		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, rooms: map[string]*serviceRoom{}, counts: newCounts(),
+		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, rooms: map[string]*serviceRoom{}, counts: newCounts(), bodies: bodies.NewAccount(cfg.Memory),
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
 		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
 		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -193,7 +193,7 @@
 	c.readingBody.Store(true)
 	defer c.readingBody.Store(false)
 	_ = c.rc.SetReadDeadline(clock.Deadline(c.timeLeft(g.clk.Now())))
-	body, err := whole.Read(c.r.Body, c.r.ContentLength, limit)
+	body, err := whole.Read(c.received.Reader(c.r.Body), c.r.ContentLength, limit)
 	switch {
 	case errors.Is(err, whole.ErrTooLarge):
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
--- a/gate/server.go
+++ b/gate/server.go
@@ -24,6 +24,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := g.newCall(w, r)
+	defer c.received.Release()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	c.cancel = cancel
@@ -39,7 +40,7 @@
 // newCall returns the call for a request whose header has been read.
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := g.clk.Now()
-	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, giveUpAt: now + maxRequestTime}
+	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, giveUpAt: now + maxRequestTime, received: g.bodies.Body()}
 	c.reply = g.replyTo(c)
 	return c
 }
--- a/integration/callers_test.go
+++ b/integration/callers_test.go
@@ -187,6 +187,7 @@
 		"port":       {good, "the port is taken: choose another"},
 		"unknown":    {good + "lisen = \"x\"\n", `entry.toml:7:1: key "lisen": unknown setting: did you mean "listen"?`},
 		"log level":  {good + "log_level = \"loud\"\n", `entry.toml:7: key "log_level": "loud": write debug, info, warn or error`},
+		"memory":     {good + "memory_mb = 8\n", `entry.toml:7: key "memory_mb": 8: write 48 to 1048576`},
 		"address":    {strings.Replace(good, taken.Addr().String(), "here", 1), `entry.toml:3: key "listen": "here": write IP:PORT`},
 		"no id":      {strings.Replace(good, `"e"`, `""`, 1), `entry.toml:1: key "id"`},
 		"wrong type": {strings.Replace(good, `"h"`, `7`, 1), `entry.toml:2`},
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -51,6 +51,8 @@
 	PlatformArgs            []string
 	// Direct omits the proxies, for measurements of cost.
 	Direct bool
+	// EntryFile is TOML that is appended to the settings files of entries.
+	EntryFile string
 	// Fleet is TOML that is appended to the fleet's config.
 	Fleet string
 }
@@ -214,7 +216,7 @@
 // StartEntry starts entry i and lists it on the platform.
 func (f *Fleet) StartEntry(i int) *Process {
 	name := fmt.Sprintf("entry-%d", i)
-	p := f.startProcess("entry", name, Halls[i%len(Halls)], "listen = \"127.0.0.1:0\"\n")
+	p := f.startProcess("entry", name, Halls[i%len(Halls)], "listen = \"127.0.0.1:0\"\n"+f.spec.EntryFile)
 	p.inst = member.Instance{ID: name, Role: member.Entry, Addr: p.Addr, Hall: Halls[i%len(Halls)], State: member.Live}
 	f.ListInstance(p, member.Live)
 	return p
