--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -491,6 +491,9 @@
 // Log returns the output of the process.
 func (p *Process) Log() string { return p.log.String() }
 
+// Pid returns the ID of the process in the operating system.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Kill kills the process and waits until it has exited.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
