bodies, gate, entry: Read callers' bodies within one budget of memory

What callers saw: the process ended, with all requests on it, while clients that nobody controls sent bodies that never ended or went far over the limit.

Cause: each body was limited, 4 MiB by default, and their sum was not; a body was held for as long as its request may take. A length was allocated before a byte had come, and a body without one doubled as it grew. Class: a limit for each of many, and none for all of them.

Evidence: with 100 connections that stop short of a limit of 1 MiB the gauge of the bytes held stood at 100 MiB on a machine of 64, and connections without a body cost nothing.

Change: package callers/bodies, which both paths read bodies through. A body is charged as it arrives, by blocks of 1 to 16 KiB, and until its request ends. What does not fit into a quarter of the machine's memory (limits.memoryMb, memory_mb; of 1 GiB if unknown) makes incomplete bodies give way, first the one that has held the most for the longest; whole ones never do. The only body is read whatever its size. A caller that gives way gets 503, not_run, no_memory, a Retry-After, and the connection is closed, as that of a body over the limit. A length over the limit is refused without reading any of it, now also at an entry. Counter, gauges, and a log line a second at most.

Why it works: memory for bodies is taken in one place, which has the bound; an ordinary body arrives soon and is small by the measure of size and time, so that those that stand still go first.

--- a/callers/chats/failures.go
+++ b/callers/chats/failures.go
@@ -42,6 +42,7 @@
 			verdict.Deadline:       http.StatusGatewayTimeout,
 			verdict.NoEngine:       http.StatusServiceUnavailable,
 			verdict.NotReady:       http.StatusServiceUnavailable,
+			verdict.NoMemory:       http.StatusServiceUnavailable,
 			verdict.Leaving:        http.StatusServiceUnavailable,
 			verdict.Unreachable:    http.StatusServiceUnavailable,
 			verdict.HeldBack:       http.StatusServiceUnavailable,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,7 +123,7 @@
 	hints, _ := simplelru.NewLRU[uint64, string](maxHints, nil)
 	e := &Entry{
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, limiters: newLimiters(),
-		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints, bodies: bodies.NewAccount(cfg.Memory), durations: duration.NewEstimator(),
+		budget: newRetryBudget(), burn: &burnRecorder{r: burn.NewRecorder()}, hints: hints, bodies: bodies.NewAccount(bodies.Config{Memory: cfg.Memory, Clock: cfg.Clock, Log: cfg.Log}), durations: duration.NewEstimator(),
 	}
 	e.aborting, e.abort = context.WithCancelCause(context.Background())
 	e.links = link.NewPool(cfg.Clock, e)
@@ -243,8 +243,9 @@
 		// Makes the caller send its next request to another entry.
 		w.Header().Set("Connection", "close")
 	}
+	interruptRead := func() { _ = http.NewResponseController(w).SetReadDeadline(clock.Deadline(0)) }
 	return &call{
-		w: w, r: r, service: service, received: e.bodies.Body(), startMicros: e.clk.Micros(), start: e.clk.Now(),
+		w: w, r: r, service: service, received: e.bodies.Body(interruptRead), startMicros: e.clk.Micros(), start: e.clk.Now(),
 		id: fmt.Sprintf("%s-%x-%d", e.cfg.ID, link.BootID()&0xffffff, e.seq.Add(1)),
 	}
 }
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/callers/chats"
 	"github.com/weldfall/weldfall/common/clock"
+	"github.com/weldfall/weldfall/common/whole"
 	"github.com/weldfall/weldfall/fleet"
 	"github.com/weldfall/weldfall/fleet/once"
 	"github.com/weldfall/weldfall/link/wire"
@@ -21,6 +22,10 @@
 // may know it, and this one asks its peers once a second.
 const retryBranch clock.Millis = 1000
 
+// retryMemory is sent in Retry-After if the memory for bodies is used up. Other entries may have
+// some.
+const retryMemory clock.Millis = 1000
+
 // identify finds the workspace that the bearer key belongs to. It fails if there is none.
 func (e *Entry) identify(ctx context.Context, c *call) *verdict.Error {
 	key, failure := chats.BearerKey(c.r.Header)
@@ -48,20 +53,24 @@
 	return nil
 }
 
-// read reads the body, up to the size limit of the workspace.
+// read reads the body within the limits on its size and time and on the memory of all bodies. The
+// connection of one over these limits is closed, since the rest of the body may still come.
 func (e *Entry) read(_ context.Context, c *call) *verdict.Error {
 	limit := int64(c.values.Limits.BodyBytes)
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(clock.Deadline(bodyTimeout))
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(c.received.Reader(http.MaxBytesReader(c.w, c.r.Body, limit)))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return verdict.New(verdict.NotRun, verdict.TooLarge, "the body exceeds limits.body_bytes, %d", limit)
-		}
+	body, err := c.received.Read(c.r.Body, c.r.ContentLength, limit)
+	switch {
+	case errors.Is(err, whole.ErrTooLarge):
+		c.w.Header().Set("Connection", "close")
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body exceeds limits.body_bytes, %d", limit)
+	case errors.Is(err, bodies.ErrNoRoom):
+		c.w.Header().Set("Connection", "close")
+		return verdict.New(unhandledVerdict(c.r), verdict.NoMemory, "%w", err).WithRetryAfter(retryMemory)
+	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body is incomplete: %w", err)
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	c.body = body
 	if !c.isChat() {
 		return nil
--- a/gate/call.go
+++ b/gate/call.go
@@ -160,6 +160,12 @@
 	note           string
 }
 
+// interruptRead ends a pending read of the body.
+func (c *call) interruptRead() {
+	// A connection that does not support deadlines is bounded by the request's context.
+	_ = c.rc.SetReadDeadline(clock.Deadline(0))
+}
+
 // hasBody reports whether the request has a body.
 func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -257,7 +257,7 @@
 		cfg: cfg, clk: cfg.Clock, log: cfg.Log, wire: d, style: failureStyle(d.RequestID),
 		reserved: headerSet(d.Reserved), internal: headerSet(d.Internal),
 		pool:     upstream.NewPool(cfg.Clock, upstream.HeaderNames{RequestID: d.RequestID, NotRun: d.NotRun}, cfg.Link, cfg.Log),
-		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, rooms: map[string]*serviceRoom{}, counts: newCounts(), bodies: bodies.NewAccount(cfg.Memory),
+		registry: engines.NewRegistry(), budgets: map[string]*serviceBudget{}, rooms: map[string]*serviceRoom{}, counts: newCounts(), bodies: bodies.NewAccount(bodies.Config{Memory: cfg.Memory, Clock: cfg.Clock, Log: cfg.Log}),
 		durations: duration.NewEstimator(), prefillSpeeds: map[string]*prefill.Estimator{}, spills: map[string]*locality.Spill{},
 		guard: quarantine.NewGuard(cfg.Clock, cfg.Log), fair: fairshare.New(fairshare.Config{}),
 		shutdown: shutdown{inFlight: map[*call]struct{}{}}, startedAt: cfg.Clock.Now(), epoch: fresh.NewEpoch(rewriteFor), epochReportedAt: -peerAheadFor - 1,
--- a/gate/resolve.go
+++ b/gate/resolve.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/weldfall/weldfall/callers"
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/common/whole"
@@ -174,13 +175,15 @@
 	return nil
 }
 
-// readBody reads the body within the limits on its size and time.
+// readBody reads the body within the limits on its size and time and on the memory of all bodies.
+// The connection of one over these limits is closed, since the rest of the body may still come.
 func (g *Gate) readBody(ctx context.Context, c *call) *verdict.Error {
 	limit := int64(defaultBodyLimit)
 	if l := c.table.Limits().BodyBytes; l > 0 {
 		limit = l
 	}
 	if c.r.ContentLength > limit {
+		c.w.Header().Set("Connection", "close")
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has %d bytes, the limit is %d", c.r.ContentLength, limit)
 	}
 	if !c.hasBody() {
@@ -193,10 +196,14 @@
 	c.readingBody.Store(true)
 	defer c.readingBody.Store(false)
 	_ = c.rc.SetReadDeadline(clock.Deadline(c.timeLeft(g.clk.Now())))
-	body, err := whole.Read(c.received.Reader(c.r.Body), c.r.ContentLength, limit)
+	body, err := c.received.Read(c.r.Body, c.r.ContentLength, limit)
 	switch {
 	case errors.Is(err, whole.ErrTooLarge):
+		c.w.Header().Set("Connection", "close")
 		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body has more than %d bytes", limit)
+	case errors.Is(err, bodies.ErrNoRoom):
+		c.w.Header().Set("Connection", "close")
+		return verdict.New(verdict.NotRun, verdict.NoMemory, "%w", err).WithRetryAfter(retrySoon)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		callers.RecordBodyTimeout(ctx, c.giveUpAt-c.start)
 		return verdict.New(verdict.NotRun, verdict.Deadline, "the body did not arrive in time: %w", err)
--- a/gate/server.go
+++ b/gate/server.go
@@ -40,7 +40,8 @@
 // newCall returns the call for a request whose header has been read.
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := g.clk.Now()
-	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, giveUpAt: now + maxRequestTime, received: g.bodies.Body()}
+	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, giveUpAt: now + maxRequestTime}
+	c.received = g.bodies.Body(c.interruptRead)
 	c.reply = g.replyTo(c)
 	return c
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -48,7 +48,9 @@
 	NotReady       Reason = "not_ready"
 	NoRoute        Reason = "no_route"
 	// NoRoom means that the engines are too busy for a request of its urgency.
-	NoRoom        Reason = "no_room"
+	NoRoom Reason = "no_room"
+	// NoMemory means that the memory for bodies of requests is used up.
+	NoMemory      Reason = "no_memory"
 	HeldBack      Reason = "held_back"
 	PartHeldBack  Reason = "part_held_back"
 	UnknownOrigin Reason = "unknown_origin"
