entry, bodies: Charge the encoded copies of bodies, limit Go's memory

What callers saw: an entry that takes five times the size of the bodies that it offers, so that a hundred whole ones of 1 MiB took 500 MiB and ended the process.

Cause: a request to a daemon is encoded, and encoded again as a message; each form of the body counts a third more than it, and one is kept until the request ends. Nothing charged them, and no limit made the runtime collect what was sent. Class: memory that follows from what is bounded and is not counted with it.

Change: a request reserves four times its body before it is offered, and keeps two from the first byte of its response. What doesn't fit makes incomplete bodies give way; if whole ones leave no room, the request is refused as not run, with no_memory and Retry-After.

--- a/callers/bodies/bodies.go
+++ b/callers/bodies/bodies.go
@@ -83,6 +83,8 @@
 	account *Account
 	// interrupt ends a pending read of the body.
 	interrupt func()
+	// reserved is the part of charged beyond the body itself.
+	reserved int64
 
 	// These are guarded by account.mu. charged is the memory that the body takes, since the given
 	// time. yields is true once the body has to give way.
@@ -152,8 +154,26 @@
 	return nil
 }
 
+// Reserve sets what else the request takes because of its body, such as encoded copies of it, in
+// bytes. The body must have been read. It fails with ErrNoRoom if that does not fit, and takes
+// nothing else then.
+func (b *Body) Reserve(n int64) error {
+	if n > b.reserved {
+		if err := b.charge(n - b.reserved); err != nil {
+			return err
+		}
+	} else {
+		b.recharge(b.charged - b.reserved + n)
+	}
+	b.reserved = n
+	return nil
+}
+
 // Release takes the body off the account.
-func (b *Body) Release() { b.recharge(0) }
+func (b *Body) Release() {
+	b.reserved = 0
+	b.recharge(0)
+}
 
 // begin makes the body one that may have to give way.
 func (b *Body) begin() {
@@ -174,14 +194,19 @@
 }
 
 // charge adds n bytes to what the body takes. It waits until others have given way for it, and fails
-// with ErrNoRoom if the body itself has to.
+// with ErrNoRoom if the body itself has to, or if none is left that may.
 func (b *Body) charge(n int64) error {
 	a := b.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for !b.yields && !a.fits(b, n) {
 		a.makeRoom(n)
-		if !b.yields {
+		switch {
+		case b.yields:
+		case a.used-a.yielding+n > a.budget:
+			a.recordRefused()
+			return ErrNoRoom
+		default:
 			a.freed.Wait()
 		}
 	}
--- a/callers/bodies/bodies_test.go
+++ b/callers/bodies/bodies_test.go
@@ -242,3 +242,41 @@
 		t.Errorf("got %d log lines, want about one a second", got)
 	}
 }
+
+// Guards against a request whose body fits and whose copies of it don't: they are charged, make
+// incomplete bodies give way, and the request is refused if whole bodies leave no room.
+func TestCopiesOfABodyAreCharged(t *testing.T) {
+	a, _ := newAccount(memory)
+	first, second := a.Body(func() {}), a.Body(func() {})
+	for _, b := range []*bodies.Body{first, second} {
+		if _, err := b.Read(io.LimitReader(zeros{}, budget/8), budget/8, limit); err != nil {
+			t.Fatal(err)
+		}
+	}
+	open := begin(a)
+	open.write(budget / 8)
+	if err := first.Reserve(budget * 3 / 4); err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+	if err := <-open.done; !errors.Is(err, bodies.ErrNoRoom) {
+		t.Errorf("incomplete body: got %v, want %v", err, bodies.ErrNoRoom)
+	}
+	if err := second.Reserve(budget / 8); !errors.Is(err, bodies.ErrNoRoom) {
+		t.Errorf("without room: got %v, want %v", err, bodies.ErrNoRoom)
+	}
+	if err := first.Reserve(budget / 8); err != nil {
+		t.Errorf("less than before: got %v, want no error", err)
+	}
+	if err := second.Reserve(budget / 8); err != nil {
+		t.Errorf("with room again: got %v, want no error", err)
+	}
+	if got, want := held(), budget/2.0; got != want {
+		t.Errorf("got %v bytes held, want %v", got, want)
+	}
+	for _, b := range []*bodies.Body{first, second, open.body} {
+		b.Release()
+	}
+	if got, want := held(), 0.0; got != want {
+		t.Errorf("got %v bytes held at the end, want %v", got, want)
+	}
+}
--- a/commands/process.go
+++ b/commands/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"regexp"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/weldfall/weldfall/common/clock"
@@ -136,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(float64(f.MemoryMB<<20) * goMemoryShare))
 	clk := clock.System()
 	e := entry.New(entry.Config{
 		ID: f.ID, Hall: f.Hall, Bootstrap: f.Bootstrap, Platform: source.New(f.Platform, clk, log),
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -26,6 +26,13 @@
 // some.
 const retryMemory clock.Millis = 1000
 
+// Copies of a body in other forms: offeredForms while the request is encoded and offered to
+// engines, and answeredForms once its response has begun.
+const (
+	offeredForms  = 4
+	answeredForms = 2
+)
+
 // identify finds the workspace that the bearer key belongs to. It fails if there is none.
 func (e *Entry) identify(ctx context.Context, c *call) *verdict.Error {
 	key, failure := chats.BearerKey(c.r.Header)
@@ -71,6 +78,9 @@
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body is incomplete: %w", err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
+	if err := c.received.Reserve(offeredForms * int64(len(body))); err != nil {
+		return verdict.New(unhandledVerdict(c.r), verdict.NoMemory, "%w", err).WithRetryAfter(retryMemory)
+	}
 	c.body = body
 	if !c.isChat() {
 		return nil
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -46,6 +46,8 @@
 	for _, f := range frames {
 		if f.Head != nil && !c.headerSent {
 			c.writeHeader(f.Head)
+			// Less than before always fits.
+			_ = c.received.Reserve(answeredForms * int64(len(c.body)))
 		}
 		if len(f.Data) == 0 {
 			continue
