--- a/callers/bodies/bodies_test.go
+++ b/callers/bodies/bodies_test.go
@@ -178,6 +178,30 @@
 	}
 }
 
+// Guards against an ordinary large body that is refused for many smaller ones that never end.
+func TestQuickLargeBodyIsReadBesideManySlowSmallOnes(t *testing.T) {
+	a, _ := newAccount(memory)
+	const slowSize = 100 << 10
+	var slow []*upload
+	for range budget / slowSize {
+		u := begin(a)
+		u.write(slowSize)
+		slow = append(slow, u)
+	}
+	// Time counts, too.
+	time.Sleep(100 * time.Millisecond)
+	quick := begin(a)
+	quick.write(limit)
+	if err := quick.finish(); err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+	quick.body.Release()
+	for _, u := range slow {
+		_ = u.finish()
+		u.body.Release()
+	}
+}
+
 // Guards against an incomplete body that takes the place of whole ones.
 func TestIncompleteBodyGivesWayToWholeOnes(t *testing.T) {
 	a, _ := newAccount(memory)
