bodies: Let the copies of the only whole body exceed the budget

What callers saw: in calm, a request whose body and encoded copies exceed the budget together was refused by an entry if a body beside it had just given way for it.

Cause: whether a body is the only one was asked of all that is charged, and not of what is left once those that give way are released.

Figures: TestCopiesOfTheOnlyWholeBodyFitWhateverTheirSize failed before (refused), passes now; the package five times under the race detector.

--- a/callers/bodies/bodies.go
+++ b/callers/bodies/bodies.go
@@ -199,11 +199,11 @@
 	a := b.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for !b.yields && !a.fits(b, n) {
-		a.makeRoom(n)
+	for !b.yields && !a.fits(b, n, a.used) {
+		a.makeRoom(b, n)
 		switch {
 		case b.yields:
-		case a.used-a.yielding+n > a.budget:
+		case !a.fits(b, n, a.used-a.yielding):
 			a.recordRefused()
 			return ErrNoRoom
 		default:
@@ -237,19 +237,19 @@
 	a.freed.Broadcast()
 }
 
-// fits reports whether n more bytes of a body fit into the budget. A body that is the only one fits
-// whatever its size. a.mu must be held.
-func (a *Account) fits(b *Body, n int64) bool { return a.used+n <= a.budget || a.used == b.charged }
+// fits reports whether n more bytes of a body fit into the budget if all bodies take used bytes. A
+// body that is the only one fits whatever its size. a.mu must be held.
+func (a *Account) fits(b *Body, n, used int64) bool { return used+n <= a.budget || used == b.charged }
 
-// makeRoom makes bodies give way until n bytes fit once they are released, or until none is left
-// that may. a.mu must be held.
-func (a *Account) makeRoom(n int64) {
-	for a.used-a.yielding+n > a.budget && len(a.incomplete) > 0 {
-		b := a.costliest()
-		delete(a.incomplete, b)
-		b.yields = true
-		a.yielding += b.charged
-		b.interrupt()
+// makeRoom makes bodies give way until n more bytes of a body fit once they are released, until the
+// body itself gives way, or until none is left that may. a.mu must be held.
+func (a *Account) makeRoom(b *Body, n int64) {
+	for !b.yields && !a.fits(b, n, a.used-a.yielding) && len(a.incomplete) > 0 {
+		other := a.costliest()
+		delete(a.incomplete, other)
+		other.yields = true
+		a.yielding += other.charged
+		other.interrupt()
 		a.recordRefused()
 	}
 	// Those that wait themselves may have to give way.
--- a/callers/bodies/bodies_test.go
+++ b/callers/bodies/bodies_test.go
@@ -304,3 +304,22 @@
 		t.Errorf("got %v bytes held at the end, want %v", got, want)
 	}
 }
+
+// Guards against a request that is refused in calm since its body and the copies of it exceed the
+// budget, beside a body that gives way for it.
+func TestCopiesOfTheOnlyWholeBodyFitWhateverTheirSize(t *testing.T) {
+	a, _ := newAccount(memory)
+	only, open := a.Body(func() {}), begin(a)
+	open.write(10 << 10)
+	if _, err := only.Read(io.LimitReader(zeros{}, limit), limit, limit); err != nil {
+		t.Fatal(err)
+	}
+	if err := only.Reserve(budget); err != nil {
+		t.Errorf("got %v, want no error", err)
+	}
+	if err := <-open.done; !errors.Is(err, bodies.ErrNoRoom) {
+		t.Errorf("incomplete body: got %v, want %v", err, bodies.ErrNoRoom)
+	}
+	only.Release()
+	open.body.Release()
+}
