--- a/gate/call.go
+++ b/gate/call.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/weldfall/weldfall/callers/bodies"
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/common/fresh"
 	"github.com/weldfall/weldfall/engines"
@@ -62,6 +63,8 @@
 	// or has returned it.
 	turn turnPlace
 	body []byte
+	// received accounts for the memory of the body.
+	received *bodies.Body
 	// guardRequest is the call as the guard knows it, nil until it is first sent. isolated is
 	// true if the latest attempt was isolated.
 	guardRequest *quarantine.Request
@@ -157,6 +160,12 @@
 	note           string
 }
 
+// interruptRead ends a pending read of the body.
+func (c *call) interruptRead() {
+	// A connection that does not support deadlines is bounded by the request's context.
+	_ = c.rc.SetReadDeadline(clock.Deadline(0))
+}
+
 // hasBody reports whether the request has a body.
 func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
 
--- a/gate/server.go
+++ b/gate/server.go
@@ -24,6 +24,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := g.newCall(w, r)
+	defer c.received.Release()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	c.cancel = cancel
@@ -40,6 +41,7 @@
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := g.clk.Now()
 	c := &call{w: w, rc: http.NewResponseController(w), r: r, start: now, giveUpAt: now + maxRequestTime}
+	c.received = g.bodies.Body(c.interruptRead)
 	c.reply = g.replyTo(c)
 	return c
 }
