callers: Go on after any accept that fails

One accept that failed with ENOMEM or ENOBUFS ended the server, and with it the gate or the entry: a crowd of connections can take the memory of the kernel. All errors but the end of the listener are handled as a lack of descriptors is now: one connection gives way, a pause of 100 ms, one line.

--- a/callers/room.go
+++ b/callers/room.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
-	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -45,8 +45,8 @@
 	return c != nil && c.server.full.Load()
 }
 
-// accept accepts a connection once there are at most as many as allowed. If no descriptor is
-// free, it closes connections and tries again.
+// accept accepts a connection once there are at most as many as allowed. If that fails, as it does
+// without a free descriptor or memory of the kernel, it closes a connection and tries again.
 func (l listener) accept() (*conn, error) {
 	for {
 		l.s.waitForRoom()
@@ -55,7 +55,7 @@
 			l.s.acceptFailing = false
 			return l.s.track(nc), nil
 		}
-		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) || l.s.isClosing() {
+		if errors.Is(err, net.ErrClosed) || l.s.isClosing() {
 			return nil, err
 		}
 		if !l.s.acceptFailing {
