--- /dev/null
+++ b/integration/crowd_test.go
@@ -0,0 +1,69 @@
+package integration_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/weldfall/weldfall/internal/crowdtest"
+	"github.com/weldfall/weldfall/internal/fleettest"
+)
+
+const (
+	// crowdDescriptors is the number of descriptors that an entry may open, and crowdSize that of
+	// the connections of callers that send too little.
+	crowdDescriptors, crowdSize = 128, 200
+	// maxCrowdDescriptors bounds the descriptors of the entry beside them. The rest is for daemons,
+	// the platform, other entries and the admin pages.
+	maxCrowdDescriptors = 112
+)
+
+// Guards against an entry that serves nobody, and is not ready, while callers hold more connections
+// than it has descriptors, whatever little they send on them.
+func TestConnectionsThatSendTooLittleKeepNobodyOutOfAnEntry(t *testing.T) {
+	head := func(path, more string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n", path, fleettest.Key("planning", "ws0"), more)
+	}
+	for _, tc := range []struct{ name, send string }{
+		{"nothing", ""},
+		{"one request, then rest", head("/services/desk/x", "Content-Length: 0\r\n")},
+		{"one request to an unknown path", head("/nowhere/x", "Content-Length: 0\r\n")},
+		{"half a head", "POST /services/desk/x HTTP/1.1\r\nHost: x\r\nAuthor"},
+		{"half a body", head("/services/desk/x", "Content-Length: 100\r\n") + "half"},
+		{"half a body to an unknown path", head("/nowhere/x", "Content-Length: 100\r\n") + "half"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := fleettest.Start(t, fleettest.Spec{Services: 1, Entries: 1})
+			t.Setenv(crowdtest.DescriptorsEnv, strconv.Itoa(crowdDescriptors))
+			e := f.StartEntry(1)
+			f.Entries = append(f.Entries, e)
+			f.WaitReady()
+			crowd := crowdtest.Start(e.CallerAddr, tc.send, crowdSize)
+			defer crowd.Stop()
+			// Until the entry has as many connections as it takes.
+			most := 0
+			for range 150 {
+				most = max(most, e.OpenDescriptors())
+				time.Sleep(10 * time.Millisecond)
+			}
+			q := service(f, "/ordinary")
+			q.entry = e
+			if got := q.send(); got.status != http.StatusOK {
+				t.Errorf("ordinary request: got %d %s %v, want 200", got.status, got.body, got.err)
+			}
+			if !e.Ready() {
+				t.Error("got an entry that is not ready")
+			}
+			most = max(most, e.OpenDescriptors())
+			t.Logf("%d descriptors at most", most)
+			if most > maxCrowdDescriptors {
+				t.Errorf("got %d open descriptors, want at most %d of %d", most, maxCrowdDescriptors, crowdDescriptors)
+			}
+			if e.Ended() {
+				t.Error("the process has ended")
+			}
+		})
+	}
+}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/weldfall/weldfall/common/clock"
 	"github.com/weldfall/weldfall/fleet/member"
 	"github.com/weldfall/weldfall/internal/clocktest"
+	"github.com/weldfall/weldfall/internal/crowdtest"
 	"github.com/weldfall/weldfall/internal/proxy"
 	"github.com/weldfall/weldfall/settings"
 	"github.com/weldfall/weldfall/standin/engine"
@@ -33,6 +34,10 @@
 // tests otherwise.
 func Main(m *testing.M) {
 	if os.Getenv(MainEnv) != "" {
+		if err := crowdtest.LimitDescriptors(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
 		clocktest.SimulateSuspensions()
 		proxy.DialLinks()
 		os.Exit(commands.Main(os.Args[1:], os.Stdout, os.Stderr))
@@ -466,6 +471,26 @@
 	return resident * float64(os.Getpagesize())
 }
 
+// OpenDescriptors returns the number of descriptors that the process has open.
+func (p *Process) OpenDescriptors() int {
+	p.t.Helper()
+	n, err := crowdtest.OpenDescriptors(p.cmd.Process.Pid)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return n
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PeakMemory returns the most memory in bytes that the process has held so far.
 func (p *Process) PeakMemory() int64 {
 	p.t.Helper()
