entry: Refuse a body that did not arrive in time as not run

A body that gave way to other connections, or that took too long, was answered with 400 on the own path: callers repeat no such request. It gets the verdict not_run (may_have_run with a key) with Retry-After now, and its connection is closed, as at a gate.

--- a/entry/identify.go
+++ b/entry/identify.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -74,6 +75,9 @@
 	case errors.Is(err, bodies.ErrNoRoom):
 		c.w.Header().Set("Connection", "close")
 		return verdict.New(unhandledVerdict(c.r), verdict.NoMemory, "%w", err).WithRetryAfter(retryMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		return verdict.New(unhandledVerdict(c.r), verdict.Deadline, "the body did not arrive in time: %w", err).WithRetryAfter(retryMemory)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "the body is incomplete: %w", err)
 	}
--- a/integration/descriptors_test.go
+++ b/integration/descriptors_test.go
@@ -1,7 +1,10 @@
 package integration_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -67,3 +70,34 @@
 		})
 	}
 }
+
+// Guards against an entry that calls a request malformed whose body gave way to other connections:
+// callers repeat no such request.
+func TestBodyThatGivesWayAtAnEntryIsNotMalformed(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Spec{Services: 1, Entries: 1})
+	t.Setenv(heldconns.DescriptorsEnv, strconv.Itoa(processDescriptors))
+	e := f.StartEntry(1)
+	f.Entries = append(f.Entries, e)
+	f.WaitReady()
+	half := fmt.Sprintf("POST /services/desk/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", fleettest.Key("planning", "ws0"))
+	nc, err := net.Dial("tcp", e.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := io.WriteString(nc, half); err != nil {
+		t.Fatal(err)
+	}
+	held := heldconns.Start(e.CallerAddr, half, heldConns)
+	defer held.Stop()
+	_ = nc.SetReadDeadline(time.Now().Add(20 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(nc), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(res.Body)
+	if res.StatusCode < http.StatusInternalServerError || res.Header.Get("Retry-After") == "" || !res.Close {
+		t.Errorf("got status %d, Retry-After %q, %q, want a refusal of an entry without room that closes the connection", res.StatusCode, res.Header.Get("Retry-After"), body)
+	}
+}
