callers: Let connections give way beside one whose caller does not read

A connection whose body has to give way counts as closing until its handler reads. One whose handler writes a response that nobody reads never does, so that no other connection gave way.

--- a/callers/conns.go
+++ b/callers/conns.go
@@ -206,6 +206,8 @@
 	// resetOnClose is set while closing the connection sends a reset. It is used only by the
 	// goroutine of the request's handler.
 	resetOnClose bool
+	// writing is set while data is written, which takes as long as the caller does not read.
+	writing atomic.Bool
 	// lingerOnClose is set once a response that ends with the connection is complete.
 	lingerOnClose atomic.Bool
 }
@@ -247,6 +249,8 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Store(true)
+	defer c.writing.Store(false)
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.server.recordTimeout(c.RemoteAddr().String(), phaseResponse)
--- a/callers/room.go
+++ b/callers/room.go
@@ -146,6 +146,9 @@
 			_ = c.Conn.SetReadDeadline(clock.Deadline(0))
 		}
 		return -1, 0, true
+	case c.bodyOverdue && c.writing.Load():
+		// Nothing reads the connection until the caller has read the response.
+		return -1, 0, false
 	case c.closing, c.overdue, c.bodyOverdue:
 		// net/http may have set another deadline meanwhile.
 		_ = c.Conn.SetReadDeadline(clock.Deadline(0))
