--- a/commands/process.go
+++ b/commands/process.go
@@ -138,6 +138,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(f.MemoryMB<<20) * goMemoryShare))
 	clk := clock.System()
 	descriptors := descriptorLimit(0)
